Thin whole path: caller -> entry -> agent -> fake engine -> back

Nothing existed yet.

What is built: one binary with subcommands entry, agent, fake-engine, fake-service, load, bench, check-settings, default-settings. Each serving process runs one libev loop on one thread: libmicrohttpd driven through its epoll fd (suspend/resume for late and streamed answers), nghttp2 over non-blocking sockets between entry and agent (with PING-based detection of silent connections), libcurl multi in socket-action style toward the upstream. Settings are one JSON file, checked with JSON paths. The scheduler (tiers, floor share against starvation, shed only lower tiers), the router (load plus prefix affinity by rendezvous hashing, stragglers avoided) and the at-most-once ledger are in place but not yet tested.

Ruled out: libnghttp2_asio (needs Boost.Asio, a second loop) and prometheus-cpp's pull Exposer (civetweb threads): both break "one loop on one thread". Metrics are rendered by the process's own HTTP server.

An unknown account gets 403 unknown_account, counted under medlarwalk_entry_refusals_total{reason="unknown_account"}.

--- /dev/null
+++ b/src/errors.cc
@@ -0,0 +1,84 @@
+#include "errors.h"
+
+#include <array>
+#include <string>
+
+#include "absl/strings/cord.h"
+
+namespace medlarwalk {
+namespace {
+
+constexpr char kPayloadUrl[] = "medlarwalk/kind";
+
+// Indexed by ErrorKind. 503 means "come back later" and always carries
+// Retry-After; 409 is a conflict on the idempotency key; 502 is an upstream
+// failure after the request may have started.
+constexpr std::array<Answer, kErrorKindCount> kAnswers = {{
+    {400, "bad_request", false, true},
+    {403, "unknown_account", false, true},
+    {403, "unknown_class", false, true},
+    {404, "unknown_model", false, true},
+    {429, "overloaded", true, true},
+    {503, "target_unmeetable", true, true},
+    {503, "shed", true, true},
+    {503, "no_upstream", true, true},
+    {503, "not_run", true, true},
+    {502, "outcome_unknown", true, false},
+    {409, "still_running", true, false},
+    {422, "key_reused", false, true},
+    {503, "draining", true, true},
+    {409, "stale_fencing", false, true},
+    {500, "internal", false, false},
+}};
+
+absl::StatusCode CodeFor(ErrorKind kind) {
+  switch (kind) {
+    case ErrorKind::kBadRequest:
+    case ErrorKind::kKeyReused:
+      return absl::StatusCode::kInvalidArgument;
+    case ErrorKind::kUnknownAccount:
+    case ErrorKind::kUnknownClass:
+      return absl::StatusCode::kPermissionDenied;
+    case ErrorKind::kUnknownModel:
+      return absl::StatusCode::kNotFound;
+    case ErrorKind::kOverloaded:
+    case ErrorKind::kTargetUnmeetable:
+    case ErrorKind::kShed:
+      return absl::StatusCode::kResourceExhausted;
+    case ErrorKind::kStillRunning:
+    case ErrorKind::kStaleFencing:
+      return absl::StatusCode::kFailedPrecondition;
+    case ErrorKind::kOutcomeUnknown:
+    case ErrorKind::kInternal:
+      return absl::StatusCode::kInternal;
+    default:
+      return absl::StatusCode::kUnavailable;
+  }
+}
+
+}  // namespace
+
+const Answer& AnswerFor(ErrorKind kind) {
+  return kAnswers[static_cast<size_t>(kind)];
+}
+
+absl::Status MakeError(ErrorKind kind, absl::string_view message) {
+  absl::Status status(CodeFor(kind), message);
+  status.SetPayload(kPayloadUrl, absl::Cord(AnswerFor(kind).code));
+  return status;
+}
+
+ErrorKind KindOf(const absl::Status& status) {
+  auto payload = status.GetPayload(kPayloadUrl);
+  if (!payload) return ErrorKind::kInternal;
+  return KindFromCode(std::string(*payload));
+}
+
+ErrorKind KindFromCode(absl::string_view code) {
+  for (int i = 0; i < kErrorKindCount; ++i) {
+    if (kAnswers[i].code == code) return static_cast<ErrorKind>(i);
+  }
+  return ErrorKind::kInternal;
+}
+
+}  // namespace medlarwalk
--- /dev/null
+++ b/src/http_client.cc
@@ -0,0 +1,195 @@
+#include "http_client.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace medlarwalk {
+
+struct HttpClient::Active {
+  HttpClient* client;
+  uint64_t id;
+  HttpCall call;
+  CURL* easy = nullptr;
+  curl_slist* headers = nullptr;
+  bool status_seen = false;
+  bool cancelled = false;
+};
+
+struct HttpClient::Socket {
+  HttpClient* client;
+  curl_socket_t fd;
+  ev_io io;
+};
+
+HttpClient::HttpClient(struct ev_loop* loop)
+    : loop_(loop), multi_(curl_multi_init()) {
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &OnSocket);
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &OnTimerChange);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+  ev_timer_init(&timer_, OnTimer, 0., 0.);
+  timer_.data = this;
+}
+
+HttpClient::~HttpClient() {
+  ev_timer_stop(loop_, &timer_);
+  while (!calls_.empty()) Remove(calls_.begin()->first);
+  curl_multi_cleanup(multi_);
+}
+
+uint64_t HttpClient::Start(HttpCall call) {
+  auto a = std::make_unique<Active>();
+  a->client = this;
+  a->id = next_id_++;
+  a->call = std::move(call);
+  a->easy = curl_easy_init();
+  CURL* e = a->easy;
+  curl_easy_setopt(e, CURLOPT_URL, a->call.url.c_str());
+  curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, a->call.method.c_str());
+  if (a->call.method == "POST" || !a->call.body.empty()) {
+    curl_easy_setopt(e, CURLOPT_POSTFIELDS, a->call.body.data());
+    curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(a->call.body.size()));
+  }
+  a->headers = curl_slist_append(a->headers, "Expect:");
+  for (const auto& h : a->call.headers) {
+    a->headers = curl_slist_append(a->headers, h.c_str());
+  }
+  curl_easy_setopt(e, CURLOPT_HTTPHEADER, a->headers);
+  curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, &OnWrite);
+  curl_easy_setopt(e, CURLOPT_WRITEDATA, a.get());
+  curl_easy_setopt(e, CURLOPT_PRIVATE, a.get());
+  curl_easy_setopt(e, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(a->call.timeout.count()));
+  curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(a->call.connect_timeout.count()));
+  curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(e, CURLOPT_TCP_NODELAY, 1L);
+  uint64_t id = a->id;
+  calls_[id] = std::move(a);
+  curl_multi_add_handle(multi_, e);
+  return id;
+}
+
+void HttpClient::Cancel(uint64_t id) {
+  auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  // Removing an easy handle from inside its own write callback is not
+  // allowed; mark it, and the write callback aborts the transfer.
+  it->second->cancelled = true;
+  it->second->call.on_done = nullptr;
+  it->second->call.on_data = nullptr;
+  it->second->call.on_status = nullptr;
+}
+
+void HttpClient::Remove(uint64_t id) {
+  auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  curl_multi_remove_handle(multi_, it->second->easy);
+  curl_easy_cleanup(it->second->easy);
+  curl_slist_free_all(it->second->headers);
+  calls_.erase(it);
+}
+
+size_t HttpClient::OnWrite(char* ptr, size_t size, size_t n, void* userdata) {
+  auto* a = static_cast<Active*>(userdata);
+  if (a->cancelled) return 0;
+  if (!a->status_seen) {
+    a->status_seen = true;
+    long code = 0;
+    curl_easy_getinfo(a->easy, CURLINFO_RESPONSE_CODE, &code);
+    if (a->call.on_status) a->call.on_status(static_cast<int>(code));
+  }
+  if (a->cancelled) return 0;
+  if (a->call.on_data) a->call.on_data(absl::string_view(ptr, size * n));
+  return a->cancelled ? 0 : size * n;
+}
+
+// Hands finished transfers to their callers.
+void HttpClient::Drain() {
+  CURLMsg* msg;
+  int left = 0;
+  while ((msg = curl_multi_info_read(multi_, &left))) {
+    if (msg->msg != CURLMSG_DONE) continue;
+    Active* a = nullptr;
+    curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &a);
+    CURLcode code = msg->data.result;
+    uint64_t id = a->id;
+    HttpCallResult r;
+    long http = 0;
+    curl_easy_getinfo(a->easy, CURLINFO_RESPONSE_CODE, &http);
+    r.http_status = static_cast<int>(http);
+    if (code != CURLE_OK) {
+      r.status = absl::UnavailableError(curl_easy_strerror(code));
+      r.never_sent = code == CURLE_COULDNT_CONNECT ||
+                     code == CURLE_COULDNT_RESOLVE_HOST ||
+                     (code == CURLE_OPERATION_TIMEDOUT && http == 0 &&
+                      [&] {
+                        curl_off_t connect_us = 0;
+                        curl_easy_getinfo(a->easy, CURLINFO_CONNECT_TIME_T,
+                                          &connect_us);
+                        return connect_us == 0;
+                      }());
+    } else if (!a->status_seen && a->call.on_status) {
+      a->status_seen = true;
+      a->call.on_status(r.http_status);
+    }
+    auto done = std::move(a->call.on_done);
+    bool cancelled = a->cancelled;
+    Remove(id);
+    if (done && !cancelled) done(r);
+  }
+}
+
+int HttpClient::OnSocket(CURL*, curl_socket_t s, int what, void* userp,
+                         void* socketp) {
+  auto* self = static_cast<HttpClient*>(userp);
+  auto* sock = static_cast<Socket*>(socketp);
+  if (what == CURL_POLL_REMOVE) {
+    if (sock) {
+      ev_io_stop(self->loop_, &sock->io);
+      delete sock;
+    }
+    return 0;
+  }
+  if (!sock) {
+    sock = new Socket{self, s, {}};
+    curl_multi_assign(self->multi_, s, sock);
+  } else {
+    ev_io_stop(self->loop_, &sock->io);
+  }
+  int events = (what & CURL_POLL_IN ? EV_READ : 0) |
+               (what & CURL_POLL_OUT ? EV_WRITE : 0);
+  ev_io_init(&sock->io, OnIo, s, events);
+  sock->io.data = sock;
+  ev_io_start(self->loop_, &sock->io);
+  return 0;
+}
+
+int HttpClient::OnTimerChange(CURLM*, long timeout_ms, void* userp) {
+  auto* self = static_cast<HttpClient*>(userp);
+  ev_timer_stop(self->loop_, &self->timer_);
+  if (timeout_ms >= 0) {
+    ev_timer_set(&self->timer_, static_cast<double>(timeout_ms) / 1000.0, 0.);
+    ev_timer_start(self->loop_, &self->timer_);
+  }
+  return 0;
+}
+
+void HttpClient::OnIo(struct ev_loop*, ev_io* w, int revents) {
+  auto* sock = static_cast<Socket*>(w->data);
+  HttpClient* self = sock->client;
+  int flags = (revents & EV_READ ? CURL_CSELECT_IN : 0) |
+              (revents & EV_WRITE ? CURL_CSELECT_OUT : 0);
+  int running = 0;
+  curl_multi_socket_action(self->multi_, sock->fd, flags, &running);
+  self->Drain();
+}
+
+void HttpClient::OnTimer(struct ev_loop*, ev_timer* w, int) {
+  auto* self = static_cast<HttpClient*>(w->data);
+  int running = 0;
+  curl_multi_socket_action(self->multi_, CURL_SOCKET_TIMEOUT, 0, &running);
+  self->Drain();
+}
+
+}  // namespace medlarwalk
--- /dev/null
+++ b/src/http_client.h
@@ -0,0 +1,84 @@
+// HTTP client toward upstreams: libcurl's multi interface driven from the
+// process's libev loop (socket-action style). Bodies stream in as they come.
+#ifndef MEDLARWALK_HTTP_CLIENT_H_
+#define MEDLARWALK_HTTP_CLIENT_H_
+
+#include <curl/curl.h>
+#include <ev.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+#include "absl/status/status.h"
+#include "types.h"
+
+namespace medlarwalk {
+
+// How one call ended.
+struct HttpCallResult {
+  absl::Status status;  // Transport outcome; ok when an answer came whole.
+  int http_status = 0;
+  // True when the upstream is known never to have received the request
+  // (the connection was never made), so resending cannot run it twice.
+  bool never_sent = false;
+};
+
+// One call to make.
+struct HttpCall {
+  std::string method = "POST";
+  std::string url;
+  std::vector<std::string> headers;  // "Name: value".
+  std::string body;
+  Millis timeout{30000};
+  Millis connect_timeout{1000};
+  // Called once, with the status code, before the first body bytes.
+  std::function<void(int http_status)> on_status;
+  // Called with each piece of the body as it arrives.
+  std::function<void(absl::string_view data)> on_data;
+  // Called once at the end, unless the call was cancelled.
+  std::function<void(const HttpCallResult& result)> on_done;
+};
+
+// The client. Thread safety: loop thread only.
+class HttpClient {
+ public:
+  explicit HttpClient(struct ev_loop* loop);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // Starts `call`; returns its id. Its callbacks run from the loop later.
+  uint64_t Start(HttpCall call);
+  // Ends the call without calling on_done. Safe from within its callbacks.
+  void Cancel(uint64_t id);
+  // Calls in progress.
+  size_t active() const { return calls_.size(); }
+
+ private:
+  struct Active;
+  struct Socket;
+  static int OnSocket(CURL* easy, curl_socket_t s, int what, void* userp,
+                      void* socketp);
+  static int OnTimerChange(CURLM* multi, long timeout_ms, void* userp);
+  static void OnIo(struct ev_loop* loop, ev_io* w, int revents);
+  static void OnTimer(struct ev_loop* loop, ev_timer* w, int revents);
+  static size_t OnWrite(char* ptr, size_t size, size_t n, void* userdata);
+  void Drain();
+  void Remove(uint64_t id);
+
+  struct ev_loop* loop_;
+  CURLM* multi_;
+  ev_timer timer_{};
+  uint64_t next_id_ = 1;
+  std::map<uint64_t, std::unique_ptr<Active>> calls_;
+};
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/metrics.h
@@ -0,0 +1,55 @@
+// Metrics: a prometheus-cpp registry per process, rendered in the text format
+// by the process's own HTTP server at /metrics. Counters carry a reason label
+// for each refusal and retry, so an operator sees why work was turned away.
+#ifndef MEDLARWALK_METRICS_H_
+#define MEDLARWALK_METRICS_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "absl/strings/string_view.h"
+#include "prometheus/counter.h"
+#include "prometheus/gauge.h"
+#include "prometheus/histogram.h"
+#include "prometheus/registry.h"
+
+namespace medlarwalk {
+
+// The metrics of one process. Thread safety: prometheus-cpp metrics are
+// thread safe; the process touches them from its loop thread only.
+class Metrics {
+ public:
+  explicit Metrics(absl::string_view role);
+
+  // Counts one request turned away, by the error kind's code.
+  void CountRefusal(absl::string_view reason);
+  // Counts one retry, by its reason (e.g. not_run, connection_lost).
+  void CountRetry(absl::string_view reason);
+  // Counts one request that finished, by class and outcome ("ok" or a code).
+  void CountFinished(absl::string_view klass, absl::string_view outcome);
+  // Records the time to first token, in seconds, for `klass`.
+  void ObserveFirstToken(absl::string_view klass, double seconds);
+  // Records the whole request's duration, in seconds, for `klass`.
+  void ObserveDuration(absl::string_view klass, double seconds);
+  // Sets the queued requests of `klass`.
+  void SetQueued(absl::string_view klass, double n);
+
+  // The registry in the Prometheus text format.
+  std::string Render() const;
+
+  prometheus::Registry& registry() { return *registry_; }
+
+ private:
+  std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Family<prometheus::Counter>* refusals_;
+  prometheus::Family<prometheus::Counter>* retries_;
+  prometheus::Family<prometheus::Counter>* finished_;
+  prometheus::Family<prometheus::Histogram>* first_token_;
+  prometheus::Family<prometheus::Histogram>* duration_;
+  prometheus::Family<prometheus::Gauge>* queued_;
+};
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_METRICS_H_
--- /dev/null
+++ b/src/types.h
@@ -0,0 +1,71 @@
+// Core types and constants shared by every subsystem of medlarwalk.
+#ifndef MEDLARWALK_TYPES_H_
+#define MEDLARWALK_TYPES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace medlarwalk {
+
+using Duration = std::chrono::steady_clock::duration;
+using TimePoint = std::chrono::steady_clock::time_point;
+using Millis = std::chrono::milliseconds;
+
+// Source of time for every decision that depends on it. Passed in through
+// constructors so that tests drive time by hand. Thread safety: each
+// implementation is read from the one loop thread only.
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  // The current monotonic time.
+  virtual TimePoint Now() const = 0;
+};
+
+// The process clock: std::chrono::steady_clock.
+class SteadyClock : public Clock {
+ public:
+  TimePoint Now() const override { return std::chrono::steady_clock::now(); }
+};
+
+// A clock that moves only when told to; for tests and the bench.
+class ManualClock : public Clock {
+ public:
+  TimePoint Now() const override { return now_; }
+  // Moves time forward by `d`; `d` must not be negative.
+  void Advance(Duration d) { now_ += d; }
+
+ private:
+  TimePoint now_{};
+};
+
+// A tier orders classes of work: 0 is the most protected. A request of a
+// lower tier (higher number) is never served in place of a higher one except
+// through the starvation bound.
+using Tier = int;
+
+// Identifies one caller request across entry, agent and logs.
+using RequestId = uint64_t;
+
+// Header names of the callers' API (toward the entry).
+inline constexpr char kHeaderAccount[] = "X-Client-Account";
+inline constexpr char kHeaderClass[] = "X-Class";
+inline constexpr char kHeaderIdempotencyKey[] = "Idempotency-Key";
+inline constexpr char kHeaderDeadlineMs[] = "X-Deadline-Ms";
+inline constexpr char kHeaderNotRepeatable[] = "X-Not-Repeatable";
+
+// Header names of the entry-to-agent protocol (HTTP/2, lower case as HTTP/2
+// requires).
+inline constexpr char kH2Upstream[] = "mw-upstream";
+inline constexpr char kH2RequestId[] = "mw-request-id";
+inline constexpr char kH2IdempotencyKey[] = "mw-idempotency-key";
+inline constexpr char kH2Started[] = "mw-started";
+inline constexpr char kH2ErrorKind[] = "mw-error";
+inline constexpr char kH2Fencing[] = "mw-fencing";
+
+// Upper bound on any request body the entry accepts, in bytes.
+inline constexpr size_t kMaxBodyBytes = 1 << 20;
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_TYPES_H_
