--- a/src/agent.cc
+++ b/src/agent.cc
@@ -55,22 +55,28 @@
 
 Agent::Agent(struct ev_loop* loop, const Clock& clock, Settings settings,
              std::string host, std::string data_dir)
-    : loop_(loop), clock_(clock), settings_(std::move(settings)),
-      host_(settings_.FindHost(host)), metrics_("agent"),
+    : loop_(loop),
+      clock_(clock),
+      settings_(std::move(settings)),
+      host_(settings_.FindHost(host)),
+      metrics_("agent"),
       ledger_(data_dir.empty() ? "" : data_dir + "/ledger.jsonl"),
-      server_(loop, [this](const H2Request& r, std::shared_ptr<H2Stream> s) {
-        Handle(r, std::move(s));
-      }),
-      metrics_server_(loop, [this](const HttpRequest& r,
-                                   std::shared_ptr<HttpExchange> e) {
-        ServeMetrics(r, std::move(e));
-      }),
+      server_(loop,
+              [this](const H2Request& r, std::shared_ptr<H2Stream> s) {
+                Handle(r, std::move(s));
+              }),
+      metrics_server_(
+          loop,
+          [this](const HttpRequest& r, std::shared_ptr<HttpExchange> e) {
+            ServeMetrics(r, std::move(e));
+          }),
       client_(loop) {
   ev_signal_init(&sigterm_, OnSignal, SIGTERM);
   sigterm_.data = this;
   ev_signal_init(&sigint_, OnSignal, SIGINT);
   sigint_.data = this;
-  ev_timer_init(&drain_timer_, OnDrainTick, kDrainTickSeconds, kDrainTickSeconds);
+  ev_timer_init(&drain_timer_, OnDrainTick, kDrainTickSeconds,
+                kDrainTickSeconds);
   drain_timer_.data = this;
 }
 
@@ -85,7 +91,8 @@
   }
   ev_signal_start(loop_, &sigterm_);
   ev_signal_start(loop_, &sigint_);
-  LogEvent("agent_started", {{"host", host_->name}, {"port", host_->port},
+  LogEvent("agent_started", {{"host", host_->name},
+                             {"port", host_->port},
                              {"ledger_entries", ledger_.size()}});
   return absl::OkStatus();
 }
@@ -116,12 +123,14 @@
   static_cast<Agent*>(w->data)->CheckDrained();
 }
 
-void Agent::ServeMetrics(const HttpRequest& req, std::shared_ptr<HttpExchange> ex) {
+void Agent::ServeMetrics(const HttpRequest& req,
+                         std::shared_ptr<HttpExchange> ex) {
   if (req.path == "/metrics") {
     ex->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
                 metrics_.Render());
   } else {
-    ex->Respond(200, {{"Content-Type", "text/plain"}}, draining_ ? "draining" : "ok");
+    ex->Respond(200, {{"Content-Type", "text/plain"}},
+                draining_ ? "draining" : "ok");
   }
 }
 
@@ -159,7 +168,8 @@
   absl::Status s = ledger_.Begin(key, fingerprint, &verdict, &entry);
   if (!s.ok()) {
     // Not recorded, so not sent: safe to say it did not run.
-    LogWarn("ledger_failed", {{"key", key}, {"error", std::string(s.message())}});
+    LogWarn("ledger_failed",
+            {{"key", key}, {"error", std::string(s.message())}});
     Refuse(*out, ErrorKind::kNotRun, "ledger unavailable");
     return true;
   }
@@ -169,7 +179,8 @@
     case LedgerVerdict::kDone:
       metrics_.CountRefusal("replayed");
       out->Respond(entry->http_status,
-                   {{"content-type", "application/json"}, {kH2Started, "1"},
+                   {{"content-type", "application/json"},
+                    {kH2Started, "1"},
                     {"mw-replayed", "1"}},
                    entry->body);
       return true;
@@ -216,14 +227,16 @@
     if (!f->key.empty()) f->stored.append(data.data(), data.size());
     f->tail.append(data.data(), data.size());
     if (absl::StrContains(f->tail, kDoneMarker)) f->done_seen = true;
-    if (f->tail.size() > kDoneTail) f->tail.erase(0, f->tail.size() - kDoneTail);
+    if (f->tail.size() > kDoneTail)
+      f->tail.erase(0, f->tail.size() - kDoneTail);
   };
   call.on_done = [this, f, name = u.name](const HttpCallResult& r) {
     bool whole = r.status.ok() && (!f->event_stream || f->done_seen);
     if (!f->key.empty()) {
       absl::Status s = r.never_sent ? ledger_.Abandon(f->key)
-                       : whole      ? ledger_.Complete(f->key, r.http_status, f->stored)
-                                    : absl::OkStatus();
+                       : whole
+                           ? ledger_.Complete(f->key, r.http_status, f->stored)
+                           : absl::OkStatus();
       if (!s.ok()) LogWarn("ledger_failed", {{"key", f->key}});
     }
     if (!r.status.ok() && r.never_sent) {
@@ -231,8 +244,8 @@
       Refuse(*f->out, ErrorKind::kNotRun, r.status.message());
     } else if (!whole) {
       metrics_.CountRefusal(AnswerFor(ErrorKind::kOutcomeUnknown).code);
-      LogWarn("upstream_cut", {{"upstream", name},
-                               {"error", std::string(r.status.message())}});
+      LogWarn("upstream_cut",
+              {{"upstream", name}, {"error", std::string(r.status.message())}});
       if (!f->relaying) {
         Refuse(*f->out, ErrorKind::kOutcomeUnknown, r.status.message(), true);
       } else {
@@ -274,7 +287,9 @@
   call.body = body.dump();
   call.headers = {"Content-Type: application/json"};
   auto answer = std::make_shared<std::string>();
-  call.on_data = [answer](absl::string_view d) { answer->append(d.data(), d.size()); };
+  call.on_data = [answer](absl::string_view d) {
+    answer->append(d.data(), d.size());
+  };
   call.on_done = [out, answer](const HttpCallResult& r) {
     out->Respond(r.status.ok() ? r.http_status : 502,
                  {{"content-type", "application/json"}}, *answer);
@@ -284,10 +299,12 @@
 
 // Passes on the engine's own load report, lag and all, with whether this
 // agent is leaving, so that entries stop sending it work.
-void Agent::ReportLoad(const UpstreamSettings& u, std::shared_ptr<H2Stream> out) {
+void Agent::ReportLoad(const UpstreamSettings& u,
+                       std::shared_ptr<H2Stream> out) {
   if (u.kind != "engine") {
-    out->Respond(200, {{"content-type", "application/json"}},
-                 json{{"running", 0}, {"waiting", 0}, {"leaving", draining_}}.dump());
+    out->Respond(
+        200, {{"content-type", "application/json"}},
+        json{{"running", 0}, {"waiting", 0}, {"leaving", draining_}}.dump());
     return;
   }
   HttpCall call;
@@ -295,7 +312,9 @@
   call.url = u.url + "/load";
   call.timeout = Millis(1000);
   auto answer = std::make_shared<std::string>();
-  call.on_data = [answer](absl::string_view d) { answer->append(d.data(), d.size()); };
+  call.on_data = [answer](absl::string_view d) {
+    answer->append(d.data(), d.size());
+  };
   call.on_done = [this, out, answer](const HttpCallResult& r) {
     json j = json::parse(*answer, nullptr, false);
     if (!r.status.ok() || j.is_discarded()) j = json{{"unreachable", true}};
--- a/src/bench.cc
+++ b/src/bench.cc
@@ -70,7 +70,9 @@
     int arrivals = std::poisson_distribution<int>(kArrivalsPerMs)(rng);
     for (int a = 0; a < arrivals && sent < requests; ++a, ++sent) {
       double x = u(rng);
-      int k = x < kClasses[0].share ? 0 : x < kClasses[0].share + kClasses[1].share ? 1 : 2;
+      int k = x < kClasses[0].share                       ? 0
+              : x < kClasses[0].share + kClasses[1].share ? 1
+                                                          : 2;
       QueuedRequest q;
       q.id = static_cast<RequestId>(sent + 1);
       q.klass = k;
@@ -111,7 +113,8 @@
       }
     }
     decide_ns += std::chrono::duration<double, std::nano>(
-                     std::chrono::steady_clock::now() - t0).count();
+                     std::chrono::steady_clock::now() - t0)
+                     .count();
   }
   if (!naive) r.signature = sig;
   return decide_ns / requests;
@@ -131,7 +134,8 @@
     Scheduler s(clock, config, classes);
     RouterPolicy policy;
     r.ns_per_request = Pass(
-        requests, seed, clock, [&](const QueuedRequest& q) { return s.Admit(q); },
+        requests, seed, clock,
+        [&](const QueuedRequest& q) { return s.Admit(q); },
         [&](auto f) { return s.Next(f); },
         [&](const std::vector<UpstreamState>& ups, const QueuedRequest& q) {
           return ChooseUpstream(ups, q.model, q.route_key, policy);
@@ -143,7 +147,8 @@
     NaiveScheduler s(kQueueLimit);
     size_t cursor = 0;
     r.naive_ns_per_request = Pass(
-        requests, seed, clock, [&](const QueuedRequest& q) { return s.Admit(q); },
+        requests, seed, clock,
+        [&](const QueuedRequest& q) { return s.Admit(q); },
         [&](auto f) { return s.Next(f); },
         [&](const std::vector<UpstreamState>& ups, const QueuedRequest& q) {
           return ChooseRoundRobin(ups, q.model, &cursor);
@@ -164,7 +169,8 @@
       r.signature, r.requests, r.top_tier_served, r.top_tier_shed,
       r.lowest_tier_served, r.max_lowest_wait_s, r.naive_top_tier_refused,
       r.ns_per_request, r.naive_ns_per_request,
-      r.naive_ns_per_request > 0 ? r.ns_per_request / r.naive_ns_per_request : 0);
+      r.naive_ns_per_request > 0 ? r.ns_per_request / r.naive_ns_per_request
+                                 : 0);
 }
 
 }  // namespace medlarwalk
--- a/src/bench.h
+++ b/src/bench.h
@@ -13,15 +13,17 @@
 
 // Figures of one bench run.
 struct BenchReport {
-  uint64_t signature = 0;          // Hash of all decisions of our policy.
+  uint64_t signature = 0;  // Hash of all decisions of our policy.
   int requests = 0;
-  int top_tier_shed = 0;           // Must be 0.
+  int top_tier_shed = 0;  // Must be 0.
   int top_tier_served = 0;
-  int lowest_tier_served = 0;      // Must be > 0: no starvation.
-  double max_lowest_wait_s = 0;    // Longest wait of a served lowest-tier request.
-  int naive_top_tier_refused = 0;  // What the naive baseline does to the top tier.
-  double ns_per_request = 0;       // Our policy's decision cost.
-  double naive_ns_per_request = 0; // The baseline's.
+  int lowest_tier_served = 0;  // Must be > 0: no starvation.
+  double max_lowest_wait_s =
+      0;  // Longest wait of a served lowest-tier request.
+  int naive_top_tier_refused =
+      0;                      // What the naive baseline does to the top tier.
+  double ns_per_request = 0;  // Our policy's decision cost.
+  double naive_ns_per_request = 0;  // The baseline's.
 };
 
 // Runs the bench over `requests` requests from `seed`.
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -41,47 +41,55 @@
   std::shared_ptr<HttpExchange> exchange;
   int klass = 0;
   std::string account;
-  std::string model;                      // Engines: the model asked for.
-  std::optional<size_t> fixed_upstream;   // Plain services: named upstream.
-  std::string path;                       // Path at the upstream.
+  std::string model;                     // Engines: the model asked for.
+  std::optional<size_t> fixed_upstream;  // Plain services: named upstream.
+  std::string path;                      // Path at the upstream.
   std::string body;
-  std::string key;                        // Idempotency key, may be empty.
-  bool repeatable = true;                 // Safe to run twice.
+  std::string key;         // Idempotency key, may be empty.
+  bool repeatable = true;  // Safe to run twice.
   uint64_t route_key = 0;
   TimePoint arrived{};
   TimePoint give_up_at{};
   int attempts = 0;
-  std::optional<size_t> upstream;         // Where it runs now.
+  std::optional<size_t> upstream;  // Where it runs now.
   int32_t stream_id = 0;
-  bool relaying = false;                  // Caller has our answer's headers.
+  bool relaying = false;  // Caller has our answer's headers.
   bool in_flight = false;
   int agent_status = 0;
-  std::string agent_error;                // mw-error of the agent's answer.
-  std::string held;                       // Body of a non-200 agent answer.
+  std::string agent_error;  // mw-error of the agent's answer.
+  std::string held;         // Body of a non-200 agent answer.
   TimePoint last_byte_at{};
   std::vector<size_t> tried;
 };
 
 Entry::Entry(struct ev_loop* loop, const Clock& clock, Settings settings,
              std::string host, EntryPolicyKind policy)
-    : loop_(loop), clock_(clock), settings_(std::move(settings)),
-      host_(settings_.FindHost(host)), policy_(policy), metrics_("entry"),
-      scheduler_(clock, [&] {
-        SchedulerConfig c;
-        c.queue_limit = settings_.entry.queue_limit;
-        c.starvation_bound = settings_.entry.starvation_bound;
-        return c;
-      }(), [&] {
-        std::vector<SchedulerClass> v;
-        for (const auto& c : settings_.classes) {
-          v.push_back({c.tier, c.first_token_target});
-        }
-        return v;
-      }()),
+    : loop_(loop),
+      clock_(clock),
+      settings_(std::move(settings)),
+      host_(settings_.FindHost(host)),
+      policy_(policy),
+      metrics_("entry"),
+      scheduler_(
+          clock,
+          [&] {
+            SchedulerConfig c;
+            c.queue_limit = settings_.entry.queue_limit;
+            c.starvation_bound = settings_.entry.starvation_bound;
+            return c;
+          }(),
+          [&] {
+            std::vector<SchedulerClass> v;
+            for (const auto& c : settings_.classes) {
+              v.push_back({c.tier, c.first_token_target});
+            }
+            return v;
+          }()),
       naive_(settings_.entry.queue_limit),
-      server_(loop, [this](const HttpRequest& r, std::shared_ptr<HttpExchange> e) {
-        Handle(r, std::move(e));
-      }) {
+      server_(loop,
+              [this](const HttpRequest& r, std::shared_ptr<HttpExchange> e) {
+                Handle(r, std::move(e));
+              }) {
   board_.settings_version = settings_.version;
   for (const auto& u : settings_.upstreams) {
     UpstreamState s;
@@ -114,7 +122,8 @@
   ev_signal_start(loop_, &sigterm_);
   ev_signal_start(loop_, &sigint_);
   LogEvent("entry_started",
-           {{"host", host_->name}, {"port", host_->port},
+           {{"host", host_->name},
+            {"port", host_->port},
             {"policy", policy_ == EntryPolicyKind::kNaive ? "naive" : "tiered"},
             {"settings_version", settings_.version}});
   return absl::OkStatus();
@@ -164,11 +173,13 @@
   }
   std::string klass = req.Header("x-class");
   const ClassSettings* c = settings_.FindClass(klass);
-  bool allowed = c && std::find(account->classes.begin(), account->classes.end(),
-                                klass) != account->classes.end();
+  bool allowed =
+      c && std::find(account->classes.begin(), account->classes.end(), klass) !=
+               account->classes.end();
   if (!allowed) {
-    return MakeError(ErrorKind::kUnknownClass,
-                     absl::StrCat("class '", klass, "' is not open to this account"));
+    return MakeError(
+        ErrorKind::kUnknownClass,
+        absl::StrCat("class '", klass, "' is not open to this account"));
   }
   p.klass = static_cast<int>(c - settings_.classes.data());
   p.key = req.Header("idempotency-key");
@@ -182,11 +193,13 @@
     p.model = body.value("model", "");
     bool served = false;
     for (const auto& u : settings_.upstreams) {
-      served |= std::find(u.models.begin(), u.models.end(), p.model) != u.models.end();
+      served |= std::find(u.models.begin(), u.models.end(), p.model) !=
+                u.models.end();
     }
     if (!served) {
-      return MakeError(ErrorKind::kUnknownModel,
-                       absl::StrCat("no upstream serves model '", p.model, "'"));
+      return MakeError(
+          ErrorKind::kUnknownModel,
+          absl::StrCat("no upstream serves model '", p.model, "'"));
     }
     p.path = kChatPath;
     std::string prompt;
@@ -215,7 +228,8 @@
   p.arrived = now;
   p.give_up_at = now + c->first_token_target;
   int64_t deadline_ms = 0;
-  if (absl::SimpleAtoi(req.Header("x-deadline-ms"), &deadline_ms) && deadline_ms > 0) {
+  if (absl::SimpleAtoi(req.Header("x-deadline-ms"), &deadline_ms) &&
+      deadline_ms > 0) {
     p.give_up_at = std::min(p.give_up_at, now + Millis(deadline_ms));
   }
   return absl::OkStatus();
@@ -234,7 +248,8 @@
     Fail(*p, KindOf(s), s.message());
     return;
   }
-  LogEvent("accepted", {{"id", p->id}, {"account", p->account},
+  LogEvent("accepted", {{"id", p->id},
+                        {"account", p->account},
                         {"class", settings_.classes[p->klass].name},
                         {"repeatable", p->repeatable ? "true" : "false"}});
   RequestId id = p->id;
@@ -249,7 +264,8 @@
   q.id = p->id;
   q.klass = p->klass;
   q.enqueued = p->arrived;
-  q.give_up_at = policy_ == EntryPolicyKind::kNaive ? TimePoint::max() : p->give_up_at;
+  q.give_up_at =
+      policy_ == EntryPolicyKind::kNaive ? TimePoint::max() : p->give_up_at;
   q.route_key = p->route_key;
   q.model = p->model;
   AdmitResult r = policy_ == EntryPolicyKind::kNaive ? naive_.Admit(q)
@@ -262,7 +278,8 @@
   if (r.shed) {
     auto it = pending_.find(*r.shed);
     if (it != pending_.end()) {
-      Fail(*it->second, ErrorKind::kShed, "shed for a request of a higher tier");
+      Fail(*it->second, ErrorKind::kShed,
+           "shed for a request of a higher tier");
     }
   }
 }
@@ -271,7 +288,8 @@
   auto it = pending_.find(q.id);
   if (it == pending_.end()) return true;  // Stale; Next drops it.
   const Pending& p = *it->second;
-  if (p.fixed_upstream) return CanServe(board_.upstreams[*p.fixed_upstream], "");
+  if (p.fixed_upstream)
+    return CanServe(board_.upstreams[*p.fixed_upstream], "");
   for (const auto& u : board_.upstreams) {
     if (CanServe(u, p.model)) return true;
   }
@@ -297,7 +315,8 @@
   if (!i) {
     i = policy_ == EntryPolicyKind::kNaive
             ? ChooseRoundRobin(board_.upstreams, p.model, &round_robin_)
-            : ChooseUpstream(board_.upstreams, p.model, p.route_key, router_policy_);
+            : ChooseUpstream(board_.upstreams, p.model, p.route_key,
+                             router_policy_);
   }
   if (!i) {
     Fail(p, ErrorKind::kNoUpstream, "no upstream can take it now");
@@ -312,7 +331,8 @@
   p.agent_error.clear();
   p.held.clear();
   p.tried.push_back(*i);
-  LogEvent("routed", {{"id", p.id}, {"upstream", u.name}, {"attempt", p.attempts}});
+  LogEvent("routed",
+           {{"id", p.id}, {"upstream", u.name}, {"attempt", p.attempts}});
   H2Call call;
   call.path = p.path;
   call.body = p.body;
@@ -344,8 +364,8 @@
     p.relaying = true;
     bool sse = settings_.upstreams[*p.upstream].kind == "engine" &&
                absl::StrContains(p.body, "\"stream\":true");
-    p.exchange->StartStream(
-        200, {{"Content-Type", sse ? "text/event-stream" : "application/json"}});
+    p.exchange->StartStream(200, {{"Content-Type", sse ? "text/event-stream"
+                                                       : "application/json"}});
     metrics_.ObserveFirstToken(settings_.classes[p.klass].name,
                                Seconds(clock_.Now() - p.arrived));
     p.last_byte_at = clock_.Now();
@@ -387,8 +407,8 @@
     } else if (!p.agent_error.empty()) {
       Fail(p, kind, p.held);
     } else {
-      p.exchange->Respond(p.agent_status, {{"Content-Type", "application/json"}},
-                          p.held);
+      p.exchange->Respond(p.agent_status,
+                          {{"Content-Type", "application/json"}}, p.held);
       Finish(p, absl::StrCat("status_", p.agent_status));
     }
   } else if (p.relaying) {
@@ -412,15 +432,17 @@
 // Sends `p` again if the budget allows, else answers it with `otherwise`.
 void Entry::Retry(Pending& p, absl::string_view reason, ErrorKind otherwise,
                   absl::string_view message) {
-  int64_t budget = kRetryFloor + first_tries_ * settings_.entry.retry_budget_percent / 100;
-  if (p.exchange->closed() || p.attempts >= kMaxAttempts || retries_ >= budget ||
-      clock_.Now() >= p.give_up_at) {
+  int64_t budget =
+      kRetryFloor + first_tries_ * settings_.entry.retry_budget_percent / 100;
+  if (p.exchange->closed() || p.attempts >= kMaxAttempts ||
+      retries_ >= budget || clock_.Now() >= p.give_up_at) {
     Fail(p, otherwise, message);
     return;
   }
   ++retries_;
   metrics_.CountRetry(reason);
-  LogEvent("retried", {{"id", p.id}, {"reason", reason}, {"attempt", p.attempts}});
+  LogEvent("retried",
+           {{"id", p.id}, {"reason", reason}, {"attempt", p.attempts}});
   auto it = pending_.find(p.id);
   std::unique_ptr<Pending> owned = std::move(it->second);
   pending_.erase(it);
@@ -443,7 +465,9 @@
   std::string klass = settings_.classes[p.klass].name;
   metrics_.CountFinished(klass, outcome);
   metrics_.ObserveDuration(klass, Seconds(clock_.Now() - p.arrived));
-  LogEvent("finished", {{"id", p.id}, {"class", klass}, {"outcome", outcome},
+  LogEvent("finished", {{"id", p.id},
+                        {"class", klass},
+                        {"outcome", outcome},
                         {"attempts", p.attempts}});
   pending_.erase(p.id);
 }
@@ -487,8 +511,8 @@
   for (auto& u : board_.upstreams) {
     bool healthy = ClientFor(u).usable();
     if (healthy != u.healthy) {
-      LogEvent("upstream_health", {{"upstream", u.name},
-                                   {"healthy", healthy ? "true" : "false"}});
+      LogEvent("upstream_health",
+               {{"upstream", u.name}, {"healthy", healthy ? "true" : "false"}});
     }
     u.healthy = healthy;
   }
@@ -504,7 +528,9 @@
     call.path = "/mw/load";
     call.headers = {{kH2Upstream, u.name}};
     auto buf = std::make_shared<std::string>();
-    call.on_data = [buf](absl::string_view d) { buf->append(d.data(), d.size()); };
+    call.on_data = [buf](absl::string_view d) {
+      buf->append(d.data(), d.size());
+    };
     call.on_close = [this, i, buf](absl::Status s, bool) {
       if (!s.ok()) return;
       json j = json::parse(*buf, nullptr, false);
@@ -513,7 +539,8 @@
       u.reported_load = j.value("running", 0) + j.value("waiting", 0);
       u.reported_at = clock_.Now();
       bool leaving = j.value("leaving", false);
-      if (leaving && !u.leaving) LogEvent("upstream_leaving", {{"upstream", u.name}});
+      if (leaving && !u.leaving)
+        LogEvent("upstream_leaving", {{"upstream", u.name}});
       u.leaving = leaving;
     };
     ClientFor(u).Submit(std::move(call));
--- a/src/entry.h
+++ b/src/entry.h
@@ -13,8 +13,8 @@
 #include <string>
 #include <vector>
 
-#include "absl/strings/string_view.h"
 #include "absl/status/status.h"
+#include "absl/strings/string_view.h"
 #include "blackboard.h"
 #include "errors.h"
 #include "h2.h"
--- a/src/errors.h
+++ b/src/errors.h
@@ -6,8 +6,8 @@
 
 #include <string_view>
 
-#include "absl/strings/string_view.h"
 #include "absl/status/status.h"
+#include "absl/strings/string_view.h"
 
 namespace medlarwalk {
 
@@ -15,30 +15,31 @@
 // closed: a new reason is a new kind here, a row in the table, and a metric
 // label.
 enum class ErrorKind {
-  kBadRequest,         // The request is malformed.
-  kUnknownAccount,     // The client account is not declared.
-  kUnknownClass,       // The class of work is not declared or not allowed.
-  kUnknownModel,       // No upstream is declared for the model.
-  kOverloaded,         // Queue full: refused before it was queued.
-  kTargetUnmeetable,   // Would wait past its class target: refused at once.
-  kShed,               // Removed from the queue for a higher tier's request.
-  kNoUpstream,         // No live upstream serves the model now.
-  kNotRun,             // The upstream never received it: safe to resend.
-  kOutcomeUnknown,     // It may have run: a resend with the same key is safe.
-  kStillRunning,       // A request with this idempotency key is in progress.
-  kKeyReused,          // The idempotency key was used for another request.
-  kDraining,           // The process is stopping and takes no new work.
-  kStaleFencing,       // An order carried an old fencing number.
-  kInternal,           // A fault of ours.
+  kBadRequest,        // The request is malformed.
+  kUnknownAccount,    // The client account is not declared.
+  kUnknownClass,      // The class of work is not declared or not allowed.
+  kUnknownModel,      // No upstream is declared for the model.
+  kOverloaded,        // Queue full: refused before it was queued.
+  kTargetUnmeetable,  // Would wait past its class target: refused at once.
+  kShed,              // Removed from the queue for a higher tier's request.
+  kNoUpstream,        // No live upstream serves the model now.
+  kNotRun,            // The upstream never received it: safe to resend.
+  kOutcomeUnknown,    // It may have run: a resend with the same key is safe.
+  kStillRunning,      // A request with this idempotency key is in progress.
+  kKeyReused,         // The idempotency key was used for another request.
+  kDraining,          // The process is stopping and takes no new work.
+  kStaleFencing,      // An order carried an old fencing number.
+  kInternal,          // A fault of ours.
 };
 
 // Number of kinds, for tables and tests.
-inline constexpr int kErrorKindCount = static_cast<int>(ErrorKind::kInternal) + 1;
+inline constexpr int kErrorKindCount =
+    static_cast<int>(ErrorKind::kInternal) + 1;
 
 // What the caller is told for one kind.
 struct Answer {
   int http_status;
-  absl::string_view code;   // Stable machine-readable code and metric label.
+  absl::string_view code;  // Stable machine-readable code and metric label.
   bool retry_after;        // Whether a Retry-After header is sent.
   bool not_run;            // Whether the answer promises the request never ran.
 };
--- a/src/fake_engine.cc
+++ b/src/fake_engine.cc
@@ -35,10 +35,13 @@
 
 FakeEngine::FakeEngine(struct ev_loop* loop, const Clock& clock,
                        FakeEngineOptions options)
-    : loop_(loop), clock_(clock), options_(std::move(options)),
-      server_(loop, [this](const HttpRequest& r, std::shared_ptr<HttpExchange> e) {
-        Handle(r, std::move(e));
-      }),
+    : loop_(loop),
+      clock_(clock),
+      options_(std::move(options)),
+      server_(loop,
+              [this](const HttpRequest& r, std::shared_ptr<HttpExchange> e) {
+                Handle(r, std::move(e));
+              }),
       rng_(options_.seed) {
   ev_timer_init(&step_timer_, OnStep, 0., 0.);
   step_timer_.data = this;
@@ -50,7 +53,8 @@
   return server_.Listen(options_.address, options_.port);
 }
 
-void FakeEngine::Handle(const HttpRequest& req, std::shared_ptr<HttpExchange> ex) {
+void FakeEngine::Handle(const HttpRequest& req,
+                        std::shared_ptr<HttpExchange> ex) {
   if (req.method == "POST" && req.path == "/v1/chat/completions") {
     Chat(req, std::move(ex));
   } else if (req.method == "POST" && req.path == "/admin/order") {
@@ -68,7 +72,8 @@
   }
 }
 
-void FakeEngine::Chat(const HttpRequest& req, std::shared_ptr<HttpExchange> ex) {
+void FakeEngine::Chat(const HttpRequest& req,
+                      std::shared_ptr<HttpExchange> ex) {
   json body = json::parse(req.body, nullptr, false);
   if (body.is_discarded() || !body.contains("messages") ||
       !body["messages"].is_array() || body["messages"].empty()) {
@@ -85,14 +90,14 @@
   r->id = absl::StrCat("fake-", ++requests_);
   r->echo = prompt.substr(0, kEchoChars);
   r->stream = body.value("stream", false);
-  r->max_tokens = std::clamp(body.value("max_tokens", kDefaultMaxTokens), 1,
-                             kMaxTokens);
+  r->max_tokens =
+      std::clamp(body.value("max_tokens", kDefaultMaxTokens), 1, kMaxTokens);
   uint64_t prefix = absl::HashOf(shared.substr(0, kPrefixChars));
   bool hit = TouchPrefix(prefix);
   size_t uncached = prompt.size() + (hit ? 0 : shared.size());
-  r->first_token_at = clock_.Now() +
-                      std::chrono::microseconds(static_cast<int64_t>(
-                          options_.prefill_us_per_char * uncached));
+  r->first_token_at =
+      clock_.Now() + std::chrono::microseconds(static_cast<int64_t>(
+                         options_.prefill_us_per_char * uncached));
   if (r->stream) {
     ex->StartStream(200, {{"Content-Type", "text/event-stream"}});
   }
@@ -125,17 +130,18 @@
   uint64_t seq = next_event_seq_++;
   std::uniform_real_distribution<double> u(0, 1);
   if (u(rng_) < options_.cache_event_drop) return;
-  events_.push_back({seq, clock_.Now() + options_.cache_event_delay, kind, prefix});
+  events_.push_back(
+      {seq, clock_.Now() + options_.cache_event_delay, kind, prefix});
   if (events_.size() > kEventsKept) events_.pop_front();
 }
 
 void FakeEngine::ScheduleStep() {
   if (ev_is_active(&step_timer_)) return;
   int batch = static_cast<int>(running_.size() + waiting_.size());
-  double seconds =
-      (std::chrono::duration<double>(options_.step).count() +
-       options_.step_per_request_us * 1e-6 * std::min(batch, options_.max_batch)) *
-      straggle_factor_;
+  double seconds = (std::chrono::duration<double>(options_.step).count() +
+                    options_.step_per_request_us * 1e-6 *
+                        std::min(batch, options_.max_batch)) *
+                   straggle_factor_;
   ev_timer_set(&step_timer_, seconds, 0.);
   ev_timer_start(loop_, &step_timer_);
 }
@@ -174,11 +180,13 @@
     ++r.emitted;
     ++tokens_;
     bool last = r.emitted >= r.max_tokens;
-    bool truncate = truncate_after_tokens_ > 0 && r.emitted >= truncate_after_tokens_;
+    bool truncate =
+        truncate_after_tokens_ > 0 && r.emitted >= truncate_after_tokens_;
     if (r.stream) {
-      json chunk = {{"id", r.id},
-                    {"object", "chat.completion.chunk"},
-                    {"choices", {{{"index", 0}, {"delta", {{"content", token}}}}}}};
+      json chunk = {
+          {"id", r.id},
+          {"object", "chat.completion.chunk"},
+          {"choices", {{{"index", 0}, {"delta", {{"content", token}}}}}}};
       r.exchange->Write(absl::StrCat("data: ", chunk.dump(), "\n\n"));
       if (last && !truncate) r.exchange->Write("data: [DONE]\n\n");
       if (last || truncate) r.exchange->Finish();
@@ -186,7 +194,8 @@
       r.text += token;
       if (truncate) {
         // A crash before the answer is whole: the connection just ends.
-        r.exchange->Respond(500, JsonHeaders(), R"({"error":"engine crashed"})");
+        r.exchange->Respond(500, JsonHeaders(),
+                            R"({"error":"engine crashed"})");
       } else if (last) {
         json answer = {
             {"id", r.id},
@@ -236,7 +245,8 @@
 // An order (load a model, adapter or version, change role). An engine that
 // checks fencing refuses numbers lower than the highest it has seen; one that
 // does not applies it anyway, and the stale count shows the harm.
-void FakeEngine::Order(const HttpRequest& req, std::shared_ptr<HttpExchange> ex) {
+void FakeEngine::Order(const HttpRequest& req,
+                       std::shared_ptr<HttpExchange> ex) {
   json body = json::parse(req.body, nullptr, false);
   if (body.is_discarded() || !body.contains("fencing")) {
     ex->Respond(400, JsonHeaders(), R"({"error":"bad order"})");
@@ -254,7 +264,8 @@
   ex->Respond(200, JsonHeaders(), R"({"applied":true})");
 }
 
-void FakeEngine::Fault(const HttpRequest& req, std::shared_ptr<HttpExchange> ex) {
+void FakeEngine::Fault(const HttpRequest& req,
+                       std::shared_ptr<HttpExchange> ex) {
   json body = json::parse(req.body, nullptr, false);
   if (body.is_discarded()) {
     ex->Respond(400, JsonHeaders(), R"({"error":"bad fault"})");
--- a/src/fake_engine.h
+++ b/src/fake_engine.h
@@ -28,22 +28,23 @@
 struct FakeEngineOptions {
   std::string address = "127.0.0.1";
   int port = 0;
-  Millis step{10};                  // One decode step with an empty batch.
-  double step_per_request_us = 300; // Added to a step per running request.
-  int max_batch = 64;               // Requests decoded together.
-  double prefill_us_per_char = 20;  // Prompt characters not in the cache.
-  int prefix_cache_entries = 256;   // Prefixes the cache holds.
-  Millis report_lag{500};           // Age of the load it reports.
-  Millis cache_event_delay{300};    // Delay before an event is visible.
-  double cache_event_drop = 0.1;    // Share of events never published.
-  bool checks_fencing = true;       // Refuses orders with an old number.
+  Millis step{10};                   // One decode step with an empty batch.
+  double step_per_request_us = 300;  // Added to a step per running request.
+  int max_batch = 64;                // Requests decoded together.
+  double prefill_us_per_char = 20;   // Prompt characters not in the cache.
+  int prefix_cache_entries = 256;    // Prefixes the cache holds.
+  Millis report_lag{500};            // Age of the load it reports.
+  Millis cache_event_delay{300};     // Delay before an event is visible.
+  double cache_event_drop = 0.1;     // Share of events never published.
+  bool checks_fencing = true;        // Refuses orders with an old number.
   uint64_t seed = 1;
 };
 
 // The stand-in engine. Thread safety: loop thread only.
 class FakeEngine {
  public:
-  FakeEngine(struct ev_loop* loop, const Clock& clock, FakeEngineOptions options);
+  FakeEngine(struct ev_loop* loop, const Clock& clock,
+             FakeEngineOptions options);
   ~FakeEngine();
 
   // Starts serving. Errors: Unavailable when the port is taken.
--- a/src/fake_service.cc
+++ b/src/fake_service.cc
@@ -10,10 +10,14 @@
 
 FakeService::FakeService(struct ev_loop* loop, std::string address, int port,
                          Millis delay)
-    : loop_(loop), address_(std::move(address)), port_(port), delay_(delay),
-      server_(loop, [this](const HttpRequest& r, std::shared_ptr<HttpExchange> e) {
-        Handle(r, std::move(e));
-      }) {}
+    : loop_(loop),
+      address_(std::move(address)),
+      port_(port),
+      delay_(delay),
+      server_(loop,
+              [this](const HttpRequest& r, std::shared_ptr<HttpExchange> e) {
+                Handle(r, std::move(e));
+              }) {}
 
 FakeService::~FakeService() {
   for (auto& p : pending_) ev_timer_stop(loop_, &p->timer);
@@ -21,7 +25,8 @@
 
 absl::Status FakeService::Start() { return server_.Listen(address_, port_); }
 
-void FakeService::Handle(const HttpRequest& req, std::shared_ptr<HttpExchange> ex) {
+void FakeService::Handle(const HttpRequest& req,
+                         std::shared_ptr<HttpExchange> ex) {
   HeaderList headers = {{"Content-Type", "application/json"}};
   if (req.path == "/stats") {
     json counts = json::object();
@@ -57,7 +62,8 @@
 void FakeService::OnDelay(struct ev_loop*, ev_timer* w, int) {
   auto* p = static_cast<Pending*>(w->data);
   FakeService* self = p->self;
-  json out = {{"ticket", p->ticket}, {"billed", true},
+  json out = {{"ticket", p->ticket},
+              {"billed", true},
               {"executions", self->executions_[p->ticket]}};
   p->exchange->Respond(200, {{"Content-Type", "application/json"}}, out.dump());
   auto& v = self->pending_;
--- a/src/fake_service.h
+++ b/src/fake_service.h
@@ -20,7 +20,8 @@
 class FakeService {
  public:
   // Serves on `address:port`; each call takes `delay` before it answers.
-  FakeService(struct ev_loop* loop, std::string address, int port, Millis delay);
+  FakeService(struct ev_loop* loop, std::string address, int port,
+              Millis delay);
   ~FakeService();
 
   // Errors: Unavailable when the port is taken.
--- a/src/h2.cc
+++ b/src/h2.cc
@@ -50,14 +50,19 @@
  public:
   H2Connection(struct ev_loop* loop, int fd, H2Server* server, H2Client* client,
                bool connecting)
-      : loop_(loop), fd_(fd), server_(server), client_(client),
+      : loop_(loop),
+        fd_(fd),
+        server_(server),
+        client_(client),
         connected_(!connecting) {
     nghttp2_session_callbacks* cbs;
     nghttp2_session_callbacks_new(&cbs);
-    nghttp2_session_callbacks_set_on_begin_headers_callback(cbs, &OnBeginHeaders);
+    nghttp2_session_callbacks_set_on_begin_headers_callback(cbs,
+                                                            &OnBeginHeaders);
     nghttp2_session_callbacks_set_on_header_callback(cbs, &OnHeader);
     nghttp2_session_callbacks_set_on_frame_recv_callback(cbs, &OnFrameRecv);
-    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(cbs, &OnDataChunk);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(cbs,
+                                                              &OnDataChunk);
     nghttp2_session_callbacks_set_on_stream_close_callback(cbs, &OnStreamClose);
     if (server_) {
       nghttp2_session_server_new(&session_, cbs, this);
@@ -99,9 +104,9 @@
     nghttp2_data_provider provider{};
     provider.source.ptr = body.get();
     provider.read_callback = &ReadRequestBody;
-    int32_t id = nghttp2_submit_request(session_, nullptr, nva.data(), nva.size(),
-                                        call.body.empty() ? nullptr : &provider,
-                                        nullptr);
+    int32_t id = nghttp2_submit_request(
+        session_, nullptr, nva.data(), nva.size(),
+        call.body.empty() ? nullptr : &provider, nullptr);
     if (id < 0) return 0;
     calls_[id] = ClientStream{std::move(call), std::move(body), 0, {}, false};
     Flush();
@@ -208,7 +213,8 @@
         return;
       }
       if (n == 0) break;
-      pending_.append(reinterpret_cast<const char*>(data), static_cast<size_t>(n));
+      pending_.append(reinterpret_cast<const char*>(data),
+                      static_cast<size_t>(n));
       if (!connected_) {
         ev_io_start(loop_, &write_io_);
         return;
@@ -347,13 +353,15 @@
                          void* user) {
     auto* c = static_cast<H2Connection*>(user);
     int32_t id = frame->hd.stream_id;
-    if (frame->hd.type == NGHTTP2_PING && (frame->hd.flags & NGHTTP2_FLAG_ACK)) {
+    if (frame->hd.type == NGHTTP2_PING &&
+        (frame->hd.flags & NGHTTP2_FLAG_ACK)) {
       c->ping_outstanding_ = false;
       return 0;
     }
     if (c->server_) {
       bool end = frame->hd.flags & NGHTTP2_FLAG_END_STREAM;
-      if ((frame->hd.type == NGHTTP2_HEADERS || frame->hd.type == NGHTTP2_DATA) &&
+      if ((frame->hd.type == NGHTTP2_HEADERS ||
+           frame->hd.type == NGHTTP2_DATA) &&
           end) {
         auto it = c->incoming_.find(id);
         if (it != c->incoming_.end()) {
@@ -416,9 +424,10 @@
       s.call.on_close(absl::OkStatus(), false);
     } else {
       bool refused = error_code == NGHTTP2_REFUSED_STREAM;
-      s.call.on_close(absl::UnavailableError(absl::StrCat(
-                          "stream reset: ", nghttp2_http2_strerror(error_code))),
-                      refused);
+      s.call.on_close(
+          absl::UnavailableError(absl::StrCat(
+              "stream reset: ", nghttp2_http2_strerror(error_code))),
+          refused);
     }
     return 0;
   }
@@ -470,7 +479,8 @@
   std::map<int32_t, ServerStream> incoming_;
 };
 
-void H2Stream::Respond(int status, const HeaderList& headers, std::string body) {
+void H2Stream::Respond(int status, const HeaderList& headers,
+                       std::string body) {
   if (closed_ || started_) return;
   started_ = true;
   finished_ = true;
@@ -525,9 +535,8 @@
       listen(listen_fd_, kListenBacklog) != 0) {
     close(listen_fd_);
     listen_fd_ = -1;
-    return absl::UnavailableError(
-        absl::StrCat("cannot listen on ", address, ":", port, ": ",
-                     std::strerror(errno)));
+    return absl::UnavailableError(absl::StrCat(
+        "cannot listen on ", address, ":", port, ": ", std::strerror(errno)));
   }
   SetNonBlocking(listen_fd_);
   ev_io_init(&accept_io_, OnAccept, listen_fd_, EV_READ);
@@ -557,7 +566,8 @@
     int fd = accept(self->listen_fd_, nullptr, nullptr);
     if (fd < 0) return;
     SetNonBlocking(fd);
-    auto c = std::make_unique<H2Connection>(self->loop_, fd, self, nullptr, false);
+    auto c =
+        std::make_unique<H2Connection>(self->loop_, fd, self, nullptr, false);
     H2Connection* p = c.get();
     self->connections_[p] = std::move(c);
     p->Flush();
@@ -566,12 +576,19 @@
 
 void H2Server::Forget(H2Connection* c) { connections_.erase(c); }
 
-H2Client::H2Client(struct ev_loop* loop, const Clock& clock, std::string address,
-                   int port, Millis ping_interval, Millis ping_timeout)
-    : loop_(loop), clock_(clock), address_(std::move(address)), port_(port),
-      ping_interval_(ping_interval), ping_timeout_(ping_timeout) {
-  double tick = std::chrono::duration<double>(
-                    std::min(ping_interval_, ping_timeout_)).count() / 4;
+H2Client::H2Client(struct ev_loop* loop, const Clock& clock,
+                   std::string address, int port, Millis ping_interval,
+                   Millis ping_timeout)
+    : loop_(loop),
+      clock_(clock),
+      address_(std::move(address)),
+      port_(port),
+      ping_interval_(ping_interval),
+      ping_timeout_(ping_timeout) {
+  double tick =
+      std::chrono::duration<double>(std::min(ping_interval_, ping_timeout_))
+          .count() /
+      4;
   ev_timer_init(&ping_timer_, OnPingTimer, tick, tick);
   ping_timer_.data = this;
   ev_timer_start(loop_, &ping_timer_);
@@ -609,7 +626,8 @@
   if (!connection_) Connect();
   auto on_close = call.on_close;
   int32_t id = connection_->Submit(std::move(call));
-  if (id == 0 && on_close) on_close(absl::UnavailableError("cannot open stream"), true);
+  if (id == 0 && on_close)
+    on_close(absl::UnavailableError("cannot open stream"), true);
   return id;
 }
 
@@ -627,9 +645,9 @@
   if (last_failure_ && clock_.Now() - *last_failure_ < kReconnectBackoff) {
     return false;
   }
-  return !connection_ || !(connection_->ping_outstanding() &&
-                           clock_.Now() - connection_->ping_sent_at() >
-                               ping_timeout_);
+  return !connection_ ||
+         !(connection_->ping_outstanding() &&
+           clock_.Now() - connection_->ping_sent_at() > ping_timeout_);
 }
 
 int H2Client::open_streams() const {
@@ -647,10 +665,11 @@
     if (now - c->ping_sent_at() > self->ping_timeout_) {
       ++self->dead_connections_;
       self->last_failure_ = now;
-      LogWarn("connection_silent", {{"peer", absl::StrCat(self->address_, ":",
-                                                           self->port_)}});
+      LogWarn("connection_silent",
+              {{"peer", absl::StrCat(self->address_, ":", self->port_)}});
       auto dead = std::move(self->connection_);
-      dead->FailAll(absl::UnavailableError("connection silent past ping timeout"));
+      dead->FailAll(
+          absl::UnavailableError("connection silent past ping timeout"));
     }
     return;
   }
--- a/src/h2.h
+++ b/src/h2.h
@@ -19,8 +19,8 @@
 #include <utility>
 #include <vector>
 
-#include "absl/strings/string_view.h"
 #include "absl/status/status.h"
+#include "absl/strings/string_view.h"
 #include "http_server.h"
 #include "types.h"
 
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -120,15 +120,13 @@
     r.http_status = static_cast<int>(http);
     if (code != CURLE_OK) {
       r.status = absl::UnavailableError(curl_easy_strerror(code));
-      r.never_sent = code == CURLE_COULDNT_CONNECT ||
-                     code == CURLE_COULDNT_RESOLVE_HOST ||
-                     (code == CURLE_OPERATION_TIMEDOUT && http == 0 &&
-                      [&] {
-                        curl_off_t connect_us = 0;
-                        curl_easy_getinfo(a->easy, CURLINFO_CONNECT_TIME_T,
-                                          &connect_us);
-                        return connect_us == 0;
-                      }());
+      r.never_sent =
+          code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
+          (code == CURLE_OPERATION_TIMEDOUT && http == 0 && [&] {
+            curl_off_t connect_us = 0;
+            curl_easy_getinfo(a->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
+            return connect_us == 0;
+          }());
     } else if (!a->status_seen && a->call.on_status) {
       a->status_seen = true;
       a->call.on_status(r.http_status);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -14,8 +14,8 @@
 #include <string_view>
 #include <vector>
 
-#include "absl/strings/string_view.h"
 #include "absl/status/status.h"
+#include "absl/strings/string_view.h"
 #include "types.h"
 
 namespace medlarwalk {
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -176,15 +176,15 @@
   ex.queued_ = true;
   MHD_Response* response;
   if (ex.state_ == HttpExchange::State::kWhole) {
-    response = MHD_create_response_from_buffer(
-        ex.body_.size(), ex.body_.data(), MHD_RESPMEM_MUST_COPY);
+    response = MHD_create_response_from_buffer(ex.body_.size(), ex.body_.data(),
+                                               MHD_RESPMEM_MUST_COPY);
   } else {
     response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, kStreamBlock,
                                                  &ReadStream, &ex, nullptr);
   }
   AddHeaders(response, ex.headers_);
-  MHD_Result ret =
-      MHD_queue_response(ex.connection_, static_cast<unsigned>(ex.status_), response);
+  MHD_Result ret = MHD_queue_response(
+      ex.connection_, static_cast<unsigned>(ex.status_), response);
   MHD_destroy_response(response);
   return ret;
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -16,8 +16,8 @@
 #include <utility>
 #include <vector>
 
-#include "absl/strings/string_view.h"
 #include "absl/status/status.h"
+#include "absl/strings/string_view.h"
 
 namespace medlarwalk {
 
--- a/src/ledger.cc
+++ b/src/ledger.cc
@@ -24,12 +24,14 @@
     ssize_t n = write(fd, data.data() + off, data.size() - off);
     if (n < 0) {
       if (errno == EINTR) continue;
-      return absl::InternalError(absl::StrCat("ledger write: ", std::strerror(errno)));
+      return absl::InternalError(
+          absl::StrCat("ledger write: ", std::strerror(errno)));
     }
     off += static_cast<size_t>(n);
   }
   if (fsync(fd) != 0) {
-    return absl::InternalError(absl::StrCat("ledger fsync: ", std::strerror(errno)));
+    return absl::InternalError(
+        absl::StrCat("ledger fsync: ", std::strerror(errno)));
   }
   return absl::OkStatus();
 }
@@ -72,8 +74,8 @@
   }
   fd_ = open(path_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   if (fd_ < 0) {
-    return absl::InternalError(absl::StrCat("ledger open ", path_, ": ",
-                                            std::strerror(errno)));
+    return absl::InternalError(
+        absl::StrCat("ledger open ", path_, ": ", std::strerror(errno)));
   }
   return absl::OkStatus();
 }
@@ -83,7 +85,8 @@
   absl::Status s = WriteAll(fd_, line + "\n");
   if (!s.ok()) return s;
   ++log_records_;
-  if (log_records_ >= kCompactMinRecords && log_records_ > 2 * entries_.size()) {
+  if (log_records_ >= kCompactMinRecords &&
+      log_records_ > 2 * entries_.size()) {
     return Compact();
   }
   return absl::OkStatus();
@@ -97,10 +100,15 @@
   if (fd < 0) return absl::InternalError("ledger compact: cannot open");
   std::string out;
   for (const auto& [key, e] : entries_) {
-    out += json{{"op", "start"}, {"k", key}, {"fp", e.fingerprint}}.dump() + "\n";
+    out +=
+        json{{"op", "start"}, {"k", key}, {"fp", e.fingerprint}}.dump() + "\n";
     if (e.done) {
-      out += json{{"op", "done"}, {"k", key}, {"status", e.http_status},
-                  {"body", e.body}}.dump() + "\n";
+      out += json{{"op", "done"},
+                  {"k", key},
+                  {"status", e.http_status},
+                  {"body", e.body}}
+                 .dump() +
+             "\n";
     }
   }
   absl::Status s = WriteAll(fd, out);
@@ -137,10 +145,13 @@
     }
     return absl::OkStatus();
   }
-  absl::Status s = Append(
-      json{{"op", "start"}, {"k", std::string(key)}, {"fp", fingerprint}}.dump());
+  absl::Status s = Append(json{
+      {"op", "start"},
+      {"k", std::string(key)},
+      {"fp", fingerprint}}.dump());
   if (!s.ok()) return s;
-  auto [ins, unused] = entries_.emplace(std::string(key), LedgerEntry{fingerprint});
+  auto [ins, unused] =
+      entries_.emplace(std::string(key), LedgerEntry{fingerprint});
   started_here_.emplace(key);
   *entry = &ins->second;
   *verdict = LedgerVerdict::kNew;
@@ -155,8 +166,10 @@
   it->second.http_status = http_status;
   it->second.body = std::string(body);
   started_here_.erase(std::string(key));
-  return Append(json{{"op", "done"}, {"k", std::string(key)},
-                     {"status", http_status}, {"body", std::string(body)}}
+  return Append(json{{"op", "done"},
+                     {"k", std::string(key)},
+                     {"status", http_status},
+                     {"body", std::string(body)}}
                     .dump());
 }
 
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -13,19 +13,19 @@
 #include <string>
 #include <string_view>
 
-#include "absl/strings/string_view.h"
 #include "absl/status/status.h"
+#include "absl/strings/string_view.h"
 
 namespace medlarwalk {
 
 // What Begin found for a key.
 enum class LedgerVerdict {
-  kNew,           // Not seen: recorded as started; the caller sends it.
-  kRunning,       // Started by this process and not done yet.
-  kDone,          // Done: the stored answer is the answer.
-  kUnknown,       // Started before a restart and never finished: it may have
-                  // run, so it must not run again.
-  kKeyReused,     // The key was used for a different request body.
+  kNew,        // Not seen: recorded as started; the caller sends it.
+  kRunning,    // Started by this process and not done yet.
+  kDone,       // Done: the stored answer is the answer.
+  kUnknown,    // Started before a restart and never finished: it may have
+               // run, so it must not run again.
+  kKeyReused,  // The key was used for a different request body.
 };
 
 // One key's record.
--- a/src/load.cc
+++ b/src/load.cc
@@ -136,14 +136,14 @@
 class Runner {
  public:
   explicit Runner(const Workload& w)
-      : w_(w), loop_(ev_loop_new(EVFLAG_AUTO)), client_(loop_),
+      : w_(w),
+        loop_(ev_loop_new(EVFLAG_AUTO)),
+        client_(loop_),
         arrivals_(PlanArrivals(w)) {
     ev_timer_init(&timer_, OnTimer, 0., 0.);
     timer_.data = this;
   }
-  ~Runner() {
-    ev_timer_stop(loop_, &timer_);
-  }
+  ~Runner() { ev_timer_stop(loop_, &timer_); }
 
   std::vector<std::unique_ptr<Outcome>> Run() {
     start_ = Now(loop_);
@@ -197,7 +197,8 @@
                  {"max_tokens", c.max_tokens},
                  {"messages",
                   {{{"role", "system"}, {"content", shared}},
-                   {{"role", "user"}, {"content", absl::StrCat(o->nonce, " question")}}}}};
+                   {{"role", "user"},
+                    {"content", absl::StrCat(o->nonce, " question")}}}}};
     HttpCall call;
     call.url = w_.targets[outcomes_.size() % w_.targets.size()] +
                "/v1/chat/completions";
@@ -205,7 +206,8 @@
     call.headers = {"Content-Type: application/json",
                     absl::StrCat("X-Client-Account: ", c.account),
                     absl::StrCat("X-Class: ", c.klass)};
-    call.timeout = Millis(static_cast<int64_t>((w_.duration_s + w_.drain_s) * 1000));
+    call.timeout =
+        Millis(static_cast<int64_t>((w_.duration_s + w_.drain_s) * 1000));
     call.on_status = [op](int s) { op->status = s; };
     call.on_data = [this, op](absl::string_view d) {
       op->buf.append(d.data(), d.size());
@@ -245,8 +247,10 @@
   }
   Workload w;
   try {
-    if (j.contains("targets")) w.targets = j["targets"].get<std::vector<std::string>>();
-    if (j.contains("engines")) w.engines = j["engines"].get<std::vector<std::string>>();
+    if (j.contains("targets"))
+      w.targets = j["targets"].get<std::vector<std::string>>();
+    if (j.contains("engines"))
+      w.engines = j["engines"].get<std::vector<std::string>>();
     w.duration_s = j.value("duration_s", 5.0);
     w.drain_s = j.value("drain_s", 10.0);
     w.seed = j.value("seed", uint64_t{1});
@@ -278,7 +282,8 @@
 void FillFromSettings(const Settings& s, Workload& w) {
   if (w.targets.empty()) {
     for (const auto& h : s.hosts) {
-      if (h.role == "entry") w.targets.push_back(absl::StrCat("http://", h.address, ":", h.port));
+      if (h.role == "entry")
+        w.targets.push_back(absl::StrCat("http://", h.address, ":", h.port));
     }
   }
   if (w.engines.empty()) {
@@ -316,8 +321,10 @@
     r.tokens_delivered += o->tokens;
     double first = o->first_token_at - o->sent_at;
     ttft[o->klass].push_back(first);
-    bool met = first <= std::chrono::duration<double>(c.first_token_target).count() &&
-               o->max_gap <= std::chrono::duration<double>(c.between_tokens_target).count();
+    bool met =
+        first <= std::chrono::duration<double>(c.first_token_target).count() &&
+        o->max_gap <=
+            std::chrono::duration<double>(c.between_tokens_target).count();
     if (met) {
       ++cr.met;
       cr.goodput_tokens_s += o->tokens / w.duration_s;
@@ -341,14 +348,16 @@
                                     "class", "sent", "whole", "met", "refused",
                                     "cut", "crossed", "attainment", "p95_ttft");
   for (const auto& c : r.classes) {
-    absl::StrAppendFormat(&out, "%-18s %6d %6d %6d %7d %5d %7d %9.1f%% %8.3fs\n",
+    absl::StrAppendFormat(&out,
+                          "%-18s %6d %6d %6d %7d %5d %7d %9.1f%% %8.3fs\n",
                           c.klass, c.sent, c.whole, c.met, c.refused, c.cut,
                           c.crossed, 100 * c.attainment, c.p95_first_token_s);
   }
   absl::StrAppendFormat(&out, "goodput %.1f tokens/s", r.goodput_tokens_s);
   if (r.wasted_tokens >= 0) {
     absl::StrAppendFormat(&out, "; generated %d, delivered whole %d, wasted %d",
-                          r.tokens_generated, r.tokens_delivered, r.wasted_tokens);
+                          r.tokens_generated, r.tokens_delivered,
+                          r.wasted_tokens);
   }
   out += "\n";
   return out;
@@ -357,9 +366,14 @@
 std::string FormatReportJson(const LoadReport& r) {
   json classes = json::array();
   for (const auto& c : r.classes) {
-    classes.push_back({{"class", c.klass}, {"sent", c.sent}, {"whole", c.whole},
-                       {"met", c.met}, {"refused", c.refused}, {"cut", c.cut},
-                       {"crossed", c.crossed}, {"attainment", c.attainment},
+    classes.push_back({{"class", c.klass},
+                       {"sent", c.sent},
+                       {"whole", c.whole},
+                       {"met", c.met},
+                       {"refused", c.refused},
+                       {"cut", c.cut},
+                       {"crossed", c.crossed},
+                       {"attainment", c.attainment},
                        {"p95_first_token_s", c.p95_first_token_s},
                        {"goodput_tokens_s", c.goodput_tokens_s}});
   }
--- a/src/load.h
+++ b/src/load.h
@@ -10,8 +10,8 @@
 #include <string_view>
 #include <vector>
 
-#include "absl/strings/string_view.h"
 #include "absl/status/statusor.h"
+#include "absl/strings/string_view.h"
 #include "settings.h"
 #include "types.h"
 
@@ -29,7 +29,7 @@
   std::string klass;
   std::string account;
   std::string model;
-  double rate = 1;                 // Requests a second outside bursts.
+  double rate = 1;  // Requests a second outside bursts.
   int max_tokens = 16;
   int prompt_chars = 200;
   Millis first_token_target{1000};
@@ -42,7 +42,7 @@
   std::vector<std::string> targets;  // Base URLs, used in turn.
   std::vector<std::string> engines;  // For wasted work: their /stats.
   double duration_s = 5;
-  double drain_s = 10;               // Time allowed for answers after the end.
+  double drain_s = 10;  // Time allowed for answers after the end.
   uint64_t seed = 1;
   std::vector<LoadClass> classes;
 };
@@ -51,11 +51,11 @@
 struct ClassReport {
   std::string klass;
   int sent = 0;
-  int whole = 0;       // Answers complete and the caller's own.
-  int met = 0;         // Whole and within both targets.
-  int refused = 0;     // Answered with an error status.
-  int cut = 0;         // Answers that ended before they were whole.
-  int crossed = 0;     // Answers that were another request's.
+  int whole = 0;    // Answers complete and the caller's own.
+  int met = 0;      // Whole and within both targets.
+  int refused = 0;  // Answered with an error status.
+  int cut = 0;      // Answers that ended before they were whole.
+  int crossed = 0;  // Answers that were another request's.
   double attainment = 0;
   double p95_first_token_s = 0;
   double goodput_tokens_s = 0;
--- a/src/log.h
+++ b/src/log.h
@@ -3,12 +3,12 @@
 #define MEDLARWALK_LOG_H_
 
 #include <initializer_list>
-
-#include "absl/strings/string_view.h"
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "absl/strings/string_view.h"
+
 namespace medlarwalk {
 
 // One key and its value, already rendered as text.
@@ -21,7 +21,8 @@
       : key(k), value(std::to_string(v)) {}
   Field(absl::string_view k, int v) : key(k), value(std::to_string(v)) {}
   Field(absl::string_view k, long v) : key(k), value(std::to_string(v)) {}
-  Field(absl::string_view k, unsigned long v) : key(k), value(std::to_string(v)) {}
+  Field(absl::string_view k, unsigned long v)
+      : key(k), value(std::to_string(v)) {}
   Field(absl::string_view k, double v) : key(k), value(std::to_string(v)) {}
   std::string key;
   std::string value;
--- a/src/main.cc
+++ b/src/main.cc
@@ -23,14 +23,17 @@
 #include "log.h"
 #include "settings.h"
 
-ABSL_FLAG(std::string, settings, "", "Settings file (JSON); empty: built-in default");
+ABSL_FLAG(std::string, settings, "",
+          "Settings file (JSON); empty: built-in default");
 ABSL_FLAG(int, base_port, 7000, "First port of the built-in default settings");
 ABSL_FLAG(std::string, host, "", "This process's host name in the settings");
 ABSL_FLAG(std::string, data, "", "Data folder (hosts with a disk)");
 ABSL_FLAG(std::string, policy, "tiered", "Entry policy: tiered or naive");
 ABSL_FLAG(std::string, log_level, "info", "debug, info or warn");
-ABSL_FLAG(std::string, upstream, "", "fake-engine/fake-service: upstream to stand in for");
-ABSL_FLAG(bool, ignore_fencing, false, "fake-engine: apply orders with old fencing numbers");
+ABSL_FLAG(std::string, upstream, "",
+          "fake-engine/fake-service: upstream to stand in for");
+ABSL_FLAG(bool, ignore_fencing, false,
+          "fake-engine: apply orders with old fencing numbers");
 ABSL_FLAG(int, step_ms, 10, "fake-engine: decode step with an empty batch");
 ABSL_FLAG(int, delay_ms, 20, "fake-service: time each call takes");
 ABSL_FLAG(std::string, workload, "", "load: workload file (JSON)");
@@ -48,7 +51,8 @@
 
 absl::StatusOr<Settings> Load() {
   std::string path = absl::GetFlag(FLAGS_settings);
-  if (path.empty()) return ParseSettings(DefaultSettingsJson(absl::GetFlag(FLAGS_base_port)));
+  if (path.empty())
+    return ParseSettings(DefaultSettingsJson(absl::GetFlag(FLAGS_base_port)));
   return LoadSettings(path);
 }
 
@@ -81,15 +85,16 @@
   absl::StatusOr<Settings> settings = Load();
   if (!settings.ok()) return Fail(settings.status());
   std::string host = absl::GetFlag(FLAGS_host);
-  InitLog(absl::StrCat(command, "/", host.empty() ? absl::GetFlag(FLAGS_upstream) : host),
+  InitLog(absl::StrCat(command, "/",
+                       host.empty() ? absl::GetFlag(FLAGS_upstream) : host),
           absl::GetFlag(FLAGS_log_level));
   struct ev_loop* loop = EV_DEFAULT;
   SteadyClock clock;
   if (command == "entry" || command == "agent") {
     const HostSettings* h = settings->FindHost(host);
     if (!h || h->role != command) {
-      return Fail(absl::InvalidArgumentError(
-          absl::StrCat("--host '", host, "' is not an ", command, " in the settings")));
+      return Fail(absl::InvalidArgumentError(absl::StrCat(
+          "--host '", host, "' is not an ", command, " in the settings")));
     }
     if (command == "entry") {
       EntryPolicyKind policy = absl::GetFlag(FLAGS_policy) == "naive"
@@ -101,10 +106,12 @@
     Agent agent(loop, clock, *settings, host, absl::GetFlag(FLAGS_data));
     return Serve(loop, agent);
   }
-  const UpstreamSettings* u = settings->FindUpstream(absl::GetFlag(FLAGS_upstream));
+  const UpstreamSettings* u =
+      settings->FindUpstream(absl::GetFlag(FLAGS_upstream));
   if (!u) {
-    return Fail(absl::InvalidArgumentError(absl::StrCat(
-        "--upstream '", absl::GetFlag(FLAGS_upstream), "' is not in the settings")));
+    return Fail(absl::InvalidArgumentError(
+        absl::StrCat("--upstream '", absl::GetFlag(FLAGS_upstream),
+                     "' is not in the settings")));
   }
   if (command == "fake-engine") {
     FakeEngineOptions o;
@@ -129,7 +136,8 @@
   absl::StatusOr<Settings> settings = Load();
   if (!settings.ok()) return Fail(settings.status());
   FillFromSettings(*settings, *w);
-  if (w->targets.empty()) return Fail(absl::InvalidArgumentError("load: no targets"));
+  if (w->targets.empty())
+    return Fail(absl::InvalidArgumentError("load: no targets"));
   LoadReport r = RunLoad(*w);
   std::cout << FormatReportTable(r);
   if (!absl::GetFlag(FLAGS_json).empty()) {
@@ -161,8 +169,8 @@
     return 0;
   }
   if (command == "bench") {
-    std::cout << FormatBench(RunBench(absl::GetFlag(FLAGS_requests),
-                                      absl::GetFlag(FLAGS_seed)));
+    std::cout << FormatBench(
+        RunBench(absl::GetFlag(FLAGS_requests), absl::GetFlag(FLAGS_seed)));
     return 0;
   }
   if (command == "load") return RunLoadCommand();
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -50,8 +50,10 @@
   retries_->Add({{"reason", std::string(reason)}}).Increment();
 }
 
-void Metrics::CountFinished(absl::string_view klass, absl::string_view outcome) {
-  finished_->Add({{"class", std::string(klass)}, {"outcome", std::string(outcome)}})
+void Metrics::CountFinished(absl::string_view klass,
+                            absl::string_view outcome) {
+  finished_
+      ->Add({{"class", std::string(klass)}, {"outcome", std::string(outcome)}})
       .Increment();
 }
 
--- a/src/router.cc
+++ b/src/router.cc
@@ -31,7 +31,8 @@
 }
 
 std::optional<size_t> ChooseUpstream(absl::Span<const UpstreamState> upstreams,
-                                     absl::string_view model, uint64_t route_key,
+                                     absl::string_view model,
+                                     uint64_t route_key,
                                      const RouterPolicy& policy) {
   for (bool allow_stragglers : {false, true}) {
     std::optional<size_t> least, home;
@@ -39,7 +40,8 @@
     for (size_t i = 0; i < upstreams.size(); ++i) {
       const UpstreamState& u = upstreams[i];
       if (!CanServe(u, model) || (u.straggler && !allow_stragglers)) continue;
-      if (!least || LoadScore(u, policy) < LoadScore(upstreams[*least], policy)) {
+      if (!least ||
+          LoadScore(u, policy) < LoadScore(upstreams[*least], policy)) {
         least = i;
       }
       // Rendezvous hashing: the prefix's home is stable as upstreams come
@@ -60,8 +62,9 @@
   return std::nullopt;
 }
 
-std::optional<size_t> ChooseRoundRobin(absl::Span<const UpstreamState> upstreams,
-                                       absl::string_view model, size_t* cursor) {
+std::optional<size_t> ChooseRoundRobin(
+    absl::Span<const UpstreamState> upstreams, absl::string_view model,
+    size_t* cursor) {
   for (size_t n = 0; n < upstreams.size(); ++n) {
     size_t i = (*cursor + n) % upstreams.size();
     const UpstreamState& u = upstreams[i];
@@ -74,9 +77,9 @@
 }
 
 void NoteTokenGap(UpstreamState& u, double gap_s) {
-  u.token_gap_s = u.gap_samples == 0
-                      ? gap_s
-                      : (1 - kGapSmoothing) * u.token_gap_s + kGapSmoothing * gap_s;
+  u.token_gap_s = u.gap_samples == 0 ? gap_s
+                                     : (1 - kGapSmoothing) * u.token_gap_s +
+                                           kGapSmoothing * gap_s;
   ++u.gap_samples;
 }
 
@@ -84,7 +87,8 @@
                     const RouterPolicy& policy) {
   std::vector<double> gaps;
   for (const auto& u : upstreams) {
-    if (u.gap_samples >= policy.straggler_min_samples) gaps.push_back(u.token_gap_s);
+    if (u.gap_samples >= policy.straggler_min_samples)
+      gaps.push_back(u.token_gap_s);
   }
   if (gaps.size() < 2) {
     for (auto& u : upstreams) u.straggler = false;
--- a/src/router.h
+++ b/src/router.h
@@ -38,13 +38,15 @@
 // idempotency key) hashes to `route_key`, or nullopt when none can serve.
 // Stragglers are used only when nothing else can serve.
 std::optional<size_t> ChooseUpstream(absl::Span<const UpstreamState> upstreams,
-                                     absl::string_view model, uint64_t route_key,
+                                     absl::string_view model,
+                                     uint64_t route_key,
                                      const RouterPolicy& policy);
 
 // The naive baseline: the next upstream after `*cursor` that can serve,
 // round robin, blind to load, cache and stragglers.
-std::optional<size_t> ChooseRoundRobin(absl::Span<const UpstreamState> upstreams,
-                                       absl::string_view model, size_t* cursor);
+std::optional<size_t> ChooseRoundRobin(
+    absl::Span<const UpstreamState> upstreams, absl::string_view model,
+    size_t* cursor);
 
 // Folds one observed gap between tokens into `u`, in seconds.
 void NoteTokenGap(UpstreamState& u, double gap_s);
--- a/src/scheduler.cc
+++ b/src/scheduler.cc
@@ -16,12 +16,16 @@
 
 Scheduler::Scheduler(const Clock& clock, SchedulerConfig config,
                      std::vector<SchedulerClass> classes)
-    : clock_(clock), config_(config), classes_(std::move(classes)),
-      queues_(classes_.size()), by_tier_(classes_.size()) {
+    : clock_(clock),
+      config_(config),
+      classes_(std::move(classes)),
+      queues_(classes_.size()),
+      by_tier_(classes_.size()) {
   std::iota(by_tier_.begin(), by_tier_.end(), 0);
-  std::stable_sort(by_tier_.begin(), by_tier_.end(), [this](size_t a, size_t b) {
-    return classes_[a].tier < classes_[b].tier;
-  });
+  std::stable_sort(by_tier_.begin(), by_tier_.end(),
+                   [this](size_t a, size_t b) {
+                     return classes_[a].tier < classes_[b].tier;
+                   });
 }
 
 // The time until `r` would be dispatched if the entry keeps draining at its
@@ -75,7 +79,8 @@
   for (size_t k = 0; k < queues_.size(); ++k) {
     if (queues_[k].empty()) continue;
     if (now - queues_[k].front().enqueued < config_.starvation_bound) continue;
-    if (!oldest || queues_[k].front().enqueued < queues_[*oldest].front().enqueued) {
+    if (!oldest ||
+        queues_[k].front().enqueued < queues_[*oldest].front().enqueued) {
       oldest = k;
     }
   }
@@ -101,9 +106,9 @@
     double dt = std::chrono::duration<double>(now - *last_dispatch_).count();
     if (dt > 0) {
       double rate = 1.0 / dt;
-      drain_rate_ = drain_rate_ == 0
-                        ? rate
-                        : (1 - kRateSmoothing) * drain_rate_ + kRateSmoothing * rate;
+      drain_rate_ = drain_rate_ == 0 ? rate
+                                     : (1 - kRateSmoothing) * drain_rate_ +
+                                           kRateSmoothing * rate;
     }
   }
   last_dispatch_ = now;
--- a/src/scheduler.h
+++ b/src/scheduler.h
@@ -21,10 +21,10 @@
 // One request waiting at the entry.
 struct QueuedRequest {
   RequestId id = 0;
-  int klass = 0;            // Index into the class list.
+  int klass = 0;  // Index into the class list.
   TimePoint enqueued{};
-  TimePoint give_up_at{};   // Answered at once when still queued then.
-  uint64_t route_key = 0;   // Prefix or idempotency key hash, for the router.
+  TimePoint give_up_at{};  // Answered at once when still queued then.
+  uint64_t route_key = 0;  // Prefix or idempotency key hash, for the router.
   std::string model;
 };
 
@@ -46,8 +46,8 @@
 
 // What Admit decided.
 struct AdmitResult {
-  absl::Status status;               // Ok when queued.
-  std::optional<RequestId> shed;     // A lower-tier request removed for it.
+  absl::Status status;            // Ok when queued.
+  std::optional<RequestId> shed;  // A lower-tier request removed for it.
 };
 
 // The tier-ordered scheduler. Thread safety: loop thread only.
@@ -74,7 +74,9 @@
   // Removes the request (its caller went away). Returns whether it was queued.
   bool Remove(RequestId id);
 
-  int queued(int klass) const { return static_cast<int>(queues_[klass].size()); }
+  int queued(int klass) const {
+    return static_cast<int>(queues_[klass].size());
+  }
   int queued_total() const { return total_; }
 
  private:
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -78,7 +78,8 @@
   bool Bool(const std::string& key, bool fallback) {
     const json* v = Find(key, false);
     if (!v) return fallback;
-    if (!v->is_boolean()) throw SettingsFault{Path(key), "must be true or false"};
+    if (!v->is_boolean())
+      throw SettingsFault{Path(key), "must be true or false"};
     return v->get<bool>();
   }
 
@@ -149,7 +150,8 @@
   AccountSettings a;
   a.name = r.String("name");
   a.classes = r.Strings("classes", true);
-  a.max_in_flight = static_cast<int>(r.Int("max_in_flight", 0, 1'000'000, false));
+  a.max_in_flight =
+      static_cast<int>(r.Int("max_in_flight", 0, 1'000'000, false));
   r.Finish();
   return a;
 }
@@ -176,7 +178,8 @@
   EntryPolicy p;
   p.queue_limit = static_cast<int>(r.Int("queue_limit", 1, 1'000'000));
   p.starvation_bound = Millis(r.Int("starvation_bound_ms", 1, kMaxTargetMs));
-  p.retry_budget_percent = static_cast<int>(r.Int("retry_budget_percent", 0, 100));
+  p.retry_budget_percent =
+      static_cast<int>(r.Int("retry_budget_percent", 0, 100));
   p.ping_interval = Millis(r.Int("ping_interval_ms", 10, 600'000, false, 1000));
   p.ping_timeout = Millis(r.Int("ping_timeout_ms", 10, 600'000, false, 3000));
   r.Finish();
@@ -206,7 +209,8 @@
       if (!s.FindClass(s.accounts[i].classes[j])) {
         throw SettingsFault{
             absl::StrCat("$.accounts[", i, "].classes[", j, "]"),
-            absl::StrCat("class '", s.accounts[i].classes[j], "' is not declared")};
+            absl::StrCat("class '", s.accounts[i].classes[j],
+                         "' is not declared")};
       }
     }
   }
@@ -214,8 +218,9 @@
     const UpstreamSettings& u = s.upstreams[i];
     const HostSettings* agent = s.FindHost(u.agent);
     if (!agent || agent->role != "agent") {
-      throw SettingsFault{absl::StrCat("$.upstreams[", i, "].agent"),
-                          absl::StrCat("agent host '", u.agent, "' is not declared")};
+      throw SettingsFault{
+          absl::StrCat("$.upstreams[", i, "].agent"),
+          absl::StrCat("agent host '", u.agent, "' is not declared")};
     }
     for (size_t j = 0; j < u.models.size(); ++j) {
       if (!models.count(u.models[j])) {
@@ -230,19 +235,23 @@
 }  // namespace
 
 const HostSettings* Settings::FindHost(absl::string_view name) const {
-  for (const auto& h : hosts) if (h.name == name) return &h;
+  for (const auto& h : hosts)
+    if (h.name == name) return &h;
   return nullptr;
 }
 const ClassSettings* Settings::FindClass(absl::string_view name) const {
-  for (const auto& c : classes) if (c.name == name) return &c;
+  for (const auto& c : classes)
+    if (c.name == name) return &c;
   return nullptr;
 }
 const AccountSettings* Settings::FindAccount(absl::string_view name) const {
-  for (const auto& a : accounts) if (a.name == name) return &a;
+  for (const auto& a : accounts)
+    if (a.name == name) return &a;
   return nullptr;
 }
 const UpstreamSettings* Settings::FindUpstream(absl::string_view name) const {
-  for (const auto& u : upstreams) if (u.name == name) return &u;
+  for (const auto& u : upstreams)
+    if (u.name == name) return &u;
   return nullptr;
 }
 
@@ -280,7 +289,8 @@
 
 absl::StatusOr<Settings> LoadSettings(const std::string& path) {
   std::ifstream in(path);
-  if (!in) return absl::NotFoundError(absl::StrCat("settings: cannot read ", path));
+  if (!in)
+    return absl::NotFoundError(absl::StrCat("settings: cannot read ", path));
   std::stringstream buf;
   buf << in.rdbuf();
   return ParseSettings(buf.str());
@@ -288,26 +298,33 @@
 
 std::string DefaultSettingsJson(int base_port) {
   json hosts = json::array();
-  hosts.push_back({{"name", "control-1"}, {"role", "control"},
-                   {"data_centre", "pit-a"}, {"address", "127.0.0.1"},
+  hosts.push_back({{"name", "control-1"},
+                   {"role", "control"},
+                   {"data_centre", "pit-a"},
+                   {"address", "127.0.0.1"},
                    {"port", base_port}});
   for (int i = 0; i < 2; ++i) {
-    hosts.push_back({{"name", absl::StrCat("entry-", i + 1)}, {"role", "entry"},
+    hosts.push_back({{"name", absl::StrCat("entry-", i + 1)},
+                     {"role", "entry"},
                      {"data_centre", i == 0 ? "pit-a" : "pit-b"},
-                     {"address", "127.0.0.1"}, {"port", base_port + 10 + i}});
+                     {"address", "127.0.0.1"},
+                     {"port", base_port + 10 + i}});
   }
   json upstreams = json::array();
   for (int i = 0; i < 4; ++i) {
     std::string agent = absl::StrCat("agent-", i + 1);
-    hosts.push_back({{"name", agent}, {"role", "agent"},
+    hosts.push_back({{"name", agent},
+                     {"role", "agent"},
                      {"data_centre", i % 2 ? "pit-b" : "pit-a"},
-                     {"address", "127.0.0.1"}, {"port", base_port + 20 + i},
+                     {"address", "127.0.0.1"},
+                     {"port", base_port + 20 + i},
                      {"metrics_port", base_port + 30 + i}});
-    json u = {{"name", i < 3 ? absl::StrCat("ledgerhand-", i + 1) : "scalehouse-1"},
-              {"kind", i < 3 ? "engine" : "service"},
-              {"agent", agent},
-              {"url", absl::StrCat("http://127.0.0.1:", base_port + 40 + i)},
-              {"max_in_flight", 16}};
+    json u = {
+        {"name", i < 3 ? absl::StrCat("ledgerhand-", i + 1) : "scalehouse-1"},
+        {"kind", i < 3 ? "engine" : "service"},
+        {"agent", agent},
+        {"url", absl::StrCat("http://127.0.0.1:", base_port + 40 + i)},
+        {"max_in_flight", 16}};
     if (i < 3) u["models"] = {"ledgerhand"};
     upstreams.push_back(u);
   }
@@ -315,21 +332,30 @@
       {"version", 1},
       {"hosts", hosts},
       {"classes",
-       {{{"name", "gate-release"}, {"tier", 0}, {"first_token_ms", 500},
+       {{{"name", "gate-release"},
+         {"tier", 0},
+         {"first_token_ms", 500},
          {"between_tokens_ms", 60}},
-        {{"name", "ticket-lookup"}, {"tier", 1}, {"first_token_ms", 800},
+        {{"name", "ticket-lookup"},
+         {"tier", 1},
+         {"first_token_ms", 800},
          {"between_tokens_ms", 80}},
-        {{"name", "settlement-draft"}, {"tier", 3}, {"first_token_ms", 8000},
+        {{"name", "settlement-draft"},
+         {"tier", 3},
+         {"first_token_ms", 8000},
          {"between_tokens_ms", 200}}}},
       {"accounts",
-       {{{"name", "pit-a-scalehouse"}, {"classes", {"gate-release", "ticket-lookup"}}},
+       {{{"name", "pit-a-scalehouse"},
+         {"classes", {"gate-release", "ticket-lookup"}}},
         {{"name", "county-roads"},
          {"classes", {"ticket-lookup", "settlement-draft"}}}}},
       {"models", {"ledgerhand"}},
       {"upstreams", upstreams},
       {"entry",
-       {{"queue_limit", 512}, {"starvation_bound_ms", 4000},
-        {"retry_budget_percent", 10}, {"ping_interval_ms", 1000},
+       {{"queue_limit", 512},
+        {"starvation_bound_ms", 4000},
+        {"retry_budget_percent", 10},
+        {"ping_interval_ms", 1000},
         {"ping_timeout_ms", 3000}}},
   };
   return doc.dump(2);
--- a/src/settings.h
+++ b/src/settings.h
@@ -9,8 +9,8 @@
 #include <string_view>
 #include <vector>
 
-#include "absl/strings/string_view.h"
 #include "absl/status/statusor.h"
+#include "absl/strings/string_view.h"
 #include "types.h"
 
 namespace medlarwalk {
@@ -18,11 +18,11 @@
 // A process of the system and where it listens.
 struct HostSettings {
   std::string name;
-  std::string role;         // "entry", "agent" or "control".
+  std::string role;  // "entry", "agent" or "control".
   std::string data_centre;
-  std::string address;      // IP number to listen on and to be reached at.
-  int port = 0;             // Callers' HTTP (entry) or HTTP/2 (agent).
-  int metrics_port = 0;     // Prometheus /metrics; 0 serves it on `port`.
+  std::string address;   // IP number to listen on and to be reached at.
+  int port = 0;          // Callers' HTTP (entry) or HTTP/2 (agent).
+  int metrics_port = 0;  // Prometheus /metrics; 0 serves it on `port`.
 };
 
 // A class of work: its tier and latency targets.
@@ -43,21 +43,21 @@
 // A back end: a model engine or a plain service, with the agent beside it.
 struct UpstreamSettings {
   std::string name;
-  std::string kind;       // "engine" or "service".
-  std::string agent;      // Name of the agent host beside it.
-  std::string url;        // Base URL the agent calls, e.g. http://127.0.0.1:9001
+  std::string kind;   // "engine" or "service".
+  std::string agent;  // Name of the agent host beside it.
+  std::string url;    // Base URL the agent calls, e.g. http://127.0.0.1:9001
   std::vector<std::string> models;  // Engines only.
   bool checks_fencing = false;      // Whether it refuses stale orders itself.
-  int max_in_flight = 0;  // Requests one entry sends it at once.
+  int max_in_flight = 0;            // Requests one entry sends it at once.
 };
 
 // Admission and scheduling at each entry.
 struct EntryPolicy {
-  int queue_limit = 0;          // Requests queued at one entry, all classes.
-  Millis starvation_bound{0};   // Longest wait before a lower tier is served.
-  int retry_budget_percent = 0; // Retries as a share of first tries.
-  Millis ping_interval{0};      // HTTP/2 PING to each agent.
-  Millis ping_timeout{0};       // Connection declared dead after this.
+  int queue_limit = 0;           // Requests queued at one entry, all classes.
+  Millis starvation_bound{0};    // Longest wait before a lower tier is served.
+  int retry_budget_percent = 0;  // Retries as a share of first tries.
+  Millis ping_interval{0};       // HTTP/2 PING to each agent.
+  Millis ping_timeout{0};        // Connection declared dead after this.
 };
 
 // The whole settings file.
