Process tests of the promises; five real faults found and mended

Faults the tests found (each red first, then green): 1. absl::Hash is seeded anew per process. The ledger fingerprint changed across an agent restart (resend answered key_reused), and worse, the rendezvous hash differed between entries, so one idempotency key could reach two agents and two ledgers. Now StableHash (xxHash XXH3, libxxhash-dev). GOAWAY from a draining agent: the entry's next Submit failed every stream on the old connection, cutting the answer being drained. Now the connection retires and its streams run to their end. 3. SIGPIPE: no process ignored it, so a peer hanging up mid-write killed the writer (the fake service died this way in the test; an entry or agent would too). Ignored at start; send(MSG_NOSIGNAL) in h2. 4. libcurl, on a reused connection that died, quietly resends the POST on a fresh one; when that connect fails the error reads "couldn't connect" and the agent said not_run for a call that had executed. Ruled out: judging by error code (cannot tell), forbidding reuse (costs a connect per call). Now CURLOPT_PREREQFUNCTION counts sends: never_sent means it never ran; calls marked not repeatable abort a second send, so curl cannot bill twice. 5. A frozen agent's kernel still accepts connections: after the ping timeout the entry backed off 500 ms, then sent work there again. Now the peer is suspect until a probe connection answers a PING, and the blackboard's health is refreshed before each dispatch (a request arriving between ticks went to the just-dead agent).

Test ports moved below the ephemeral range (a listen port once clashed).

--- a/src/agent.cc
+++ b/src/agent.cc
@@ -205,7 +205,7 @@
 void Agent::Forward(const H2Request& req, const UpstreamSettings& u,
                     std::shared_ptr<H2Stream> out) {
   std::string key = req.Header(kH2IdempotencyKey);
-  if (!key.empty() && Replay(key, absl::HashOf(req.body), out)) return;
+  if (!key.empty() && Replay(key, StableHash(req.body), out)) return;
   auto f = std::make_shared<Forwarding>();
   f->out = out;
   f->key = key;
@@ -213,6 +213,7 @@
   call.url = u.url + req.path;
   call.body = req.body;
   call.headers = {"Content-Type: application/json"};
+  call.at_most_once = !key.empty() || !req.Header(kH2NotRepeatable).empty();
   call.on_status = [f](int status) {
     f->started = true;
     f->status = status;
@@ -240,6 +241,8 @@
       if (!s.ok()) LogWarn("ledger_failed", {{"key", f->key}});
     }
     if (!r.status.ok() && r.never_sent) {
+      LogEvent("not_run", {{"upstream", name},
+                           {"error", std::string(r.status.message())}});
       metrics_.CountRefusal(AnswerFor(ErrorKind::kNotRun).code);
       Refuse(*f->out, ErrorKind::kNotRun, r.status.message());
     } else if (!whole) {
--- a/src/bench.cc
+++ b/src/bench.cc
@@ -4,7 +4,6 @@
 #include <random>
 #include <vector>
 
-#include "absl/hash/hash.h"
 #include "absl/strings/str_format.h"
 #include "errors.h"
 #include "router.h"
@@ -32,6 +31,15 @@
 constexpr double kArrivalsPerMs =
     1.5 * kUpstreams * kSlots / static_cast<double>(kServiceTime.count());
 
+// Folds one decision into the signature with a hash that is the same in
+// every run (absl::Hash is seeded per process, so it cannot sign a run).
+uint64_t Mix(uint64_t sig, uint64_t a, uint64_t b, uint64_t c = 0) {
+  uint64_t words[3] = {a, b, c};
+  return StableHash(
+      absl::string_view(reinterpret_cast<const char*>(words), sizeof(words)),
+      sig);
+}
+
 struct Running {
   size_t upstream;
   TimePoint done;
@@ -84,11 +92,11 @@
       AdmitResult ar = admit(q);
       if (!ar.status.ok() && k == 0 && naive) ++r.naive_top_tier_refused;
       if (ar.shed && meta[*ar.shed - 1].klass == 0) ++r.top_tier_shed;
-      sig = absl::HashOf(sig, q.id, ar.status.ok(), ar.shed.value_or(0));
+      sig = Mix(sig, q.id, ar.status.ok(), ar.shed.value_or(0));
     }
     for (const QueuedRequest& q : expire(now)) {
       if (q.klass == 0 && naive) ++r.naive_top_tier_refused;
-      sig = absl::HashOf(sig, q.id, -1);
+      sig = Mix(sig, q.id, ~0ULL);
     }
     for (;;) {
       auto q = next([&](const QueuedRequest& c) {
@@ -101,7 +109,7 @@
       std::optional<size_t> i = choose(ups, *q);
       ++ups[*i].in_flight;
       running.push_back({*i, now + kServiceTime});
-      sig = absl::HashOf(sig, q->id, *i);
+      sig = Mix(sig, q->id, *i);
       if (!naive) {
         if (q->klass == 0) ++r.top_tier_served;
         if (q->klass == kClassCount - 1) {
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -207,8 +207,8 @@
         !body["messages"].empty()) {
       prompt = body["messages"].front().value("content", "");
     }
-    p.route_key = p.key.empty() ? absl::HashOf(prompt.substr(0, kPrefixChars))
-                                : absl::HashOf(p.key);
+    p.route_key = p.key.empty() ? StableHash(prompt.substr(0, kPrefixChars))
+                                : StableHash(p.key);
   } else if (absl::StartsWith(req.path, kServicePrefix)) {
     std::string rest = req.path.substr(sizeof(kServicePrefix) - 1);
     size_t slash = rest.find('/');
@@ -220,7 +220,7 @@
     }
     p.fixed_upstream = static_cast<size_t>(u - settings_.upstreams.data());
     p.path = rest.substr(slash);
-    p.route_key = absl::HashOf(p.key);
+    p.route_key = StableHash(p.key);
   } else {
     return MakeError(ErrorKind::kBadRequest, "no such route");
   }
@@ -297,6 +297,9 @@
 }
 
 void Entry::Dispatch() {
+  // Connection health changes between ticks (a stream just failed on a
+  // silent connection); the router must not pick that agent again now.
+  CheckHealth();
   auto can_run = [this](const QueuedRequest& q) { return CanRun(q); };
   for (;;) {
     std::optional<QueuedRequest> q = policy_ == EntryPolicyKind::kNaive
@@ -340,6 +343,7 @@
                   {kH2RequestId, std::to_string(p.id)},
                   {"content-type", "application/json"}};
   if (!p.key.empty()) call.headers.push_back({kH2IdempotencyKey, p.key});
+  if (!p.repeatable) call.headers.push_back({kH2NotRepeatable, "1"});
   RequestId id = p.id;
   call.on_response = [this, id](int status,
                                 const std::map<std::string, std::string>& h) {
--- a/src/fake_engine.cc
+++ b/src/fake_engine.cc
@@ -92,7 +92,7 @@
   r->stream = body.value("stream", false);
   r->max_tokens =
       std::clamp(body.value("max_tokens", kDefaultMaxTokens), 1, kMaxTokens);
-  uint64_t prefix = absl::HashOf(shared.substr(0, kPrefixChars));
+  uint64_t prefix = StableHash(shared.substr(0, kPrefixChars));
   bool hit = TouchPrefix(prefix);
   size_t uncached = prompt.size() + (hit ? 0 : shared.size());
   r->first_token_at =
--- a/src/h2.cc
+++ b/src/h2.cc
@@ -191,7 +191,7 @@
     flush_wanted_ = false;
     for (;;) {
       if (!pending_.empty()) {
-        ssize_t n = write(fd_, pending_.data(), pending_.size());
+        ssize_t n = send(fd_, pending_.data(), pending_.size(), MSG_NOSIGNAL);
         if (n < 0) {
           if (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINPROGRESS) {
             ev_io_start(loop_, &write_io_);
@@ -356,6 +356,7 @@
     if (frame->hd.type == NGHTTP2_PING &&
         (frame->hd.flags & NGHTTP2_FLAG_ACK)) {
       c->ping_outstanding_ = false;
+      if (c->client_) c->client_->suspect_ = false;
       return 0;
     }
     if (c->server_) {
@@ -620,8 +621,7 @@
   if (connection_ && !connection_->request_allowed()) {
     // The peer sent GOAWAY: streams already open finish on the old
     // connection's own terms; new ones go on a fresh connection.
-    auto old = std::move(connection_);
-    old->FailAll(absl::UnavailableError("peer is going away"));
+    retiring_.push_back(std::move(connection_));
   }
   if (!connection_) Connect();
   auto on_close = call.on_close;
@@ -642,9 +642,7 @@
 }
 
 bool H2Client::usable() const {
-  if (last_failure_ && clock_.Now() - *last_failure_ < kReconnectBackoff) {
-    return false;
-  }
+  if (suspect_) return false;
   return !connection_ ||
          !(connection_->ping_outstanding() &&
            clock_.Now() - connection_->ping_sent_at() > ping_timeout_);
@@ -658,13 +656,24 @@
 // past the timeout: a silent connection otherwise looks open for good.
 void H2Client::OnPingTimer(struct ev_loop*, ev_timer* w, int) {
   auto* self = static_cast<H2Client*>(w->data);
+  auto& r = self->retiring_;
+  r.erase(std::remove_if(r.begin(), r.end(),
+                         [](const auto& c) { return c->open_streams() == 0; }),
+          r.end());
+  TimePoint now = self->clock_.Now();
+  if (self->suspect_ && !self->connection_ &&
+      now - *self->last_failure_ >= kReconnectBackoff) {
+    // Probe: a fresh connection whose first PING goes out at once.
+    self->Connect();
+    self->connection_->set_ping_sent_at(now - self->ping_interval_);
+  }
   H2Connection* c = self->connection_.get();
   if (!c || !c->connected()) return;
-  TimePoint now = self->clock_.Now();
   if (c->ping_outstanding()) {
     if (now - c->ping_sent_at() > self->ping_timeout_) {
       ++self->dead_connections_;
       self->last_failure_ = now;
+      self->suspect_ = true;
       LogWarn("connection_silent",
               {{"peer", absl::StrCat(self->address_, ":", self->port_)}});
       auto dead = std::move(self->connection_);
@@ -680,8 +689,16 @@
 }
 
 void H2Client::Drop(H2Connection* c) {
+  for (auto it = retiring_.begin(); it != retiring_.end(); ++it) {
+    if (it->get() != c) continue;
+    auto dead = std::move(*it);
+    retiring_.erase(it);
+    dead->FailAll(absl::UnavailableError("connection lost"));
+    return;
+  }
   if (connection_.get() != c) return;
   last_failure_ = clock_.Now();
+  suspect_ = true;
   auto dead = std::move(connection_);
   dead->FailAll(absl::UnavailableError("connection lost"));
 }
--- a/src/h2.h
+++ b/src/h2.h
@@ -125,8 +125,10 @@
   void Cancel(int32_t id);
   // Whether a connection is up and has answered its last ping in time.
   bool healthy() const;
-  // Whether new streams should be sent: no connection failed in the last
-  // backoff interval and the current one (if any) is not silent.
+  // Whether new streams should be sent. After a failure the peer is suspect
+  // and gets none until a probe connection answers a PING: a frozen process
+  // still has its kernel accept connections, so "connect worked" proves
+  // nothing.
   bool usable() const;
   // Streams open on the current connection.
   int open_streams() const;
@@ -145,9 +147,13 @@
   Millis ping_interval_;
   Millis ping_timeout_;
   std::unique_ptr<H2Connection> connection_;
+  // Connections the peer sent GOAWAY on: no new streams, but the streams
+  // they carry run to their end (a draining agent finishes its answers).
+  std::vector<std::unique_ptr<H2Connection>> retiring_;
   ev_timer ping_timer_{};
   int dead_connections_ = 0;
   std::optional<TimePoint> last_failure_;
+  bool suspect_ = false;
   friend class H2Connection;
 };
 
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -12,6 +12,7 @@
   curl_slist* headers = nullptr;
   bool status_seen = false;
   bool cancelled = false;
+  int sends = 0;  // Times libcurl was about to send the request.
 };
 
 struct HttpClient::Socket {
@@ -58,6 +59,8 @@
   curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, &OnWrite);
   curl_easy_setopt(e, CURLOPT_WRITEDATA, a.get());
   curl_easy_setopt(e, CURLOPT_PRIVATE, a.get());
+  curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, &OnPrereq);
+  curl_easy_setopt(e, CURLOPT_PREREQDATA, a.get());
   curl_easy_setopt(e, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(a->call.timeout.count()));
   curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS,
@@ -90,6 +93,13 @@
   calls_.erase(it);
 }
 
+int HttpClient::OnPrereq(void* userdata, char*, char*, int, int) {
+  auto* a = static_cast<Active*>(userdata);
+  ++a->sends;
+  if (a->sends > 1 && a->call.at_most_once) return CURL_PREREQFUNC_ABORT;
+  return CURL_PREREQFUNC_OK;
+}
+
 size_t HttpClient::OnWrite(char* ptr, size_t size, size_t n, void* userdata) {
   auto* a = static_cast<Active*>(userdata);
   if (a->cancelled) return 0;
@@ -120,13 +130,7 @@
     r.http_status = static_cast<int>(http);
     if (code != CURLE_OK) {
       r.status = absl::UnavailableError(curl_easy_strerror(code));
-      r.never_sent =
-          code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
-          (code == CURLE_OPERATION_TIMEDOUT && http == 0 && [&] {
-            curl_off_t connect_us = 0;
-            curl_easy_getinfo(a->easy, CURLINFO_CONNECT_TIME_T, &connect_us);
-            return connect_us == 0;
-          }());
+      r.never_sent = a->sends == 0;
     } else if (!a->status_seen && a->call.on_status) {
       a->status_seen = true;
       a->call.on_status(r.http_status);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -24,8 +24,12 @@
 struct HttpCallResult {
   absl::Status status;  // Transport outcome; ok when an answer came whole.
   int http_status = 0;
-  // True when the upstream is known never to have received the request
-  // (the connection was never made), so resending cannot run it twice.
+  // True when the upstream is known never to have received the request:
+  // libcurl never reached the point of sending it (its pre-request callback
+  // did not run). The final error code alone cannot tell: on a reused
+  // connection that died, libcurl quietly resends on a fresh one, and a
+  // failed connect there reads "couldn't connect" though the first send
+  // may have run.
   bool never_sent = false;
 };
 
@@ -37,6 +41,9 @@
   std::string body;
   Millis timeout{30000};
   Millis connect_timeout{1000};
+  // Send at most once: libcurl's own resend on a fresh connection is
+  // aborted, for calls that must not be repeated.
+  bool at_most_once = false;
   // Called once, with the status code, before the first body bytes.
   std::function<void(int http_status)> on_status;
   // Called with each piece of the body as it arrives.
@@ -69,6 +76,9 @@
   static void OnIo(struct ev_loop* loop, ev_io* w, int revents);
   static void OnTimer(struct ev_loop* loop, ev_timer* w, int revents);
   static size_t OnWrite(char* ptr, size_t size, size_t n, void* userdata);
+  static int OnPrereq(void* userdata, char* conn_primary_ip,
+                      char* conn_local_ip, int conn_primary_port,
+                      int conn_local_port);
   void Drain();
   void Remove(uint64_t id);
 
--- a/src/main.cc
+++ b/src/main.cc
@@ -2,6 +2,7 @@
 // settings, clock, loop and the role's object together.
 #include <ev.h>
 
+#include <csignal>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
@@ -151,6 +152,10 @@
 
 int main(int argc, char** argv) {
   using namespace medlarwalk;
+  // A peer that hangs up while we write would otherwise end the process with
+  // SIGPIPE: an entry whose caller left, an agent whose entry died. Seen in
+  // the NotRunIsSaidOnlyWhenTrue test, where the fake service died this way.
+  std::signal(SIGPIPE, SIG_IGN);
   absl::SetProgramUsageMessage(kUsage);
   std::vector<char*> args = absl::ParseCommandLine(argc, argv);
   if (args.size() < 2) {
--- a/src/router.cc
+++ b/src/router.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <vector>
 
-#include "absl/hash/hash.h"
-
 namespace medlarwalk {
 
 namespace {
@@ -46,7 +44,7 @@
       }
       // Rendezvous hashing: the prefix's home is stable as upstreams come
       // and go, so the engine that cached it keeps getting it.
-      uint64_t w = absl::HashOf(route_key, u.name);
+      uint64_t w = StableHash(u.name, route_key);
       if (!home || w > home_weight) {
         home = i;
         home_weight = w;
--- a/src/types.h
+++ b/src/types.h
@@ -6,6 +6,9 @@
 #include <cstdint>
 #include <string>
 
+#include "absl/strings/string_view.h"
+#include "xxhash.h"
+
 namespace medlarwalk {
 
 using Duration = std::chrono::steady_clock::duration;
@@ -47,6 +50,14 @@
 // Identifies one caller request across entry, agent and logs.
 using RequestId = uint64_t;
 
+// A hash that is the same in every process and every run (xxHash, XXH3).
+// Routing and the at-most-once ledger need this: absl::Hash is seeded anew in
+// each process, so two entries would send one idempotency key to different
+// agents, and a restarted agent would not know its own fingerprints.
+inline uint64_t StableHash(absl::string_view data, uint64_t seed = 0) {
+  return XXH3_64bits_withSeed(data.data(), data.size(), seed);
+}
+
 // Header names of the callers' API (toward the entry).
 inline constexpr char kHeaderAccount[] = "X-Client-Account";
 inline constexpr char kHeaderClass[] = "X-Class";
@@ -62,6 +73,7 @@
 inline constexpr char kH2Started[] = "mw-started";
 inline constexpr char kH2ErrorKind[] = "mw-error";
 inline constexpr char kH2Fencing[] = "mw-fencing";
+inline constexpr char kH2NotRepeatable[] = "mw-not-repeatable";
 
 // Upper bound on any request body the entry accepts, in bytes.
 inline constexpr size_t kMaxBodyBytes = 1 << 20;
--- /dev/null
+++ b/test/procs.cc
@@ -0,0 +1,135 @@
+#include "procs.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <thread>
+
+namespace medlarwalk::testing {
+
+namespace {
+
+constexpr int kPollMs = 20;
+
+size_t Collect(char* p, size_t s, size_t n, void* u) {
+  static_cast<std::string*>(u)->append(p, s * n);
+  return s * n;
+}
+
+size_t CollectHeader(char* p, size_t s, size_t n, void* u) {
+  std::string line(p, s * n);
+  size_t colon = line.find(':');
+  if (colon != std::string::npos) {
+    std::string k = line.substr(0, colon);
+    std::transform(k.begin(), k.end(), k.begin(), ::tolower);
+    std::string v = line.substr(colon + 1);
+    v.erase(0, v.find_first_not_of(' '));
+    v.erase(v.find_last_not_of("\r\n") + 1);
+    (*static_cast<std::map<std::string, std::string>*>(u))[k] = v;
+  }
+  return s * n;
+}
+
+Reply Call(const std::string& method, const std::string& url,
+           const std::string& body, const std::vector<std::string>& headers,
+           int timeout_ms) {
+  Reply r;
+  CURL* c = curl_easy_init();
+  curl_slist* list = nullptr;
+  for (const auto& h : headers) list = curl_slist_append(list, h.c_str());
+  curl_easy_setopt(c, CURLOPT_URL, url.c_str());
+  if (method == "POST") {
+    curl_easy_setopt(c, CURLOPT_POSTFIELDS, body.c_str());
+    curl_easy_setopt(c, CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
+  }
+  curl_easy_setopt(c, CURLOPT_HTTPHEADER, list);
+  curl_easy_setopt(c, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout_ms));
+  curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, &Collect);
+  curl_easy_setopt(c, CURLOPT_WRITEDATA, &r.body);
+  curl_easy_setopt(c, CURLOPT_HEADERFUNCTION, &CollectHeader);
+  curl_easy_setopt(c, CURLOPT_HEADERDATA, &r.headers);
+  curl_easy_setopt(c, CURLOPT_NOSIGNAL, 1L);
+  r.curl_code = curl_easy_perform(c);
+  curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &r.status);
+  curl_slist_free_all(list);
+  curl_easy_cleanup(c);
+  return r;
+}
+
+}  // namespace
+
+pid_t Spawn(const std::vector<std::string>& args, const std::string& log) {
+  const char* bin = std::getenv("MEDLARWALK_BIN");
+  std::string path = bin ? bin : "./medlarwalk";
+  pid_t pid = fork();
+  if (pid == 0) {
+    int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(fd, 1);
+    dup2(fd, 2);
+    std::vector<char*> argv;
+    argv.push_back(const_cast<char*>(path.c_str()));
+    for (const auto& a : args) argv.push_back(const_cast<char*>(a.c_str()));
+    argv.push_back(nullptr);
+    execv(path.c_str(), argv.data());
+    _exit(127);
+  }
+  return pid;
+}
+
+bool Stop(pid_t pid, int sig, int wait_ms) {
+  kill(pid, sig);
+  if (sig == SIGSTOP || sig == SIGCONT) return false;
+  for (int waited = 0; waited <= wait_ms; waited += kPollMs) {
+    if (waitpid(pid, nullptr, WNOHANG) == pid) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(kPollMs));
+  }
+  kill(pid, SIGKILL);
+  waitpid(pid, nullptr, 0);
+  return false;
+}
+
+bool WaitForPort(int port, int ms) {
+  for (int waited = 0; waited <= ms; waited += kPollMs) {
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_port = htons(static_cast<uint16_t>(port));
+    inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
+    bool ok = connect(fd, reinterpret_cast<sockaddr*>(&a), sizeof(a)) == 0;
+    close(fd);
+    if (ok) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(kPollMs));
+  }
+  return false;
+}
+
+Reply Post(const std::string& url, const std::string& body,
+           const std::vector<std::string>& headers, int timeout_ms) {
+  return Call("POST", url, body, headers, timeout_ms);
+}
+
+Reply Get(const std::string& url, int timeout_ms) {
+  return Call("GET", url, "", {}, timeout_ms);
+}
+
+std::string TempDir() {
+  char tmpl[] = "/tmp/mw-test-XXXXXX";
+  return mkdtemp(tmpl);
+}
+
+int FreeBase() {
+  static int next = 0;
+  // Below the kernel's ephemeral range (32768 and up), so that no outgoing
+  // connection can hold a port a test wants to listen on.
+  return 20000 + static_cast<int>(getpid() % 120) * 100 + (next++ % 2) * 50;
+}
+
+}  // namespace medlarwalk::testing
