--- a/src/settings.cc
+++ b/src/settings.cc
@@ -234,25 +234,30 @@
 
 }  // namespace
 
-const HostSettings* Settings::FindHost(absl::string_view name) const {
-  for (const auto& h : hosts)
-    if (h.name == name) return &h;
+namespace {
+
+// The element of `items` named `name`, or nullptr.
+template <typename T>
+const T* FindByName(const std::vector<T>& items, absl::string_view name) {
+  for (const auto& it : items) {
+    if (it.name == name) return &it;
+  }
   return nullptr;
 }
+
+}  // namespace
+
+const HostSettings* Settings::FindHost(absl::string_view name) const {
+  return FindByName(hosts, name);
+}
 const ClassSettings* Settings::FindClass(absl::string_view name) const {
-  for (const auto& c : classes)
-    if (c.name == name) return &c;
-  return nullptr;
+  return FindByName(classes, name);
 }
 const AccountSettings* Settings::FindAccount(absl::string_view name) const {
-  for (const auto& a : accounts)
-    if (a.name == name) return &a;
-  return nullptr;
+  return FindByName(accounts, name);
 }
 const UpstreamSettings* Settings::FindUpstream(absl::string_view name) const {
-  for (const auto& u : upstreams)
-    if (u.name == name) return &u;
-  return nullptr;
+  return FindByName(upstreams, name);
 }
 
 absl::StatusOr<Settings> ParseSettings(absl::string_view json_text) {
--- a/test/path_test.cc
+++ b/test/path_test.cc
@@ -96,6 +96,14 @@
   };
 }
 
+// Runs `fn` on a thread after `ms`: a fault injected mid-request.
+std::thread Later(int ms, std::function<void()> fn) {
+  return std::thread([ms, fn] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+    fn();
+  });
+}
+
 std::string Chat(const std::string& nonce, int tokens) {
   return json{{"model", "ledgerhand"},
               {"stream", true},
@@ -167,10 +175,7 @@
   f.Engine(1, 50);
   f.Agent(1);
   f.Entry();
-  std::thread killer([&] {
-    std::this_thread::sleep_for(std::chrono::milliseconds(600));
-    Stop(f.pids["engine-1"], SIGKILL);
-  });
+  std::thread killer = Later(600, [&] { Stop(f.pids["engine-1"], SIGKILL); });
   Reply r =
       Post(f.EntryUrl() + "/v1/chat/completions", Chat("cut-me", 60), kGate);
   killer.join();
@@ -194,10 +199,7 @@
   CHECK(absl::StrContains(down.body, "not_run"));
   CHECK_FALSE(down.headers["retry-after"].empty());
   f.Service(800);
-  std::thread killer([&] {
-    std::this_thread::sleep_for(std::chrono::milliseconds(300));
-    Stop(f.pids["agent-4"], SIGKILL);
-  });
+  std::thread killer = Later(300, [&] { Stop(f.pids["agent-4"], SIGKILL); });
   Reply lost = Post(f.EntryUrl() + "/v1/services/scalehouse-1/bill",
                     R"({"ticket":"T-2"})", Billing("k-lost"));
   killer.join();
@@ -216,10 +218,8 @@
   }
   CHECK_EQUAL(200, warm.status);
   int before = Executions(f);
-  std::thread service_killer([&] {
-    std::this_thread::sleep_for(std::chrono::milliseconds(300));
-    Stop(f.pids["service"], SIGKILL);
-  });
+  std::thread service_killer =
+      Later(300, [&] { Stop(f.pids["service"], SIGKILL); });
   Reply cut = Post(f.EntryUrl() + "/v1/services/scalehouse-1/bill",
                    R"({"ticket":"T-3"})", Billing("k-cut"));
   service_killer.join();
@@ -243,10 +243,7 @@
   Reply again = Post(url, R"({"ticket":"A"})", Billing("adj-A"));
   CHECK_EQUAL(200, again.status);
   STRCMP_EQUAL(first.body.c_str(), again.body.c_str());
-  std::thread killer([&] {
-    std::this_thread::sleep_for(std::chrono::milliseconds(200));
-    Stop(f.pids["agent-4"], SIGKILL);
-  });
+  std::thread killer = Later(200, [&] { Stop(f.pids["agent-4"], SIGKILL); });
   Post(url, R"({"ticket":"B"})", Billing("adj-B"));
   killer.join();
   f.Agent(4);
