--- /dev/null
+++ b/src/control.cc
@@ -0,0 +1,499 @@
+#include "control.h"
+
+#include <algorithm>
+#include <random>
+
+#include "absl/strings/str_cat.h"
+#include "log.h"
+#include "replica_codec.h"
+
+namespace medlarwalk {
+namespace {
+
+constexpr double kTickSeconds = 0.02;
+constexpr Millis kPingInterval(300);
+constexpr Millis kPingTimeout(900);
+// A watch with nothing new is answered after this, which also tells the
+// asker that this process is still there and in step.
+constexpr auto kWatchHold = Millis(400);
+// Readings of the list: often enough that a leaving upstream is known well
+// within the seconds allowed, rare enough for a source that limits calls.
+constexpr auto kListInterval = Millis(600);
+// A control process without a leader reads the list itself, less often: any
+// number of them may do so at once.
+constexpr auto kLoneListInterval = Millis(1500);
+constexpr auto kLeaderlessAfter = Millis(1200);
+// A call waits this long for a leader: about one election.
+constexpr auto kLeaderWait = Millis(850);
+// A follower not heard for this long is no longer counted.
+constexpr auto kFollowerGone = std::chrono::seconds(3);
+constexpr auto kStoreRetry = std::chrono::seconds(1);
+
+std::string NewId() {
+  std::random_device rd;
+  return absl::StrCat(absl::Hex((static_cast<uint64_t>(rd()) << 32) | rd()));
+}
+
+uint64_t RandomSeed() {
+  std::random_device rd;
+  return (static_cast<uint64_t>(rd()) << 32) | rd();
+}
+
+int StatusOf(const absl::Status& s) {
+  if (s.ok()) return 200;
+  return absl::IsInvalidArgument(s) ? 400 : 503;
+}
+
+}  // namespace
+
+Control::Control(struct ev_loop* loop, const Clock& clock,
+                 ControlOptions options)
+    : loop_(loop),
+      clock_(clock),
+      options_(std::move(options)),
+      store_(options_.data_dir),
+      server_(loop,
+              [this](const H2Request& r, std::shared_ptr<H2Stream> s) {
+                HandlePeer(r, std::move(s));
+              }),
+      lister_(loop, clock, options_.list),
+      leader_watch_(
+          loop, clock,
+          [&] {
+            WatchOptions o;
+            o.name = options_.name;
+            return o;
+          }(),
+          {},
+          [this](const WatchReply& r, bool in_step) {
+            if (!in_step || IsLeader()) return;
+            serving_from_leader_ = r.serving;
+            if (r.list) {
+              list_ = *r.list;
+              leader_watch_.state().list_version = list_.version;
+            }
+            if (r.list_age_ms >= 0) {
+              list_read_at_ = clock_.Now() - Millis(r.list_age_ms);
+            }
+            if (r.list) AnswerWatchers(false);
+          }) {
+  ev_timer_init(&tick_, OnTick, kTickSeconds, kTickSeconds);
+  tick_.data = this;
+}
+
+Control::~Control() { ev_timer_stop(loop_, &tick_); }
+
+absl::Status Control::Start() {
+  absl::Status s = server_.Listen(options_.peer.ip, options_.peer.port);
+  if (!s.ok()) return s;
+  OpenStore();
+  ev_timer_start(loop_, &tick_);
+  leader_watch_.Pause(true);
+  leader_watch_.Start();
+  LogEvent("control_started", {{"peer", options_.peer.ToString()},
+                               {"bootstrap", options_.bootstrap},
+                               {"seeds", options_.seeds.size()}});
+  return absl::OkStatus();
+}
+
+void Control::set_seeds(std::vector<std::string> seeds) {
+  options_.seeds = std::move(seeds);
+  if (replica_) replica_->set_seeds(options_.seeds);
+}
+
+// Opens the replica on what the disk holds. A disk that cannot be read or
+// written now is tried again; until then this process votes on nothing.
+bool Control::OpenStore() {
+  store_tried_at_ = clock_.Now();
+  absl::StatusOr<StoredState> st = store_.Load();
+  if (!st.ok() && !absl::IsNotFound(st.status())) {
+    LogWarn("store_failed", {{"op", "load"}, {"error", st.status().message()}});
+    return false;
+  }
+  if (!st.ok()) {
+    StoredState fresh;
+    std::string own = options_.peer.ToString();
+    bool founder = options_.bootstrap &&
+                   std::find(options_.seeds.begin(), options_.seeds.end(),
+                             own) != options_.seeds.end();
+    // Founders know each other's ids without talking: these follow from the
+    // addresses, once only, at the first start of the whole system.
+    fresh.self = Member{founder ? absl::StrCat("founder-", own) : NewId(), own};
+    if (founder) {
+      for (const std::string& a : options_.seeds) {
+        fresh.snapshot.members.push_back(
+            Member{absl::StrCat("founder-", a), a});
+      }
+    }
+    absl::Status s = store_.Rewrite(fresh);
+    if (!s.ok()) {
+      LogWarn("store_failed", {{"op", "create"}, {"error", s.message()}});
+      return false;
+    }
+    st = std::move(fresh);
+  }
+  LogEvent("store_opened", {{"id", st->self.id},
+                            {"term", st->term},
+                            {"snapshot", st->snapshot.index},
+                            {"entries", st->log.size()},
+                            {"version", st->snapshot.version}});
+  ReplicaOptions o;
+  o.tolerate = options_.tolerate;
+  Replica::Hooks h;
+  h.send = [this](const Member& to, const ReplicaMessage& m) {
+    SendToPeer(to, m);
+  };
+  h.on_config = [this](int64_t version, const std::string&) {
+    LogEvent("config_committed", {{"version", version}});
+    AnswerWatchers(false);
+  };
+  h.on_change = [this] { FollowLeader(); };
+  replica_ = std::make_unique<Replica>(clock_, o, store_, *std::move(st),
+                                       options_.seeds, h, RandomSeed());
+  return true;
+}
+
+bool Control::IsLeader() const {
+  return replica_ && replica_->role() == ReplicaRole::kLeader;
+}
+
+std::optional<Member> Control::Leader() const {
+  return replica_ ? replica_->Leader() : std::nullopt;
+}
+
+H2Client& Control::ClientFor(const std::string& address) {
+  std::unique_ptr<H2Client>& c = clients_[address];
+  if (!c) {
+    Endpoint e;
+    absl::Status s = ParseEndpoint(address, &e);
+    if (!s.ok()) LogWarn("bad_address", {{"address", address}});
+    c = std::make_unique<H2Client>(loop_, clock_, e.ip, e.port, kPingInterval,
+                                   kPingTimeout);
+  }
+  return *c;
+}
+
+void Control::SendToPeer(const Member& to, const ReplicaMessage& m) {
+  H2Client& client = ClientFor(to.address);
+  if (!client.usable()) return;
+  auto body = std::make_shared<std::string>();
+  H2Call call;
+  call.path = kReplicaPath;
+  call.body = EncodeMessage(m);
+  call.on_data = [body](absl::string_view d) {
+    body->append(d.data(), d.size());
+  };
+  call.on_close = [this, body](absl::Status s, bool) {
+    if (!s.ok() || body->empty() || !replica_) return;
+    absl::StatusOr<ReplicaMessage> reply = DecodeMessage(*body);
+    if (!reply.ok()) {
+      LogWarn("bad_peer_message", {{"error", reply.status().message()}});
+      return;
+    }
+    replica_->Handle(*reply);
+  };
+  client.Submit(std::move(call));
+}
+
+void Control::HandlePeer(const H2Request& req,
+                         std::shared_ptr<H2Stream> stream) {
+  if (req.path == kWatchPath) {
+    HandleWatch(req, std::move(stream));
+    return;
+  }
+  if (!replica_) {
+    stream->Respond(503, {}, "");
+    return;
+  }
+  if (req.path == kReplicaPath) {
+    absl::StatusOr<ReplicaMessage> m = DecodeMessage(req.body);
+    if (!m.ok()) {
+      LogWarn("bad_peer_message", {{"error", m.status().message()}});
+      stream->Respond(400, {}, "");
+      return;
+    }
+    std::optional<ReplicaMessage> reply = replica_->Handle(*m);
+    stream->Respond(200, {}, reply ? EncodeMessage(*reply) : "");
+    return;
+  }
+  if (req.path == kSubmitPath) {
+    absl::StatusOr<int64_t> version = options_.validate(req.body);
+    if (!version.ok()) {
+      stream->Respond(400, {}, std::string(version.status().message()));
+      return;
+    }
+    SubmitHere(req.body, *version, [stream](absl::Status s) {
+      stream->Respond(StatusOf(s), {}, std::string(s.message()));
+    });
+    return;
+  }
+  if (req.path == kReadPath) {
+    ReadHere([stream](absl::StatusOr<std::string> r) {
+      stream->Respond(StatusOf(r.status()), {}, r.ok() ? *r : "");
+    });
+    return;
+  }
+  stream->Respond(404, {}, "");
+}
+
+int Control::DirectServing() const {
+  int n = 0;
+  for (const auto& [name, f] : followers_) n += f.serves_callers;
+  return n;
+}
+
+int Control::TotalServing() const {
+  if (!IsLeader()) return std::max(serving_from_leader_, DirectServing());
+  int n = DirectServing();
+  for (const auto& [name, f] : followers_) n += f.watchers;
+  return n;
+}
+
+WatchReply Control::MakeReply(const WatchRequest& r) const {
+  WatchReply w;
+  TimePoint now = clock_.Now();
+  if (replica_) {
+    Duration age = replica_->LeaderAge();
+    w.age_ms = age == Duration::max() ? -1 : ToMs(age);
+    w.config_version = replica_->config_version();
+    if (w.config_version > r.config_version) w.config = replica_->config();
+    for (const Member& m : replica_->members()) w.control.push_back(m.address);
+  }
+  if (list_.version != 0 && list_.version != r.list_version) w.list = list_;
+  if (list_read_at_ != TimePoint{}) w.list_age_ms = ToMs(now - list_read_at_);
+  w.serving = TotalServing();
+  return w;
+}
+
+void Control::HandleWatch(const H2Request& req,
+                          std::shared_ptr<H2Stream> stream) {
+  absl::StatusOr<WatchRequest> r = DecodeWatchRequest(req.body);
+  if (!r.ok()) {
+    LogWarn("bad_watch", {{"error", r.status().message()}});
+    stream->Respond(400, {}, "");
+    return;
+  }
+  Follower& f = followers_[r->name];
+  f.seen = clock_.Now();
+  f.serves_callers = r->serves_callers;
+  f.watchers = r->watchers;
+  watchers_.push_back(
+      Watcher{*std::move(r), std::move(stream), clock_.Now() + kWatchHold});
+  AnswerWatchers(false);
+}
+
+// Answers each watch that has something new, or whose time is up; `all`
+// answers every one.
+void Control::AnswerWatchers(bool all) {
+  TimePoint now = clock_.Now();
+  bool lost = !replica_ || replica_->LeaderAge() > kLeaderlessAfter;
+  std::vector<Watcher> keep;
+  std::vector<Watcher> due = std::move(watchers_);
+  watchers_.clear();
+  for (Watcher& w : due) {
+    if (w.stream->closed()) continue;
+    bool fresh =
+        (replica_ && replica_->config_version() > w.request.config_version) ||
+        (list_.version && list_.version != w.request.list_version);
+    if (!all && !fresh && !lost && now < w.until) {
+      keep.push_back(std::move(w));
+      continue;
+    }
+    w.stream->Respond(200, {}, EncodeWatchReply(MakeReply(w.request)));
+  }
+  // Answering may have let new watches in.
+  for (Watcher& w : keep) watchers_.push_back(std::move(w));
+}
+
+void Control::FollowLeader() {
+  std::optional<Member> l = Leader();
+  bool follow = l && !IsLeader();
+  leader_watch_.Pause(!follow);
+  if (follow) leader_watch_.Pin(l->address);
+  if (!IsLeader()) serving_from_leader_ = std::max(serving_from_leader_, 0);
+}
+
+void Control::OnTick(struct ev_loop*, ev_timer* w, int) {
+  static_cast<Control*>(w->data)->Tick();
+}
+
+void Control::Tick() {
+  TimePoint now = clock_.Now();
+  if (!replica_) {
+    if (now - store_tried_at_ > kStoreRetry) OpenStore();
+    if (!replica_) return;
+  }
+  replica_->Tick();
+  for (auto it = followers_.begin(); it != followers_.end();) {
+    it = now - it->second.seen > kFollowerGone ? followers_.erase(it)
+                                               : std::next(it);
+  }
+  leader_watch_.state().watchers = DirectServing();
+  AnswerWatchers(false);
+  PollList(now);
+  if (!waiting_.empty()) {
+    std::vector<Waiting> due = std::move(waiting_);
+    waiting_.clear();
+    bool known = Leader().has_value();
+    for (Waiting& w : due) {
+      if (known) {
+        w.retry();
+      } else if (now >= w.until) {
+        w.give_up();
+      } else {
+        waiting_.push_back(std::move(w));
+      }
+    }
+  }
+}
+
+void Control::PollList(TimePoint now) {
+  lister_.Tick();
+  if (lister_.busy()) return;
+  bool lone = !IsLeader() && replica_->LeaderAge() > kLeaderlessAfter;
+  if (!IsLeader() && !lone) return;
+  if (now - polled_at_ < (lone ? kLoneListInterval : kListInterval)) return;
+  polled_at_ = now;
+  lister_.Read([this, now](absl::StatusOr<UpstreamList> r) {
+    if (!r.ok()) {
+      if (!list_lost_) {
+        LogWarn("list_lost", {{"error", r.status().message()}});
+      }
+      list_lost_ = true;
+      return;
+    }
+    if (list_lost_) LogEvent("list_regained", {});
+    list_lost_ = false;
+    list_read_at_ = now;
+    if (SameUpstreams(list_, *r)) return;
+    LogEvent("list_changed", {{"upstreams", r->upstreams.size()}});
+    list_ = *std::move(r);
+    leader_watch_.state().list_version = list_.version;
+    AnswerWatchers(false);
+  });
+}
+
+void Control::SubmitHere(std::string document, int64_t version,
+                         SubmitDone done) {
+  if (!replica_) {
+    done(absl::UnavailableError("no store"));
+    return;
+  }
+  // What is committed is durable, so a version that is not higher needs
+  // nothing more, whoever leads now.
+  if (version <= replica_->config_version()) {
+    done(absl::OkStatus());
+    return;
+  }
+  replica_->Propose(version, std::move(document), std::move(done));
+}
+
+void Control::Submit(std::string document, SubmitDone done) {
+  absl::StatusOr<int64_t> version = options_.validate(document);
+  if (!version.ok()) {
+    LogEvent("config_refused", {{"why", version.status().message()}});
+    done(version.status());
+    return;
+  }
+  int64_t v = *version;
+  SubmitAnywhere(
+      std::make_shared<std::string>(std::move(document)), v,
+      clock_.Now() + kLeaderWait, [v, done = std::move(done)](absl::Status s) {
+        LogEvent("config_submitted",
+                 {{"version", v}, {"outcome", s.ok() ? "ok" : s.message()}});
+        done(s);
+      });
+}
+
+void Control::SubmitAnywhere(std::shared_ptr<std::string> document,
+                             int64_t version, TimePoint until,
+                             SubmitDone done) {
+  if (replica_ && (IsLeader() || version <= replica_->config_version())) {
+    SubmitHere(*document, version, std::move(done));
+    return;
+  }
+  if (!Leader()) {
+    if (clock_.Now() >= until) {
+      done(absl::UnavailableError("no leader"));
+      return;
+    }
+    waiting_.push_back(
+        Waiting{[this, document, version, until, done] {
+                  SubmitAnywhere(document, version, until, done);
+                },
+                [done] { done(absl::UnavailableError("no leader")); }, until});
+    return;
+  }
+  Forward(kSubmitPath, *document, [done](int status, std::string body) {
+    if (status == 200) {
+      done(absl::OkStatus());
+    } else if (status == 400) {
+      done(absl::InvalidArgumentError(body));
+    } else {
+      done(absl::UnavailableError(body.empty() ? "leader lost" : body));
+    }
+  });
+}
+
+void Control::ReadHere(ReadDone done) {
+  if (!replica_) {
+    done(absl::UnavailableError("no store"));
+    return;
+  }
+  replica_->ReadBarrier([this, done = std::move(done)](absl::Status s) {
+    if (!s.ok()) {
+      done(s);
+    } else if (replica_->config_version() == 0) {
+      done(absl::UnavailableError("no configuration yet"));
+    } else {
+      done(replica_->config());
+    }
+  });
+}
+
+void Control::Read(ReadDone done) {
+  ReadAnywhere(clock_.Now() + kLeaderWait, std::move(done));
+}
+
+void Control::ReadAnywhere(TimePoint until, ReadDone done) {
+  if (IsLeader()) {
+    ReadHere(std::move(done));
+    return;
+  }
+  if (!Leader()) {
+    if (clock_.Now() >= until) {
+      done(absl::UnavailableError("no leader"));
+      return;
+    }
+    waiting_.push_back(
+        Waiting{[this, until, done] { ReadAnywhere(until, done); },
+                [done] { done(absl::UnavailableError("no leader")); }, until});
+    return;
+  }
+  Forward(kReadPath, "", [done](int status, std::string body) {
+    if (status == 200) {
+      done(std::move(body));
+    } else {
+      done(absl::UnavailableError("leader cannot tell"));
+    }
+  });
+}
+
+void Control::Forward(absl::string_view path, std::string body,
+                      std::function<void(int status, std::string body)> done) {
+  auto status = std::make_shared<int>(0);
+  auto answer = std::make_shared<std::string>();
+  H2Call call;
+  call.path = std::string(path);
+  call.body = std::move(body);
+  call.on_response = [status](int s, const auto&) { *status = s; };
+  call.on_data = [answer](absl::string_view d) {
+    answer->append(d.data(), d.size());
+  };
+  call.on_close = [status, answer, done](absl::Status s, bool) {
+    done(s.ok() ? *status : 503, std::move(*answer));
+  };
+  ClientFor(Leader()->address).Submit(std::move(call));
+}
+
+}  // namespace medlarwalk
--- /dev/null
+++ b/src/control.h
@@ -0,0 +1,124 @@
+// The control process, on hosts with a disk: keeps the replicated
+// configuration, reads the upstream list, and answers the watches by which
+// both spread. Operators' calls come through Submit and Read, at any control
+// process.
+#ifndef MEDLARWALK_CONTROL_H_
+#define MEDLARWALK_CONTROL_H_
+
+#include <ev.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "control_wire.h"
+#include "h2.h"
+#include "lister.h"
+#include "replica.h"
+#include "replica_store.h"
+#include "watch_client.h"
+
+namespace medlarwalk {
+
+struct ControlOptions {
+  std::string name;
+  Endpoint peer;                   // Where control processes talk.
+  std::vector<std::string> seeds;  // Peer addresses of some of them.
+  bool bootstrap = false;  // The whole system starts for the first time.
+  std::string data_dir;
+  int tolerate = 1;  // Hosts that may be lost at once.
+  ListSource list;
+  // Checks a document and returns its version. Errors: InvalidArgument.
+  std::function<absl::StatusOr<int64_t>(absl::string_view)> validate;
+};
+
+// Thread safety: loop thread only.
+class Control {
+ public:
+  Control(struct ev_loop* loop, const Clock& clock, ControlOptions options);
+  ~Control();
+  Control(const Control&) = delete;
+  Control& operator=(const Control&) = delete;
+
+  // Errors: Unavailable when the peer address cannot be bound.
+  absl::Status Start();
+  void set_seeds(std::vector<std::string> seeds);
+
+  using SubmitDone = std::function<void(absl::Status)>;
+  // Ok once the document, or one of at least its version, is committed.
+  // InvalidArgument when it is invalid; Unavailable when the outcome is not
+  // known or no leader is.
+  void Submit(std::string document, SubmitDone done);
+  using ReadDone = std::function<void(absl::StatusOr<std::string>)>;
+  // The newest committed document. Unavailable when that cannot be told.
+  void Read(ReadDone done);
+
+ private:
+  struct Watcher {
+    WatchRequest request;
+    std::shared_ptr<H2Stream> stream;
+    TimePoint until{};
+  };
+  struct Follower {
+    TimePoint seen{};
+    bool serves_callers = false;
+    int watchers = 0;
+  };
+  // A call that waits for a leader to be known.
+  struct Waiting {
+    std::function<void()> retry;
+    std::function<void()> give_up;
+    TimePoint until{};
+  };
+
+  static void OnTick(struct ev_loop* loop, ev_timer* w, int revents);
+  void Tick();
+  bool OpenStore();
+  void HandlePeer(const H2Request& req, std::shared_ptr<H2Stream> stream);
+  void HandleWatch(const H2Request& req, std::shared_ptr<H2Stream> stream);
+  void SendToPeer(const Member& to, const ReplicaMessage& m);
+  void Forward(absl::string_view path, std::string body,
+               std::function<void(int status, std::string body)> done);
+  void SubmitHere(std::string document, int64_t version, SubmitDone done);
+  void SubmitAnywhere(std::shared_ptr<std::string> document, int64_t version,
+                      TimePoint until, SubmitDone done);
+  void ReadHere(ReadDone done);
+  void ReadAnywhere(TimePoint until, ReadDone done);
+  bool IsLeader() const;
+  std::optional<Member> Leader() const;
+  WatchReply MakeReply(const WatchRequest& r) const;
+  void AnswerWatchers(bool all);
+  void PollList(TimePoint now);
+  void FollowLeader();
+  int DirectServing() const;
+  int TotalServing() const;
+  H2Client& ClientFor(const std::string& address);
+
+  struct ev_loop* loop_;
+  const Clock& clock_;
+  ControlOptions options_;
+  FileReplicaStore store_;
+  std::unique_ptr<Replica> replica_;
+  H2Server server_;
+  std::map<std::string, std::unique_ptr<H2Client>> clients_;
+  Lister lister_;
+  WatchClient leader_watch_;
+  UpstreamList list_;
+  TimePoint list_read_at_{};
+  TimePoint polled_at_{};
+  std::vector<Watcher> watchers_;
+  std::map<std::string, Follower> followers_;
+  int serving_from_leader_ = 0;
+  std::vector<Waiting> waiting_;
+  TimePoint store_tried_at_{};
+  bool list_lost_ = false;
+  ev_timer tick_{};
+};
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_CONTROL_H_
--- /dev/null
+++ b/src/control_wire.cc
@@ -0,0 +1,103 @@
+#include "control_wire.h"
+
+#include "replica_codec.h"
+
+namespace medlarwalk {
+
+using nlohmann::json;
+
+namespace {
+
+json ListToJson(const UpstreamList& l) {
+  json items = json::array();
+  for (const UpstreamInfo& u : l.upstreams) {
+    items.push_back({u.id, u.service, u.address.ip, u.address.port,
+                     u.data_centre, u.leaving, u.slots, ToMs(u.warmup_left)});
+  }
+  return {{"v", l.version}, {"u", std::move(items)}};
+}
+
+UpstreamList ListFromJson(const json& j) {
+  UpstreamList l;
+  l.version = j.at("v").get<int64_t>();
+  for (const json& i : j.at("u")) {
+    UpstreamInfo u;
+    u.id = i.at(0).get<std::string>();
+    u.service = i.at(1).get<std::string>();
+    u.address.ip = i.at(2).get<std::string>();
+    u.address.port = i.at(3).get<int>();
+    u.data_centre = i.at(4).get<std::string>();
+    u.leaving = i.at(5).get<bool>();
+    u.slots = i.at(6).get<int>();
+    u.warmup_left = Millis(i.at(7).get<int64_t>());
+    l.upstreams.push_back(std::move(u));
+  }
+  return l;
+}
+
+// Decodes CBOR and runs `f` on it, turning a malformed value into an error.
+template <typename T, typename F>
+absl::StatusOr<T> Decode(absl::string_view bytes, F f) {
+  absl::StatusOr<json> j = FromCbor(bytes);
+  if (!j.ok()) return j.status();
+  try {
+    return f(*j);
+  } catch (const json::exception& e) {
+    return absl::InvalidArgumentError(e.what());
+  }
+}
+
+}  // namespace
+
+std::string EncodeWatchRequest(const WatchRequest& r) {
+  return ToCbor({{"n", r.name},
+                 {"s", r.serves_callers},
+                 {"w", r.watchers},
+                 {"c", r.config_version},
+                 {"l", r.list_version}});
+}
+
+absl::StatusOr<WatchRequest> DecodeWatchRequest(absl::string_view bytes) {
+  return Decode<WatchRequest>(bytes, [](const json& j) {
+    WatchRequest r;
+    r.name = j.at("n").get<std::string>();
+    r.serves_callers = j.at("s").get<bool>();
+    r.watchers = j.at("w").get<int>();
+    r.config_version = j.at("c").get<int64_t>();
+    r.list_version = j.at("l").get<int64_t>();
+    return r;
+  });
+}
+
+std::string EncodeWatchReply(const WatchReply& r) {
+  json j = {{"a", r.age_ms},
+            {"c", r.config_version},
+            {"g", r.list_age_ms},
+            {"s", r.serving},
+            {"m", r.control}};
+  if (r.config) {
+    j["d"] =
+        json::binary(std::vector<uint8_t>(r.config->begin(), r.config->end()));
+  }
+  if (r.list) j["l"] = ListToJson(*r.list);
+  return ToCbor(j);
+}
+
+absl::StatusOr<WatchReply> DecodeWatchReply(absl::string_view bytes) {
+  return Decode<WatchReply>(bytes, [](const json& j) {
+    WatchReply r;
+    r.age_ms = j.at("a").get<int64_t>();
+    r.config_version = j.at("c").get<int64_t>();
+    r.list_age_ms = j.at("g").get<int64_t>();
+    r.serving = j.at("s").get<int>();
+    r.control = j.at("m").get<std::vector<std::string>>();
+    if (j.contains("d")) {
+      const auto& b = j["d"].get_binary();
+      r.config = std::string(b.begin(), b.end());
+    }
+    if (j.contains("l")) r.list = ListFromJson(j["l"]);
+    return r;
+  });
+}
+
+}  // namespace medlarwalk
--- /dev/null
+++ b/src/control_wire.h
@@ -0,0 +1,53 @@
+// What passes between control processes and those that follow them: the watch
+// (CBOR over HTTP/2) by which configurations and the upstream list spread.
+#ifndef MEDLARWALK_CONTROL_WIRE_H_
+#define MEDLARWALK_CONTROL_WIRE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "absl/strings/string_view.h"
+#include "upstream_list.h"
+
+namespace medlarwalk {
+
+// Paths of the links between our own processes.
+inline constexpr char kReplicaPath[] = "/replica";  // A replica message.
+inline constexpr char kWatchPath[] = "/watch";      // A watch request.
+inline constexpr char kSubmitPath[] = "/submit";    // A configuration.
+inline constexpr char kReadPath[] = "/read";        // Read of the newest one.
+
+// Asks for what is newer than the asker holds. Held back for a while when
+// there is nothing.
+struct WatchRequest {
+  std::string name;  // Of the asker.
+  bool serves_callers = false;
+  int watchers = 0;  // Serving processes that follow the asker in turn.
+  int64_t config_version = 0;
+  int64_t list_version = 0;
+};
+
+struct WatchReply {
+  // How long ago the answerer was surely in step with a leader, in ms;
+  // negative when it never was.
+  int64_t age_ms = -1;
+  int64_t config_version = 0;
+  std::optional<std::string> config;  // When newer than asked for.
+  std::optional<UpstreamList> list;   // When another than asked for.
+  // How long ago the list was read, in ms; negative when never.
+  int64_t list_age_ms = -1;
+  int serving = 0;  // Processes that serve callers, as far as known.
+  std::vector<std::string> control;  // Addresses of the control processes.
+};
+
+std::string EncodeWatchRequest(const WatchRequest& r);
+absl::StatusOr<WatchRequest> DecodeWatchRequest(absl::string_view bytes);
+std::string EncodeWatchReply(const WatchReply& r);
+absl::StatusOr<WatchReply> DecodeWatchReply(absl::string_view bytes);
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_CONTROL_WIRE_H_
--- /dev/null
+++ b/src/dialect.h
@@ -0,0 +1,73 @@
+// How callers and upstreams write what the core needs to know of a request
+// and of an answer. The core decides on these typed values only; each front
+// door brings its own functions to read and write them.
+#ifndef MEDLARWALK_DIALECT_H_
+#define MEDLARWALK_DIALECT_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "http1.h"
+#include "types.h"
+
+namespace medlarwalk {
+
+// One part of a prompt: requests that share leading parts share cached state.
+struct PromptPart {
+  uint64_t id = 0;
+  int64_t tokens = 0;
+};
+
+// What a caller says of its request.
+struct RequestFacts {
+  std::string id;                    // Of this attempt; the upstream echoes it.
+  std::optional<Duration> patience;  // How long the caller will wait.
+  std::string key;                   // Of the client account; may be empty.
+  std::string host;
+  int64_t prompt_tokens = 0;  // 0 when not said.
+  int64_t most_output_tokens = 0;
+  int64_t likely_output_tokens = 0;  // The caller's estimate; 0 when not said.
+  std::vector<PromptPart> parts;
+  std::optional<int64_t> last_event;  // The caller resumes after this event.
+};
+
+// What goes with a forwarded request beside what the caller sent.
+struct ForwardFacts {
+  std::string upstream_id;  // Any other upstream must refuse the request.
+  Duration patience{};      // What is left of it.
+  std::string account;      // Empty when there is none.
+  std::optional<int> engine_priority;  // 0 first.
+  std::optional<int64_t> last_event;   // Resume after this event.
+};
+
+// What an upstream's answer says of itself.
+struct AnswerFacts {
+  std::string echoed_id;
+  bool not_run = false;       // The upstream states that it did not run it.
+  bool signed_whole = false;  // Bears the upstream's signature.
+  std::string upstream_id;    // Which upstream answered, where it says so.
+  // Its load, where it tells it.
+  bool has_load = false;
+  int running = 0;
+  int waiting = 0;
+  int slots = 0;
+};
+
+// The functions of one front door. All pure and thread safe.
+struct Dialect {
+  // Errors: InvalidArgument when the head cannot be understood.
+  std::function<absl::StatusOr<RequestFacts>(const MessageHead&)> read_request;
+  // The head and body for the upstream.
+  std::function<std::string(const MessageHead&, const ForwardFacts&,
+                            absl::string_view body)>
+      write_request;
+  std::function<AnswerFacts(const MessageHead&)> read_answer;
+};
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_DIALECT_H_
--- a/src/errors.cc
+++ b/src/errors.cc
@@ -28,6 +28,11 @@
     {422, "key_reused", false, true},
     {503, "draining", true, true},
     {409, "stale_fencing", false, true},
+    {503, "no_configuration", true, true},
+    {404, "unknown_route", false, true},
+    {401, "unknown_key", false, true},
+    {504, "timed_out", false, false},
+    {503, "not_run_in_time", true, true},
     {500, "internal", false, false},
 }};
 
@@ -38,7 +43,11 @@
       return absl::StatusCode::kInvalidArgument;
     case ErrorKind::kUnknownAccount:
     case ErrorKind::kUnknownClass:
+    case ErrorKind::kUnknownKey:
       return absl::StatusCode::kPermissionDenied;
+    case ErrorKind::kTimedOut:
+      return absl::StatusCode::kDeadlineExceeded;
+    case ErrorKind::kUnknownRoute:
     case ErrorKind::kUnknownModel:
       return absl::StatusCode::kNotFound;
     case ErrorKind::kOverloaded:
--- a/src/errors.h
+++ b/src/errors.h
@@ -29,6 +29,11 @@
   kKeyReused,         // The idempotency key was used for another request.
   kDraining,          // The process is stopping and takes no new work.
   kStaleFencing,      // An order carried an old fencing number.
+  kNoConfiguration,   // No configuration is known here yet.
+  kUnknownRoute,      // No route leads where the request asks.
+  kUnknownKey,        // The caller's key is not, or no longer, held.
+  kTimedOut,          // Its time is over; it may have run.
+  kNotRunInTime,      // Its time is over; no upstream ever received it.
   kInternal,          // A fault of ours.
 };
 
--- /dev/null
+++ b/src/gateway.cc
@@ -0,0 +1,636 @@
+#include "gateway.h"
+
+#include <algorithm>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "log.h"
+
+namespace medlarwalk {
+namespace {
+
+// Assumed until the control processes have said how many entries there are:
+// too many is safe for the shared limits.
+constexpr int kAssumedServing = 8;
+// Part of an upstream's connections that the entries use together; the rest
+// covers entries that are not known yet or any more.
+constexpr double kConnectionShare = 0.8;
+// Answers that are not streams are held until whole, up to this.
+constexpr size_t kMostHeldAnswer = 4 << 20;
+// A caller that reads more slowly than its upstream sends holds this much.
+constexpr size_t kMostUnsent = 256 * 1024;
+// Connections tried for one request beside the sendings that count.
+constexpr int kMostConnectTries = 3;
+// Load of an engine or plain service, in shares of its slots, at which it
+// gets no more; beyond its slots an upstream queues in its own order.
+constexpr double kMostEngineLoad = 1.0;
+constexpr double kMostPlainLoad = 2.0;
+// A stream without a sign of life for this many pause targets, or this many
+// first-event targets, goes on elsewhere if it may.
+constexpr int kStallPauses = 6;
+constexpr int kStallTargets = 2;
+constexpr auto kLeastStall = Millis(1000);
+// A plain request that may be repeated is sent elsewhere after this many
+// latency targets without an answer.
+constexpr int kPlainStallTargets = 3;
+constexpr auto kLeastPlainStall = Millis(300);
+// Less time than this left is not worth another sending.
+constexpr auto kLeastTime = Millis(20);
+// The first come-back time told, before any load is known, and its spread:
+// callers told the same moment would return together.
+constexpr double kRetryAfterSeconds = 0.3;
+constexpr double kRetryAfterSpread = 0.5;
+// Lowest rank an engine knows.
+constexpr int kLastEnginePriority = 9;
+
+absl::string_view Name(CallEnd e) {
+  switch (e) {
+    case CallEnd::kWhole:
+      return "whole";
+    case CallEnd::kNotSent:
+      return "not_sent";
+    case CallEnd::kNoAnswer:
+      return "no_answer";
+    case CallEnd::kBrokenOff:
+      return "broken_off";
+  }
+  return "";
+}
+
+std::string ClassLabel(Tier tier) { return absl::StrCat("tier-", tier); }
+
+}  // namespace
+
+// One request, from its arrival to its final answer.
+struct Gateway::Request {
+  uint64_t seq = 0;
+  std::shared_ptr<CallerExchange> exchange;
+  RequestFacts facts;
+  std::shared_ptr<const RoutingConfig> config;  // Keeps `route` alive.
+  const RouteRule* route = nullptr;
+  const ServiceRule* service = nullptr;
+  std::string account;
+  Tier tier = 0;
+  uint64_t affinity = 0;
+  TimePoint give_up_at{};
+  std::multimap<TimePoint, uint64_t>::iterator give_up_entry;
+  bool waiting = false;
+  bool maybe_run = false;  // Some upstream may have run it.
+  int sends = 0;           // Upstreams it was sent to.
+  int connect_failures = 0;
+  std::vector<std::string> tried;
+  // The attempt under way.
+  int attempt = 0;
+  std::string upstream;  // Empty when none.
+  std::shared_ptr<Http1Client> connection;
+  TimePoint sent_at{};
+  TimePoint progress_at{};
+  MessageHead answer;
+  AnswerFacts answer_facts;
+  std::string held;  // An answer's body until it is whole.
+  bool have_head = false;
+  // Streams.
+  bool relaying = false;        // This attempt's events go to the caller.
+  bool stream_started = false;  // The caller has the head.
+  EventSplitter splitter;
+  std::optional<int64_t> last_event;
+  int events = 0;
+  TimePoint first_event_at{};
+
+  bool repeatable() const {
+    return route->kind == RequestKind::kRepeatable ||
+           (route->kind == RequestKind::kStream && route->resumable);
+  }
+  bool stream() const { return route->kind == RequestKind::kStream; }
+};
+
+Gateway::Gateway(struct ev_loop* loop, const Clock& clock,
+                 GatewayOptions options, Dialect dialect, Metrics& metrics,
+                 uint64_t random_seed)
+    : loop_(loop),
+      clock_(clock),
+      options_(std::move(options)),
+      dialect_(std::move(dialect)),
+      metrics_(metrics),
+      random_(random_seed),
+      pool_(loop, clock),
+      waiting_(options_.waiting),
+      serving_(kAssumedServing) {}
+
+Gateway::~Gateway() = default;
+
+void Gateway::SetConfig(std::shared_ptr<const RoutingConfig> config) {
+  config_ = std::move(config);
+}
+
+void Gateway::SetUpstreams(const UpstreamList& list) {
+  pool_.Update(list);
+  ServeWaiting();
+}
+
+void Gateway::SetServing(int serving) { serving_ = std::max(1, serving); }
+
+RetryBudget& Gateway::BudgetFor(const std::string& service) {
+  return budgets_.try_emplace(service, clock_.Now()).first->second;
+}
+
+Gateway::Request* Gateway::Find(uint64_t seq, int attempt) {
+  auto it = requests_.find(seq);
+  if (it == requests_.end() || it->second->attempt != attempt) return nullptr;
+  return it->second.get();
+}
+
+void Gateway::Handle(std::shared_ptr<CallerExchange> ex) {
+  auto owned = std::make_unique<Request>();
+  Request& r = *owned;
+  r.seq = next_seq_++;
+  r.exchange = std::move(ex);
+  r.give_up_at = r.exchange->arrived + std::chrono::seconds(60);
+  r.give_up_entry = give_up_.emplace(r.give_up_at, r.seq);
+  requests_[r.seq] = std::move(owned);
+  uint64_t seq = r.seq;
+  r.exchange->set_on_gone([this, seq] { CallerLeft(seq); });
+  absl::Status s = Admit(r);
+  if (!s.ok()) {
+    Fail(r, KindOf(s), s.message());
+    return;
+  }
+  BudgetFor(r.service->name).NoteRequest(options_.retry);
+  Dispatch(r);
+}
+
+absl::Status Gateway::Admit(Request& r) {
+  absl::StatusOr<RequestFacts> facts = dialect_.read_request(r.exchange->head);
+  if (!facts.ok()) {
+    return MakeError(ErrorKind::kBadRequest, facts.status().message());
+  }
+  r.facts = *std::move(facts);
+  if (!config_) {
+    return MakeError(ErrorKind::kNoConfiguration, "no configuration yet");
+  }
+  r.config = config_;
+  absl::string_view path = r.exchange->head.target;
+  path = path.substr(0, path.find('?'));
+  r.route = FindRoute(*config_, r.facts.host, path);
+  if (!r.route) return MakeError(ErrorKind::kUnknownRoute, "no route");
+  r.tier = r.route->tier;
+  if (!config_->accounts.empty() && !r.route->anonymous) {
+    const AccountRule* a = FindAccount(*config_, r.facts.key);
+    if (!a) return MakeError(ErrorKind::kUnknownKey, "key not held");
+    r.account = a->name;
+    if (a->tier) r.tier = *a->tier;
+  }
+  std::uniform_real_distribution<double> draw(0, 1);
+  r.service = &config_->services.at(PickService(*r.route, draw(random_)));
+  Duration patience = r.route->timeout;
+  if (r.facts.patience) patience = std::min(patience, *r.facts.patience);
+  give_up_.erase(r.give_up_entry);
+  r.give_up_at = r.exchange->arrived + patience;
+  r.give_up_entry = give_up_.emplace(r.give_up_at, r.seq);
+  r.last_event = r.facts.last_event;
+  // The parts shared with others: all but the request's own.
+  if (r.facts.parts.size() >= 2) {
+    r.affinity = r.facts.parts[r.facts.parts.size() - 2].id;
+  }
+  return absl::OkStatus();
+}
+
+void Gateway::Dispatch(Request& r) {
+  if (!waiting_.Behind(r.service->name, r.tier) && TrySend(r)) return;
+  WaitingRequest w;
+  w.seq = r.seq;
+  w.tier = r.tier;
+  w.since = clock_.Now();
+  w.until =
+      std::min(r.give_up_at, w.since + std::chrono::duration_cast<Duration>(
+                                           r.route->latency_target *
+                                           options_.waiting.most_target_share));
+  w.service = r.service->name;
+  std::optional<uint64_t> shed;
+  r.waiting = waiting_.Enter(std::move(w), &shed);
+  if (shed) {
+    Request* other = requests_.at(*shed).get();
+    other->waiting = false;
+    Fail(*other, ErrorKind::kShed, "room needed for a higher tier");
+  }
+  if (!r.waiting) Fail(r, ErrorKind::kOverloaded, "waiting room full");
+}
+
+bool Gateway::TrySend(Request& r) {
+  bool engine = r.service->engine.has_value();
+  int limit = std::max(2, static_cast<int>(r.service->max_connections *
+                                           kConnectionShare / serving_));
+  for (UpstreamBoard& b : pool_.boards()) {
+    if (b.info.service == r.service->name) b.full = pool_.Full(b, limit);
+  }
+  PlacementAsk ask;
+  ask.service = r.service->name;
+  ask.affinity = r.affinity;
+  ask.data_centre = options_.data_centre;
+  ask.avoid = r.tried;
+  ask.engine = engine;
+  ask.most_load = engine ? kMostEngineLoad : kMostPlainLoad;
+  std::uniform_real_distribution<double> draw(0, 1);
+  std::optional<size_t> i = Place(pool_.boards(), ask, clock_.Now(),
+                                  draw(random_), options_.placement);
+  if (!i) return false;
+  Send(r, *i);
+  return true;
+}
+
+void Gateway::Send(Request& r, size_t upstream) {
+  TimePoint now = clock_.Now();
+  UpstreamBoard& u = pool_.boards()[upstream];
+  ++r.attempt;
+  ++r.sends;
+  r.upstream = u.info.id;
+  r.tried.push_back(u.info.id);
+  r.sent_at = r.progress_at = now;
+  r.have_head = false;
+  r.relaying = false;
+  r.held.clear();
+  r.splitter.Reset();
+  if (u.in_flight == 0) u.quiet_since = now;
+  ++u.in_flight;
+  NotePrefill(u, static_cast<double>(r.facts.prompt_tokens), now,
+              options_.placement);
+  ForwardFacts f;
+  f.upstream_id = u.info.id;
+  f.patience = r.give_up_at - now;
+  f.account = r.account;
+  if (r.service->engine) {
+    f.engine_priority = std::clamp(r.tier, 0, kLastEnginePriority);
+  }
+  f.last_event = r.last_event;
+  LogEvent("sent",
+           {{"request", r.facts.id},
+            {"upstream", u.info.id},
+            {"attempt", r.attempt},
+            {"load", u.reported},
+            {"load_age_ms",
+             u.reported_at == TimePoint{} ? -1 : ToMs(now - u.reported_at)},
+            {"own", u.in_flight},
+            {"left_ms", ToMs(f.patience)}});
+  uint64_t seq = r.seq;
+  int attempt = r.attempt;
+  UpstreamCall call;
+  call.request = dialect_.write_request(r.exchange->head, f, r.exchange->body);
+  call.head_method = r.exchange->head.method == "HEAD";
+  call.on_head = [this, seq, attempt](const MessageHead& h) {
+    Request* q = Find(seq, attempt);
+    return q ? OnHead(*q, h) : true;
+  };
+  call.on_body = [this, seq, attempt](absl::string_view d) {
+    if (Request* q = Find(seq, attempt)) OnBody(*q, d);
+  };
+  call.on_end = [this, seq, attempt](CallEnd end, absl::string_view why) {
+    if (Request* q = Find(seq, attempt)) OnEnd(*q, end, why);
+  };
+  r.connection = pool_.Take(u);
+  r.connection->Start(std::move(call));
+}
+
+// Lets go of the upstream; the connection is kept if its call has ended.
+void Gateway::ReleaseUpstream(Request& r) {
+  if (r.upstream.empty()) return;
+  if (UpstreamBoard* u = pool_.Find(r.upstream)) {
+    --u->in_flight;
+    if (u->in_flight == 0) u->quiet_since = {};
+  }
+  pool_.Give(r.upstream, r.connection);
+  r.connection.reset();
+  r.upstream.clear();
+}
+
+void Gateway::DropAttempt(Request& r) {
+  if (r.upstream.empty()) return;
+  ++r.attempt;  // Late callbacks of the attempt find nothing.
+  r.connection->Cancel();
+  ReleaseUpstream(r);
+}
+
+bool Gateway::OnHead(Request& r, const MessageHead& head) {
+  AnswerFacts f = dialect_.read_answer(head);
+  TimePoint now = clock_.Now();
+  bool success = head.status / 100 == 2;
+  if (f.echoed_id != r.facts.id && (!f.echoed_id.empty() || success)) {
+    LogEvent("answer_skipped", {{"request", r.facts.id},
+                                {"upstream", r.upstream},
+                                {"bears", f.echoed_id}});
+    return false;
+  }
+  r.progress_at = now;
+  if (UpstreamBoard* u = pool_.Find(r.upstream)) {
+    u->quiet_since = now;
+    if (f.has_load) NoteReport(*u, f.running, f.waiting, now);
+  }
+  r.answer = head;
+  r.answer_facts = std::move(f);
+  r.have_head = true;
+  if (!r.answer_facts.not_run) r.maybe_run = true;
+  r.relaying = r.stream() && success && r.answer_facts.signed_whole;
+  return true;
+}
+
+void Gateway::OnBody(Request& r, absl::string_view data) {
+  TimePoint now = clock_.Now();
+  r.progress_at = now;
+  if (UpstreamBoard* u = pool_.Find(r.upstream)) u->quiet_since = now;
+  if (!r.relaying) {
+    r.held.append(data.data(), data.size());
+    if (r.held.size() > kMostHeldAnswer) {
+      AttemptFailed(r, CallEnd::kBrokenOff, "answer too large");
+    }
+    return;
+  }
+  uint64_t seq = r.seq;
+  int attempt = r.attempt;
+  bool whole = r.splitter.Feed(
+      data, [&](absl::string_view event) { return RelayEvent(r, event); });
+  if (!Find(seq, attempt)) return;
+  if (!whole) {
+    AttemptFailed(r, CallEnd::kBrokenOff, "events out of order");
+    return;
+  }
+  if (r.exchange->unsent() > kMostUnsent) {
+    r.connection->PauseRead(true);
+    r.exchange->set_on_drained([this, seq, attempt] {
+      if (Request* q = Find(seq, attempt)) q->connection->PauseRead(false);
+    });
+  }
+}
+
+// Passes one event on. Returns false when it does not follow the last one.
+bool Gateway::RelayEvent(Request& r, absl::string_view event) {
+  std::optional<int64_t> id = EventId(event);
+  if (id && r.last_event) {
+    if (*id <= *r.last_event) return true;  // Sent again by a resumed run.
+    if (*id != *r.last_event + 1) return false;
+  }
+  if (!r.stream_started) {
+    HeaderList headers;
+    for (const auto& h : r.answer.headers) {
+      if (!IsHopByHop(h.first)) headers.push_back(h);
+    }
+    r.exchange->StartAnswer(r.answer.status, r.answer.reason, headers);
+    r.stream_started = true;
+    r.first_event_at = clock_.Now();
+    metrics_.ObserveFirstToken(
+        ClassLabel(r.tier), ToSeconds(r.first_event_at - r.exchange->arrived));
+  }
+  r.exchange->Write(event);
+  if (id) r.last_event = id;
+  ++r.events;
+  return true;
+}
+
+void Gateway::OnEnd(Request& r, CallEnd end, absl::string_view why) {
+  TimePoint now = clock_.Now();
+  if (end != CallEnd::kWhole) {
+    AttemptFailed(r, end, why);
+    return;
+  }
+  UpstreamBoard* u = pool_.Find(r.upstream);
+  bool success = r.answer.status / 100 == 2;
+  if (success && !r.answer_facts.signed_whole) {
+    AttemptFailed(r, CallEnd::kNoAnswer, "success without signature");
+    return;
+  }
+  if (r.answer_facts.not_run || r.answer.status / 100 == 5) {
+    AttemptFailed(r, CallEnd::kWhole,
+                  r.answer_facts.not_run
+                      ? absl::StrCat("refused ", r.answer.status)
+                      : absl::StrCat("status ", r.answer.status));
+    return;
+  }
+  if (r.relaying && r.splitter.pending() > 0) {
+    AttemptFailed(r, CallEnd::kBrokenOff, "ends inside an event");
+    return;
+  }
+  if (u) NoteSuccess(*u, now);
+  ReleaseUpstream(r);
+  if (!r.relaying) {
+    AnswerWhole(r);
+    Finish(r, "answered", absl::StrCat(r.answer.status));
+    ServeWaiting();
+    return;
+  }
+  if (!r.stream_started) {
+    // A stream without events is whole as it is.
+    AnswerWhole(r);
+  } else {
+    r.exchange->Finish();
+  }
+  Finish(r, "answered", absl::StrCat(r.answer.status));
+  ServeWaiting();
+}
+
+void Gateway::AnswerWhole(Request& r) {
+  HeaderList headers;
+  for (const auto& h : r.answer.headers) {
+    if (!IsHopByHop(h.first)) headers.push_back(h);
+  }
+  r.exchange->Respond(r.answer.status, headers, r.held);
+}
+
+bool Gateway::MayMove(Request& r, CallEnd end, absl::string_view why) {
+  TimePoint now = clock_.Now();
+  if (r.exchange->gone() || r.give_up_at - now < kLeastTime) return false;
+  if (end == CallEnd::kNotSent) {
+    // Nothing reached that upstream: it costs neither an attempt nor budget.
+    --r.sends;
+    return ++r.connect_failures <= kMostConnectTries;
+  }
+  bool not_run = r.have_head && r.answer_facts.not_run;
+  if (!not_run && !r.repeatable()) return false;
+  if (r.sends >= r.route->max_attempts) return false;
+  if (!BudgetFor(r.service->name).Take(options_.retry, serving_, now)) {
+    metrics_.CountRetry("budget_spent");
+    return false;
+  }
+  metrics_.CountRetry(not_run ? "refused" : Name(end));
+  return true;
+}
+
+void Gateway::AttemptFailed(Request& r, CallEnd end, absl::string_view why) {
+  TimePoint now = clock_.Now();
+  bool not_run = r.have_head && r.answer_facts.not_run;
+  if (UpstreamBoard* u = pool_.Find(r.upstream)) {
+    NoteFailure(*u, now, end != CallEnd::kWhole, options_.placement);
+  }
+  if (end != CallEnd::kNotSent && !not_run) r.maybe_run = true;
+  LogEvent("attempt_failed", {{"request", r.facts.id},
+                              {"upstream", r.upstream},
+                              {"attempt", r.attempt},
+                              {"end", Name(end)},
+                              {"why", why},
+                              {"events", r.events}});
+  bool answered = end == CallEnd::kWhole && r.have_head;
+  if (answered) {
+    ReleaseUpstream(r);
+  } else {
+    DropAttempt(r);
+  }
+  if (MayMove(r, end, why)) {
+    Dispatch(r);
+    return;
+  }
+  if (answered && !not_run && !r.stream_started) {
+    AnswerWhole(r);
+    Finish(r, "answered", absl::StrCat(r.answer.status));
+  } else if (r.maybe_run) {
+    Fail(r, ErrorKind::kOutcomeUnknown, why);
+  } else {
+    Fail(r, ErrorKind::kNotRun, why);
+  }
+  ServeWaiting();
+}
+
+Duration Gateway::RetryAfter(const Request& r) {
+  std::uniform_real_distribution<double> spread(1 - kRetryAfterSpread,
+                                                1 + kRetryAfterSpread);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(kRetryAfterSeconds * spread(random_)));
+}
+
+// The request's one final answer when it gets none from an upstream.
+void Gateway::Fail(Request& r, ErrorKind kind, absl::string_view why) {
+  const Answer& a = AnswerFor(kind);
+  if (r.stream_started) {
+    // A cut stream must not look complete.
+    r.exchange->Abort();
+    Finish(r, "cut", why);
+    return;
+  }
+  metrics_.CountRefusal(a.code);
+  HeaderList headers;
+  if (a.retry_after && a.not_run) {
+    headers.emplace_back("Retry-After",
+                         absl::StrFormat("%.3f", ToSeconds(RetryAfter(r))));
+  }
+  r.exchange->Respond(a.http_status, headers, "");
+  Finish(r, a.code, why);
+}
+
+void Gateway::Finish(Request& r, absl::string_view outcome,
+                     absl::string_view why) {
+  TimePoint now = clock_.Now();
+  DropAttempt(r);
+  if (r.waiting) waiting_.Leave(r.seq);
+  Duration took = now - r.exchange->arrived;
+  LogEvent(
+      "request_ended",
+      {{"request", r.facts.id},
+       {"outcome", outcome},
+       {"why", why},
+       {"route", r.route ? r.route->name : ""},
+       {"config_version", r.config ? r.config->version : 0},
+       {"tier", r.tier},
+       {"sends", r.sends},
+       {"ms", ToMs(took)},
+       {"first_ms",
+        r.stream_started ? ToMs(r.first_event_at - r.exchange->arrived) : -1},
+       {"events", r.events}});
+  metrics_.CountFinished(ClassLabel(r.tier), outcome);
+  metrics_.ObserveDuration(ClassLabel(r.tier), ToSeconds(took));
+  r.exchange->set_on_gone(nullptr);
+  r.exchange->set_on_drained(nullptr);
+  give_up_.erase(r.give_up_entry);
+  requests_.erase(r.seq);
+}
+
+void Gateway::CallerLeft(uint64_t seq) {
+  auto it = requests_.find(seq);
+  if (it == requests_.end()) return;
+  Finish(*it->second, "caller_left", "");
+  ServeWaiting();
+}
+
+// Gives requests that wait the places that have come free.
+void Gateway::ServeWaiting() {
+  if (serving_waiting_) return;
+  serving_waiting_ = true;
+  for (const std::string& service : waiting_.Services()) {
+    while (std::optional<uint64_t> seq = waiting_.Next(service)) {
+      Request& r = *requests_.at(*seq);
+      if (!TrySend(r)) break;
+      r.waiting = false;
+      waiting_.Leave(*seq);
+    }
+  }
+  serving_waiting_ = false;
+}
+
+// Moves a request on whose upstream has fallen silent, where that is allowed.
+void Gateway::CheckStall(Request& r, TimePoint now) {
+  if (r.upstream.empty() || !r.repeatable()) return;
+  if (r.sends >= r.route->max_attempts) return;
+  Duration limit;
+  if (!r.stream()) {
+    limit = std::max<Duration>(kLeastPlainStall,
+                               r.route->latency_target * kPlainStallTargets);
+  } else {
+    limit = std::max<Duration>(kLeastStall,
+                               r.stream_started
+                                   ? r.route->pause_target * kStallPauses
+                                   : r.route->latency_target * kStallTargets);
+  }
+  if (now - r.progress_at < limit) return;
+  const UpstreamBoard* u = pool_.Find(r.upstream);
+  // An upstream that still sends to others is busy, not silent.
+  if (r.stream() && u && now - u->quiet_since < kLeastStall) return;
+  AttemptFailed(r, CallEnd::kNoAnswer, "silent");
+}
+
+void Gateway::Tick() {
+  TimePoint now = clock_.Now();
+  std::vector<uint64_t> due;
+  for (auto it = give_up_.begin(); it != give_up_.end() && it->first <= now;
+       ++it) {
+    due.push_back(it->second);
+  }
+  for (uint64_t seq : due) {
+    auto it = requests_.find(seq);
+    if (it == requests_.end()) continue;
+    Request& r = *it->second;
+    bool sent = !r.upstream.empty() && r.connection->sent();
+    Fail(r,
+         sent || r.maybe_run ? ErrorKind::kTimedOut : ErrorKind::kNotRunInTime,
+         "time over");
+  }
+  for (uint64_t seq : waiting_.Expired(now)) {
+    auto it = requests_.find(seq);
+    if (it == requests_.end()) continue;
+    Request& r = *it->second;
+    Fail(
+        r,
+        r.maybe_run ? ErrorKind::kOutcomeUnknown : ErrorKind::kTargetUnmeetable,
+        "no place in time");
+  }
+  std::vector<uint64_t> open;
+  for (auto& [seq, r] : requests_) open.push_back(seq);
+  for (uint64_t seq : open) {
+    auto it = requests_.find(seq);
+    if (it != requests_.end()) CheckStall(*it->second, now);
+  }
+  pool_.Tick();
+  ServeWaiting();
+}
+
+void Gateway::EndAll() {
+  std::vector<uint64_t> open;
+  for (auto& [seq, r] : requests_) open.push_back(seq);
+  for (uint64_t seq : open) {
+    auto it = requests_.find(seq);
+    if (it == requests_.end()) continue;
+    Request& r = *it->second;
+    bool sent = !r.upstream.empty() && r.connection->sent();
+    Fail(
+        r,
+        sent || r.maybe_run ? ErrorKind::kOutcomeUnknown : ErrorKind::kDraining,
+        "stopping");
+  }
+}
+
+}  // namespace medlarwalk
--- /dev/null
+++ b/src/gateway.h
@@ -0,0 +1,107 @@
+// The life of a request at an entry process: found its route and account,
+// waits for a place, goes to an upstream, is moved where that is allowed, and
+// gets one final answer. Decisions are in placement and waiting; this file
+// and upstream_pool do the input and output.
+#ifndef MEDLARWALK_GATEWAY_H_
+#define MEDLARWALK_GATEWAY_H_
+
+#include <ev.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "caller_server.h"
+#include "dialect.h"
+#include "errors.h"
+#include "event_stream.h"
+#include "http1_client.h"
+#include "metrics.h"
+#include "placement.h"
+#include "retry_budget.h"
+#include "routing_config.h"
+#include "upstream_pool.h"
+#include "waiting.h"
+
+namespace medlarwalk {
+
+struct GatewayOptions {
+  std::string data_centre;
+  RetryAllowance retry;
+  PlacementPolicy placement;
+  WaitingPolicy waiting;
+};
+
+// Thread safety: loop thread only.
+class Gateway {
+ public:
+  Gateway(struct ev_loop* loop, const Clock& clock, GatewayOptions options,
+          Dialect dialect, Metrics& metrics, uint64_t random_seed);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  // Takes a request over; it gets exactly one final answer.
+  void Handle(std::shared_ptr<CallerExchange> ex);
+  // A newer configuration. Requests under way keep the one they began with.
+  void SetConfig(std::shared_ptr<const RoutingConfig> config);
+  void SetUpstreams(const UpstreamList& list);
+  // How many entry processes share upstreams and allowances.
+  void SetServing(int serving);
+  // Drives time-outs; called every few tens of milliseconds.
+  void Tick();
+  int open_requests() const { return static_cast<int>(requests_.size()); }
+  bool has_config() const { return config_ != nullptr; }
+  // Ends what is still open: the end of a planned stop's grace.
+  void EndAll();
+
+ private:
+  struct Request;
+  using RequestPtr = std::unique_ptr<Request>;
+
+  absl::Status Admit(Request& r);
+  void Dispatch(Request& r);
+  bool TrySend(Request& r);
+  void Send(Request& r, size_t upstream);
+  bool OnHead(Request& r, const MessageHead& head);
+  void OnBody(Request& r, absl::string_view data);
+  void OnEnd(Request& r, CallEnd end, absl::string_view why);
+  bool RelayEvent(Request& r, absl::string_view event);
+  void AnswerWhole(Request& r);
+  // The attempt failed; moves the request on or gives it up.
+  void AttemptFailed(Request& r, CallEnd end, absl::string_view why);
+  bool MayMove(Request& r, CallEnd end, absl::string_view why);
+  void DropAttempt(Request& r);
+  void ReleaseUpstream(Request& r);
+  void Fail(Request& r, ErrorKind kind, absl::string_view why);
+  void Finish(Request& r, absl::string_view outcome, absl::string_view why);
+  void CallerLeft(uint64_t seq);
+  void CheckStall(Request& r, TimePoint now);
+  void ServeWaiting();
+  Request* Find(uint64_t seq, int attempt);
+  Duration RetryAfter(const Request& r);
+  RetryBudget& BudgetFor(const std::string& service);
+
+  struct ev_loop* loop_;
+  const Clock& clock_;
+  GatewayOptions options_;
+  Dialect dialect_;
+  Metrics& metrics_;
+  std::mt19937_64 random_;
+  std::shared_ptr<const RoutingConfig> config_;
+  UpstreamPool pool_;
+  WaitingRoom waiting_;
+  int serving_;
+  std::unordered_map<uint64_t, RequestPtr> requests_;
+  std::multimap<TimePoint, uint64_t> give_up_;
+  std::map<std::string, RetryBudget> budgets_;
+  uint64_t next_seq_ = 1;
+  bool serving_waiting_ = false;
+};
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_GATEWAY_H_
--- a/src/h2.cc
+++ b/src/h2.cc
@@ -23,7 +23,7 @@
 constexpr int kListenBacklog = 512;
 // After a connection fails, no new streams go to that peer for this long, so
 // a dead agent is not hammered with retries that fail at once.
-constexpr auto kReconnectBackoff = std::chrono::milliseconds(500);
+constexpr auto kReconnectBackoff = std::chrono::milliseconds(200);
 
 void SetNonBlocking(int fd) {
   fcntl(fd, F_SETFL, fcntl(fd, F_GETFL, 0) | O_NONBLOCK);
@@ -152,6 +152,8 @@
   bool connected() const { return connected_; }
   bool ping_outstanding() const { return ping_outstanding_; }
   TimePoint ping_sent_at() const { return ping_sent_at_; }
+  TimePoint opened_at() const { return opened_at_; }
+  void set_opened_at(TimePoint t) { opened_at_ = t; }
   void set_ping_sent_at(TimePoint t) { ping_sent_at_ = t; }
 
   // Answer side (server) operations, called through H2Stream.
@@ -391,7 +393,7 @@
     if (c->server_) {
       auto it = c->incoming_.find(id);
       if (it != c->incoming_.end()) {
-        if (it->second.request.body.size() + len > kMaxBodyBytes) {
+        if (it->second.request.body.size() + len > kMaxLinkBodyBytes) {
           return NGHTTP2_ERR_CALLBACK_FAILURE;
         }
         it->second.request.body.append(chunk.data(), chunk.size());
@@ -475,6 +477,7 @@
   bool flush_wanted_ = false;
   bool ping_outstanding_ = false;
   TimePoint ping_sent_at_{};
+  TimePoint opened_at_{};
   std::string pending_;
   std::map<int32_t, ClientStream> calls_;
   std::map<int32_t, ServerStream> incoming_;
@@ -615,6 +618,7 @@
   connection_ = std::make_unique<H2Connection>(loop_, fd, nullptr, this,
                                                connecting || rc != 0);
   connection_->set_ping_sent_at(clock_.Now());
+  connection_->set_opened_at(clock_.Now());
 }
 
 int32_t H2Client::Submit(H2Call call) {
@@ -668,17 +672,17 @@
     self->connection_->set_ping_sent_at(now - self->ping_interval_);
   }
   H2Connection* c = self->connection_.get();
-  if (!c || !c->connected()) return;
+  if (!c) return;
+  if (!c->connected()) {
+    // A host without power or behind a cut answers nothing at all.
+    if (now - c->opened_at() > self->ping_timeout_) {
+      self->DropSilent("connect timed out");
+    }
+    return;
+  }
   if (c->ping_outstanding()) {
     if (now - c->ping_sent_at() > self->ping_timeout_) {
-      ++self->dead_connections_;
-      self->last_failure_ = now;
-      self->suspect_ = true;
-      LogWarn("connection_silent",
-              {{"peer", absl::StrCat(self->address_, ":", self->port_)}});
-      auto dead = std::move(self->connection_);
-      dead->FailAll(
-          absl::UnavailableError("connection silent past ping timeout"));
+      self->DropSilent("ping unanswered");
     }
     return;
   }
@@ -688,6 +692,19 @@
   }
 }
 
+void H2Client::DropSilent(absl::string_view why) {
+  ++dead_connections_;
+  last_failure_ = clock_.Now();
+  // One line for each loss, not for each probe that follows it.
+  if (!suspect_) {
+    LogWarn("connection_silent",
+            {{"peer", absl::StrCat(address_, ":", port_)}, {"why", why}});
+  }
+  suspect_ = true;
+  auto dead = std::move(connection_);
+  dead->FailAll(absl::UnavailableError(why));
+}
+
 void H2Client::Drop(H2Connection* c) {
   for (auto it = retiring_.begin(); it != retiring_.end(); ++it) {
     if (it->get() != c) continue;
--- a/src/h2.h
+++ b/src/h2.h
@@ -139,6 +139,8 @@
   static void OnPingTimer(struct ev_loop* loop, ev_timer* w, int revents);
   void Connect();
   void Drop(H2Connection* c);
+  // Gives up the current connection, which answers nothing.
+  void DropSilent(absl::string_view why);
 
   struct ev_loop* loop_;
   const Clock& clock_;
--- /dev/null
+++ b/src/http1.cc
@@ -0,0 +1,196 @@
+#include "http1.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+
+namespace medlarwalk {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using beast::error_code;
+
+absl::string_view View(beast::string_view s) { return {s.data(), s.size()}; }
+
+// Beast's parser, handing what it reads to a MessageSink.
+template <bool kRequest>
+class BeastParser : public http::basic_parser<kRequest> {
+ public:
+  explicit BeastParser(MessageSink* sink) : sink_(sink) {}
+
+ private:
+  void on_request_impl(http::verb, beast::string_view method,
+                       beast::string_view target, int, error_code&) override {
+    head_.method = std::string(View(method));
+    head_.target = std::string(View(target));
+  }
+  void on_response_impl(int code, beast::string_view reason, int,
+                        error_code&) override {
+    head_.status = code;
+    head_.reason = std::string(View(reason));
+  }
+  void on_field_impl(http::field, beast::string_view name,
+                     beast::string_view value, error_code&) override {
+    if (head_done_) return;  // Trailers are not passed on.
+    head_.headers.emplace_back(std::string(View(name)),
+                               std::string(View(value)));
+  }
+  void on_header_impl(error_code&) override {
+    head_done_ = true;
+    head_.keep_alive = this->keep_alive();
+    auto n = this->content_length();
+    if (n) head_.content_length = *n;
+    sink_->on_head(std::move(head_));
+  }
+  void on_body_init_impl(boost::optional<std::uint64_t> const&,
+                         error_code&) override {}
+  std::size_t on_body_impl(beast::string_view body, error_code&) override {
+    sink_->on_body(View(body));
+    return body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, beast::string_view,
+                            error_code&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view body,
+                                 error_code&) override {
+    sink_->on_body(View(body));
+    return body.size();
+  }
+  void on_finish_impl(error_code&) override { sink_->on_complete(); }
+
+  MessageSink* sink_;
+  MessageHead head_;
+  bool head_done_ = false;
+};
+
+absl::Status FromBeast(const error_code& ec) {
+  if (ec == http::error::body_limit || ec == http::error::header_limit) {
+    return absl::ResourceExhaustedError(ec.message());
+  }
+  return absl::InvalidArgumentError(ec.message());
+}
+
+}  // namespace
+
+const std::string* MessageHead::Find(absl::string_view name) const {
+  for (const auto& [k, v] : headers) {
+    if (absl::EqualsIgnoreCase(k, name)) return &v;
+  }
+  return nullptr;
+}
+
+int MessageHead::Count(absl::string_view name) const {
+  int n = 0;
+  for (const auto& [k, v] : headers) n += absl::EqualsIgnoreCase(k, name);
+  return n;
+}
+
+struct Http1Parser::Impl {
+  std::optional<BeastParser<true>> request;
+  std::optional<BeastParser<false>> answer;
+  bool started = false;
+
+  template <typename F>
+  auto With(F f) {
+    return request ? f(*request) : f(*answer);
+  }
+};
+
+Http1Parser::Http1Parser(Kind kind, uint32_t header_limit, uint64_t body_limit,
+                         MessageSink sink)
+    : kind_(kind),
+      header_limit_(header_limit),
+      body_limit_(body_limit),
+      sink_(std::move(sink)) {
+  Make();
+}
+
+Http1Parser::~Http1Parser() = default;
+
+void Http1Parser::Make() {
+  impl_ = std::make_unique<Impl>();
+  if (kind_ == Kind::kRequest) {
+    impl_->request.emplace(&sink_);
+  } else {
+    impl_->answer.emplace(&sink_);
+  }
+  impl_->With([this](auto& p) {
+    p.eager(true);
+    p.header_limit(header_limit_);
+    p.body_limit(body_limit_);
+  });
+}
+
+absl::Status Http1Parser::Feed(std::string* buf) {
+  if (done() || buf->empty()) return absl::OkStatus();
+  impl_->started = true;
+  error_code ec;
+  size_t taken = 0;
+  // put() may stop early after the head, so go on until nothing moves.
+  while (taken < buf->size() && !done()) {
+    ec = {};
+    size_t n = impl_->With([&](auto& p) {
+      return p.put(
+          boost::asio::const_buffer(buf->data() + taken, buf->size() - taken),
+          ec);
+    });
+    taken += n;
+    if (ec || n == 0) break;
+  }
+  buf->erase(0, taken);
+  if (ec && ec != http::error::need_more) return FromBeast(ec);
+  return absl::OkStatus();
+}
+
+absl::Status Http1Parser::FeedEnd() {
+  if (done()) return absl::OkStatus();
+  if (!impl_->started) return absl::InvalidArgumentError("closed");
+  error_code ec;
+  impl_->With([&](auto& p) { p.put_eof(ec); });
+  return ec ? FromBeast(ec) : absl::OkStatus();
+}
+
+bool Http1Parser::started() const { return impl_->started; }
+
+bool Http1Parser::head_done() const {
+  return impl_->With([](auto& p) { return p.is_header_done(); });
+}
+
+bool Http1Parser::done() const {
+  return impl_->With([](auto& p) { return p.is_done(); });
+}
+
+bool Http1Parser::ends_with_connection() const {
+  return impl_->With([](auto& p) { return p.need_eof(); });
+}
+
+void Http1Parser::Reset() { Make(); }
+
+void Http1Parser::ExpectNoBody() {
+  if (impl_->answer) impl_->answer->skip(true);
+}
+
+void AppendHeader(std::string* out, absl::string_view name,
+                  absl::string_view value) {
+  absl::StrAppend(out, name, ": ", value, "\r\n");
+}
+
+bool IsHopByHop(absl::string_view name) {
+  static constexpr absl::string_view kNames[] = {
+      "connection",        "keep-alive", "proxy-connection", "te",    "trailer",
+      "transfer-encoding", "upgrade",    "content-length",   "expect"};
+  for (absl::string_view n : kNames) {
+    if (absl::EqualsIgnoreCase(name, n)) return true;
+  }
+  return false;
+}
+
+absl::string_view ReasonPhrase(int status) {
+  return View(http::obsolete_reason(static_cast<http::status>(status)));
+}
+
+}  // namespace medlarwalk
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -18,11 +18,10 @@
 
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
+#include "types.h"
 
 namespace medlarwalk {
 
-using HeaderList = std::vector<std::pair<std::string, std::string>>;
-
 // One request as received; header names are lower case.
 struct HttpRequest {
   std::string method;
--- a/src/main.cc
+++ b/src/main.cc
@@ -22,6 +22,7 @@
 #include "fake_service.h"
 #include "load.h"
 #include "log.h"
+#include "platform/run.h"
 #include "settings.h"
 
 ABSL_FLAG(std::string, settings, "",
@@ -48,7 +49,7 @@
 constexpr char kUsage[] =
     "usage: medlarwalk COMMAND [flags]\n"
     "commands: entry agent fake-engine fake-service load bench check-settings "
-    "default-settings";
+    "default-settings platform-entry platform-control";
 
 absl::StatusOr<Settings> Load() {
   std::string path = absl::GetFlag(FLAGS_settings);
@@ -178,6 +179,8 @@
         RunBench(absl::GetFlag(FLAGS_requests), absl::GetFlag(FLAGS_seed)));
     return 0;
   }
+  if (command == "platform-entry") return platform::RunEntry();
+  if (command == "platform-control") return platform::RunControl();
   if (command == "load") return RunLoadCommand();
   if (command == "entry" || command == "agent" || command == "fake-engine" ||
       command == "fake-service") {
--- /dev/null
+++ b/src/placement.cc
@@ -0,0 +1,163 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "absl/strings/str_cat.h"
+
+namespace medlarwalk {
+namespace {
+
+// Weight of the newest answer in the smoothed failure share.
+constexpr double kFailureSmoothing = 0.15;
+// Answers before an upstream's failure share says anything.
+constexpr int kFailureSamples = 4;
+// Homes of one prompt part: two, so that a popular part is spread.
+constexpr size_t kHomes = 2;
+
+double PrefillLeft(const UpstreamBoard& u, TimePoint now,
+                   const PlacementPolicy& policy) {
+  double ms =
+      std::chrono::duration<double, std::milli>(now - u.prefill_at).count();
+  return std::max(0.0, u.prefill_tokens - ms * policy.prefill_rate);
+}
+
+bool Contains(absl::Span<const std::string> ids, const std::string& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+struct Scored {
+  size_t index;
+  double score;
+};
+
+}  // namespace
+
+double EstimatedLoad(const UpstreamBoard& u, TimePoint now,
+                     const PlacementPolicy& policy) {
+  double own = u.in_flight;
+  if (u.reported_at == TimePoint{}) return own;
+  Duration age = now - u.reported_at;
+  if (age > policy.report_trust) return own;
+  // What was told, corrected by what this process has sent and got since.
+  double told =
+      std::max<double>(own, u.reported + u.in_flight - u.reported_in_flight);
+  double w =
+      1.0 - std::chrono::duration<double>(age).count() /
+                std::chrono::duration<double>(policy.report_trust).count();
+  return w * told + (1 - w) * own;
+}
+
+bool Usable(const UpstreamBoard& u, TimePoint now,
+            const PlacementPolicy& policy) {
+  if (!u.listed || u.info.leaving || u.full) return false;
+  if (now < u.aside_until) return false;
+  return !(u.in_flight > 0 && u.quiet_since != TimePoint{} &&
+           now - u.quiet_since > policy.quiet_limit);
+}
+
+std::optional<size_t> Place(absl::Span<const UpstreamBoard> boards,
+                            const PlacementAsk& ask, TimePoint now, double draw,
+                            const PlacementPolicy& policy) {
+  std::vector<Scored> usable;
+  std::optional<size_t> fallback;
+  bool busy = false;
+  double share_sum = 0;
+  int share_n = 0;
+  for (const UpstreamBoard& u : boards) {
+    if (u.info.service != ask.service || u.answers < kFailureSamples) continue;
+    share_sum += u.failure_share;
+    ++share_n;
+  }
+  double usual_share = share_n ? share_sum / share_n : 0;
+  for (size_t i = 0; i < boards.size(); ++i) {
+    const UpstreamBoard& u = boards[i];
+    if (u.info.service != ask.service || !u.listed || u.info.leaving) continue;
+    if (Contains(ask.avoid, u.info.id) || u.full) continue;
+    if (!Usable(u, now, policy)) {
+      if (!fallback || u.aside_until < boards[*fallback].aside_until) {
+        fallback = i;
+      }
+      continue;
+    }
+    double slots = std::max(1, u.info.slots);
+    double score = EstimatedLoad(u, now, policy) / slots;
+    if (score >= ask.most_load) {
+      busy = true;
+      continue;
+    }
+    if (ask.engine) {
+      score += policy.prefill_weight * PrefillLeft(u, now, policy) /
+               policy.prefill_rate / 1000.0;
+    }
+    if (u.answers >= kFailureSamples) {
+      score +=
+          policy.failure_weight * std::max(0.0, u.failure_share - usual_share);
+    }
+    if (u.info.data_centre != ask.data_centre) score += policy.remote_cost;
+    usable.push_back({i, score});
+  }
+  // Busy is no reason to try one that does not work.
+  if (usable.empty()) return busy ? std::nullopt : fallback;
+  // Equals are told apart by lot, so that entries do not all pick the same.
+  size_t n = usable.size();
+  size_t start = static_cast<size_t>(draw * static_cast<double>(n)) % n;
+  const Scored* best = &usable[start];
+  for (size_t k = 1; k < n; ++k) {
+    const Scored& s = usable[(start + k) % n];
+    if (s.score < best->score) best = &s;
+  }
+  if (ask.affinity == 0) return best->index;
+  // The prompt's homes, the same for every entry process without talking.
+  std::vector<std::pair<uint64_t, const Scored*>> homes;
+  for (const Scored& s : usable) {
+    homes.emplace_back(StableHash(boards[s.index].info.id, ask.affinity), &s);
+  }
+  size_t keep = std::min(kHomes, homes.size());
+  std::partial_sort(
+      homes.begin(), homes.begin() + static_cast<long>(keep), homes.end(),
+      [](const auto& a, const auto& b) { return a.first > b.first; });
+  const Scored* home = nullptr;
+  for (size_t k = 0; k < keep; ++k) {
+    // The second home only if the first is clearly busier.
+    double slack = home ? policy.affinity_slack / 2 : 0;
+    if (!home || homes[k].second->score + slack < home->score) {
+      home = homes[k].second;
+    }
+  }
+  if (home->score <= best->score + policy.affinity_slack) return home->index;
+  return best->index;
+}
+
+void NoteSuccess(UpstreamBoard& u, TimePoint now) {
+  u.failures = 0;
+  u.aside_until = std::min(u.aside_until, now);
+  u.failure_share *= 1 - kFailureSmoothing;
+  ++u.answers;
+}
+
+void NoteFailure(UpstreamBoard& u, TimePoint now, bool connection,
+                 const PlacementPolicy& policy) {
+  u.failure_share += kFailureSmoothing * (1 - u.failure_share);
+  ++u.answers;
+  if (!connection) return;
+  ++u.failures;
+  if (u.failures < policy.failures_to_aside) return;
+  int doublings = std::min(u.failures - policy.failures_to_aside, 6);
+  Duration aside = policy.aside_first * (1 << doublings);
+  u.aside_until = now + std::min(aside, policy.aside_most);
+}
+
+void NoteReport(UpstreamBoard& u, int running, int waiting, TimePoint now) {
+  u.reported = running + waiting;
+  u.reported_in_flight = u.in_flight;
+  u.reported_at = now;
+}
+
+void NotePrefill(UpstreamBoard& u, double tokens, TimePoint now,
+                 const PlacementPolicy& policy) {
+  u.prefill_tokens = PrefillLeft(u, now, policy) + tokens;
+  u.prefill_at = now;
+}
+
+}  // namespace medlarwalk
--- /dev/null
+++ b/src/placement.h
@@ -0,0 +1,107 @@
+// Placement: which upstream a request goes to. Pure functions over plain
+// structs, the clock passed in as a time.
+//
+// Load pattern: several entry processes see the same late load reports, each
+// knows only its own requests exactly, and prompts share long leading parts
+// that only some upstreams hold in their cache.
+#ifndef MEDLARWALK_PLACEMENT_H_
+#define MEDLARWALK_PLACEMENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+#include "absl/types/span.h"
+#include "types.h"
+#include "upstream_list.h"
+
+namespace medlarwalk {
+
+// What one entry process knows of one upstream.
+struct UpstreamBoard {
+  UpstreamInfo info;
+  bool listed = true;  // In the newest list; others only finish their work.
+  int in_flight = 0;   // Own requests there now.
+  // The last load it told, when, and what of that was ours.
+  int reported = 0;
+  int reported_in_flight = 0;
+  TimePoint reported_at{};
+  // Refused connections and broken answers put it aside for a while.
+  int failures = 0;  // In a row.
+  TimePoint aside_until{};
+  // Share of answers that were failures, smoothed.
+  double failure_share = 0;
+  int answers = 0;
+  // Nothing has come from it since this moment though it works for us.
+  TimePoint quiet_since{};
+  bool full = false;  // No connection may be added to those in use.
+  // Prompt tokens sent to it that it is still reading, as far as known.
+  double prefill_tokens = 0;
+  TimePoint prefill_at{};
+};
+
+// Limits of placement.
+struct PlacementPolicy {
+  // A report counts for this long, less as it ages; then only own requests
+  // do.
+  Duration report_trust = std::chrono::seconds(2);
+  // How much busier (share of its slots) the upstream that holds the prompt's
+  // parts may be than the least busy one and still be chosen. Reading the
+  // parts again costs more than a few places in the batch.
+  double affinity_slack = 0.25;
+  // Weight of the failure share above the average of the service.
+  double failure_weight = 2.0;
+  // An upstream that works for us but sent nothing for this long is avoided.
+  Duration quiet_limit = Millis(1500);
+  // Added to an upstream in another data centre, in shares of its slots:
+  // decides between equals only.
+  double remote_cost = 0.01;
+  // Time aside after a failure, doubled for each further one in a row.
+  Duration aside_first = Millis(500);
+  Duration aside_most = Millis(4000);
+  int failures_to_aside = 2;
+  // Prompt reading rate assumed for an engine, tokens a millisecond.
+  double prefill_rate = 30;
+  // Weight of queued prompt reading: shares of slots for each second of it.
+  double prefill_weight = 1.0;
+};
+
+// What placement needs to know of a request.
+struct PlacementAsk {
+  absl::string_view service;
+  uint64_t affinity = 0;  // Hash of the shared parts of its prompt; 0: none.
+  absl::string_view data_centre;
+  absl::Span<const std::string> avoid;  // Ids already tried.
+  double most_load = 1.0;  // Estimated load over slots; busier ones are full.
+  bool engine = false;
+};
+
+// Requests running or waiting at `u`, as well as it can be told.
+double EstimatedLoad(const UpstreamBoard& u, TimePoint now,
+                     const PlacementPolicy& policy);
+
+// Whether `u` should be given new work at all.
+bool Usable(const UpstreamBoard& u, TimePoint now,
+            const PlacementPolicy& policy);
+
+// The index of the upstream for `ask`, or nullopt when none may take it.
+// Upstreams put aside are used only when nothing else is left, the one whose
+// time aside ends first.
+std::optional<size_t> Place(absl::Span<const UpstreamBoard> boards,
+                            const PlacementAsk& ask, TimePoint now, double draw,
+                            const PlacementPolicy& policy);
+
+// Notes how a request at `u` went.
+void NoteSuccess(UpstreamBoard& u, TimePoint now);
+void NoteFailure(UpstreamBoard& u, TimePoint now, bool connection,
+                 const PlacementPolicy& policy);
+void NoteReport(UpstreamBoard& u, int running, int waiting, TimePoint now);
+// Notes that `tokens` of prompt went to `u`.
+void NotePrefill(UpstreamBoard& u, double tokens, TimePoint now,
+                 const PlacementPolicy& policy);
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_PLACEMENT_H_
--- /dev/null
+++ b/src/replica.cc
@@ -0,0 +1,758 @@
+#include "replica.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "log.h"
+
+namespace medlarwalk {
+namespace {
+
+// A leader whose disk refused a write does not stand for election again for
+// this long: others, whose disks work, should lead.
+constexpr auto kDiskBackoff = std::chrono::seconds(5);
+// A reply that is not back after this long is taken for lost and the entries
+// are sent again; above the round trip of a link that loses a packet.
+constexpr auto kResendAfter = Millis(500);
+// How often a replica outside the group asks to be let in.
+constexpr auto kSeekInterval = Millis(300);
+// A voter that hears from no leader for this long asks around as well: it may
+// have been dropped from the group while it was cut off.
+constexpr auto kSeekAfter = Millis(1500);
+// A host that asked to join and then fell silent is forgotten after this.
+constexpr auto kForgetLearner = std::chrono::seconds(5);
+
+// Rounds whose sending time is kept; more than a link can hold under way.
+constexpr size_t kRoundsKept = 256;
+
+size_t BytesOf(const LogEntry& e) { return e.data.size() + 64; }
+
+}  // namespace
+
+Replica::Replica(const Clock& clock, ReplicaOptions options,
+                 ReplicaStore& store, StoredState state,
+                 std::vector<std::string> seeds, Hooks hooks,
+                 uint64_t random_seed)
+    : clock_(clock),
+      options_(options),
+      store_(store),
+      seeds_(std::move(seeds)),
+      hooks_(std::move(hooks)),
+      random_(random_seed),
+      self_(state.self),
+      term_(state.term),
+      voted_for_(state.voted_for),
+      snapshot_(std::move(state.snapshot)) {
+  for (LogEntry& e : state.log) {
+    log_bytes_ += BytesOf(e);
+    log_.push_back(std::move(e));
+  }
+  commit_ = applied_ = snapshot_.index;
+  config_version_ = snapshot_.version;
+  config_ = snapshot_.config;
+  RefreshMembers();
+  ResetElectionTimer();
+}
+
+void Replica::ResetElectionTimer() {
+  auto min = std::chrono::duration_cast<std::chrono::microseconds>(
+      options_.election_min);
+  std::uniform_int_distribution<int64_t> d(min.count(), 2 * min.count());
+  election_at_ = clock_.Now() + std::chrono::microseconds(d(random_));
+}
+
+uint64_t Replica::LastIndex() const { return snapshot_.index + log_.size(); }
+
+const LogEntry& Replica::At(uint64_t index) const {
+  return log_[index - snapshot_.index - 1];
+}
+
+uint64_t Replica::TermAt(uint64_t index) const {
+  if (index <= snapshot_.index) return snapshot_.term;
+  return index <= LastIndex() ? At(index).term : 0;
+}
+
+bool Replica::IsVoter(const std::string& id) const {
+  return std::any_of(members_.begin(), members_.end(),
+                     [&](const Member& m) { return m.id == id; });
+}
+
+void Replica::RefreshMembers() {
+  members_ = snapshot_.members;
+  members_index_ = snapshot_.index;
+  for (const LogEntry& e : log_) {
+    if (e.kind != EntryKind::kMembers) continue;
+    members_ = e.members;
+    members_index_ = e.index;
+  }
+}
+
+ReplicaMessage Replica::Make(ReplicaMessage::Type type) const {
+  ReplicaMessage m;
+  m.type = type;
+  m.from = self_;
+  m.term = term_;
+  return m;
+}
+
+std::optional<Member> Replica::Leader() const {
+  if (!leader_) return std::nullopt;
+  if (LeaderAge() > options_.election_min) return std::nullopt;
+  return leader_;
+}
+
+Duration Replica::LeaderAge() const {
+  if (role_ == ReplicaRole::kLeader) {
+    if (commit_ < term_start_) return Duration::max();
+    return clock_.Now() - QuorumContact();
+  }
+  if (leader_heard_ == TimePoint{}) return Duration::max();
+  return clock_.Now() - leader_heard_;
+}
+
+TimePoint Replica::QuorumContact() const {
+  // The send time of the newest round that each voter has answered: the
+  // quorum-th best of these is when this leader was surely in office.
+  std::vector<TimePoint> at;
+  for (const Member& m : members_) {
+    if (m.id == self_.id) {
+      at.push_back(clock_.Now());
+      continue;
+    }
+    auto it = peers_.find(m.id);
+    at.push_back(it == peers_.end() ? TimePoint{} : it->second.round_at);
+  }
+  if (at.empty()) return TimePoint{};
+  std::sort(at.rbegin(), at.rend());
+  return at[Quorum() - 1];
+}
+
+uint64_t Replica::QuorumRound() const {
+  std::vector<uint64_t> r;
+  for (const Member& m : members_) {
+    if (m.id == self_.id) {
+      r.push_back(round_);
+      continue;
+    }
+    auto it = peers_.find(m.id);
+    r.push_back(it == peers_.end() ? 0 : it->second.round);
+  }
+  if (r.empty()) return 0;
+  std::sort(r.rbegin(), r.rend());
+  return r[Quorum() - 1];
+}
+
+bool Replica::SetTerm(uint64_t term, const std::string& vote) {
+  absl::Status s = store_.SaveVote(term, vote);
+  if (!s.ok()) {
+    disk_bad_until_ = clock_.Now() + kDiskBackoff;
+    LogWarn("store_failed", {{"op", "vote"}, {"error", s.message()}});
+    return false;
+  }
+  term_ = term;
+  voted_for_ = vote;
+  return true;
+}
+
+void Replica::StepDown(uint64_t term, absl::string_view why) {
+  bool led = role_ == ReplicaRole::kLeader;
+  // Failing to store a newer term leaves the old one in place; the next
+  // message with the newer term tries again, and no vote is given meanwhile.
+  if (term > term_) SetTerm(term, "");
+  role_ = ReplicaRole::kFollower;
+  pre_voting_ = false;
+  if (led) {
+    leader_.reset();
+    leader_heard_ = {};
+    peers_.clear();
+    FailWaiters();
+    ResetElectionTimer();
+    LogEvent("leader_stepped_down", {{"term", term_}, {"why", why}});
+    if (hooks_.on_change) hooks_.on_change();
+  }
+}
+
+void Replica::Tick() {
+  TimePoint now = clock_.Now();
+  if (role_ == ReplicaRole::kLeader) {
+    Lead();
+    return;
+  }
+  bool silent = LeaderAge() > kSeekAfter;
+  if (!IsVoter(self_.id) || silent) SeekGroup();
+  if (!IsVoter(self_.id)) return;
+  if (now < election_at_ || now < disk_bad_until_) return;
+  StartElection(true);
+}
+
+void Replica::StartElection(bool pre_vote) {
+  ResetElectionTimer();
+  if (!pre_vote && !SetTerm(term_ + 1, self_.id)) return;
+  role_ = ReplicaRole::kCandidate;
+  pre_voting_ = pre_vote;
+  leader_.reset();
+  votes_.clear();
+  ReplicaMessage m = Make(ReplicaMessage::Type::kVote);
+  m.pre_vote = pre_vote;
+  if (pre_vote) m.term = term_ + 1;
+  m.index = LastIndex();
+  m.log_term = TermAt(LastIndex());
+  std::vector<Member> members = members_;
+  CountVote(self_.id);
+  for (const Member& p : members) {
+    if (p.id != self_.id) hooks_.send(p, m);
+  }
+}
+
+void Replica::CountVote(const std::string& id) {
+  if (!IsVoter(id)) return;
+  if (std::find(votes_.begin(), votes_.end(), id) == votes_.end()) {
+    votes_.push_back(id);
+  }
+  if (votes_.size() < Quorum()) return;
+  if (pre_voting_) {
+    StartElection(false);
+  } else {
+    BecomeLeader();
+  }
+}
+
+void Replica::BecomeLeader() {
+  role_ = ReplicaRole::kLeader;
+  leader_ = self_;
+  leading_since_ = clock_.Now();
+  peers_.clear();
+  for (const Member& m : members_) {
+    if (m.id == self_.id) continue;
+    Peer p;
+    p.member = m;
+    p.next = LastIndex() + 1;
+    p.heard = leading_since_;
+    p.round_at = leading_since_;
+    peers_[m.id] = p;
+  }
+  term_start_ = LastIndex() + 1;
+  LogEvent("leader_elected", {{"term", term_}, {"index", LastIndex()}});
+  AppendOwn(LogEntry{});
+  if (hooks_.on_change) hooks_.on_change();
+}
+
+bool Replica::AppendOwn(LogEntry e) {
+  e.index = LastIndex() + 1;
+  e.term = term_;
+  absl::Status s = store_.Append({e});
+  if (!s.ok()) {
+    disk_bad_until_ = clock_.Now() + kDiskBackoff;
+    LogWarn("store_failed", {{"op", "append"}, {"error", s.message()}});
+    StepDown(term_, "store failed");
+    return false;
+  }
+  log_bytes_ += BytesOf(e);
+  log_.push_back(std::move(e));
+  if (log_.back().kind == EntryKind::kMembers) {
+    RefreshMembers();
+    LogEvent("members_changed",
+             {{"index", LastIndex()}, {"voters", members_.size()}});
+  }
+  AdvanceCommit();
+  Broadcast();
+  return true;
+}
+
+void Replica::Lead() {
+  TimePoint now = clock_.Now();
+  if (members_.size() > 1 && now - QuorumContact() > options_.election_min) {
+    StepDown(term_, "no quorum");
+    return;
+  }
+  ManageMembers();
+  if (role_ != ReplicaRole::kLeader) return;
+  bool due = false;
+  for (auto& [id, p] : peers_) {
+    if (p.in_flight && now - p.sent_at > kResendAfter) p.in_flight = false;
+    if (now - p.sent_at >= options_.heartbeat) due = true;
+  }
+  if (due) Broadcast();
+}
+
+// Lets caught-up joiners in, one change at a time, and drops voters that are
+// gone: a lost disk's old identity first (it can never answer again), then
+// hosts silent for long.
+void Replica::ManageMembers() {
+  TimePoint now = clock_.Now();
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    bool forget = it->second.learner && !IsVoter(it->first) &&
+                  now - it->second.heard > kForgetLearner;
+    it = forget ? peers_.erase(it) : std::next(it);
+  }
+  if (commit_ < term_start_ || members_index_ > commit_) return;
+  auto silent_for = [&](const Member& m) -> Duration {
+    if (m.id == self_.id) return Duration::zero();
+    auto it = peers_.find(m.id);
+    return it == peers_.end() ? Duration::max() : now - it->second.heard;
+  };
+  auto without = [&](const std::string& id) {
+    std::vector<Member> out;
+    for (const Member& m : members_) {
+      if (m.id != id) out.push_back(m);
+    }
+    return out;
+  };
+  const Member* oldest = nullptr;
+  for (const Member& m : members_) {
+    if (!oldest || silent_for(m) > silent_for(*oldest)) oldest = &m;
+  }
+  for (auto& [id, p] : peers_) {
+    if (!p.learner || IsVoter(id) || p.match < commit_ ||
+        now - p.heard > options_.election_min) {
+      continue;
+    }
+    for (const Member& m : members_) {
+      if (m.address == p.member.address && m.id != id) {
+        ProposeMembers(without(m.id));
+        return;
+      }
+    }
+    bool full = static_cast<int>(members_.size()) >= options_.max_voters;
+    if (oldest && members_.size() > 1 &&
+        silent_for(*oldest) > options_.replace_silent_after &&
+        (full || static_cast<int>(members_.size()) > 2 * options_.tolerate)) {
+      ProposeMembers(without(oldest->id));
+      return;
+    }
+    if (full) continue;
+    std::vector<Member> more = members_;
+    more.push_back(p.member);
+    ProposeMembers(std::move(more));
+    return;
+  }
+  if (oldest && static_cast<int>(members_.size()) > 2 * options_.tolerate + 1 &&
+      silent_for(*oldest) > options_.drop_silent_after) {
+    ProposeMembers(without(oldest->id));
+  }
+}
+
+bool Replica::ProposeMembers(std::vector<Member> members) {
+  LogEntry e;
+  e.kind = EntryKind::kMembers;
+  e.members = std::move(members);
+  if (!AppendOwn(std::move(e))) return false;
+  for (const Member& m : members_) {
+    auto it = peers_.find(m.id);
+    if (it != peers_.end()) it->second.learner = false;
+  }
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    bool gone = !IsVoter(it->first) && !it->second.learner;
+    it = gone ? peers_.erase(it) : std::next(it);
+  }
+  return true;
+}
+
+TimePoint Replica::RoundSent(uint64_t round) const {
+  if (round > round_ || round_ - round >= round_sent_.size()) return {};
+  return round_sent_[round_sent_.size() - 1 - (round_ - round)];
+}
+
+void Replica::Broadcast() {
+  ++round_;
+  round_sent_.push_back(clock_.Now());
+  if (round_sent_.size() > kRoundsKept) round_sent_.pop_front();
+  for (auto& [id, p] : peers_) SendTo(p);
+}
+
+void Replica::SendTo(Peer& p) {
+  p.sent_at = clock_.Now();
+  if (p.next <= snapshot_.index) {
+    ReplicaMessage m = Make(ReplicaMessage::Type::kInstall);
+    m.round = round_;
+    m.commit = commit_;
+    if (!p.in_flight) m.snapshot = snapshot_;
+    // While a snapshot is on its way only the round is sent.
+    p.in_flight = true;
+    hooks_.send(p.member, m);
+    return;
+  }
+  ReplicaMessage m = Make(ReplicaMessage::Type::kAppend);
+  m.round = round_;
+  m.commit = commit_;
+  m.index = p.next - 1;
+  m.log_term = TermAt(p.next - 1);
+  if (!p.in_flight) {
+    size_t bytes = 0;
+    for (uint64_t i = p.next; i <= LastIndex(); ++i) {
+      bytes += BytesOf(At(i));
+      if (!m.entries.empty() && bytes > options_.batch_bytes) break;
+      m.entries.push_back(At(i));
+    }
+    p.in_flight = !m.entries.empty();
+  }
+  hooks_.send(p.member, m);
+}
+
+void Replica::Propose(int64_t version, std::string config, Done done) {
+  if (role_ != ReplicaRole::kLeader) {
+    done(absl::UnavailableError("not the leader"));
+    return;
+  }
+  LogEntry e;
+  e.kind = EntryKind::kConfig;
+  e.version = version;
+  e.data = std::move(config);
+  Waiter w;
+  w.index = LastIndex() + 1;
+  w.term = term_;
+  w.done = std::move(done);
+  waiters_.push_back(std::move(w));
+  if (AppendOwn(std::move(e))) SettleWaiters();
+}
+
+void Replica::ReadBarrier(Done done) {
+  if (role_ != ReplicaRole::kLeader) {
+    done(absl::UnavailableError("not the leader"));
+    return;
+  }
+  Waiter w;
+  w.index = std::max(commit_, term_start_);
+  w.term = term_;
+  w.round = round_ + 1;
+  w.done = std::move(done);
+  waiters_.push_back(std::move(w));
+  Broadcast();
+  SettleWaiters();
+}
+
+void Replica::SettleWaiters() {
+  uint64_t round = QuorumRound();
+  std::vector<Waiter> ready;
+  for (auto it = waiters_.begin(); it != waiters_.end();) {
+    if (applied_ >= it->index && round >= it->round) {
+      ready.push_back(std::move(*it));
+      it = waiters_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (Waiter& w : ready) w.done(absl::OkStatus());
+}
+
+void Replica::FailWaiters() {
+  std::vector<Waiter> all = std::move(waiters_);
+  waiters_.clear();
+  for (Waiter& w : all) w.done(absl::UnavailableError("leadership lost"));
+}
+
+std::optional<ReplicaMessage> Replica::Handle(const ReplicaMessage& m) {
+  using T = ReplicaMessage::Type;
+  switch (m.type) {
+    case T::kVote:
+      return OnVote(m);
+    case T::kAppend:
+      return OnAppend(m);
+    case T::kInstall:
+      return OnInstall(m);
+    case T::kJoin:
+      return OnJoin(m);
+    case T::kVoteReply:
+      OnVoteReply(m);
+      return std::nullopt;
+    case T::kAppendReply:
+      OnAppendReply(m);
+      return std::nullopt;
+    case T::kJoinReply:
+      OnJoinReply(m);
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+ReplicaMessage Replica::OnVote(const ReplicaMessage& m) {
+  ReplicaMessage r = Make(ReplicaMessage::Type::kVoteReply);
+  r.pre_vote = m.pre_vote;
+  bool newer_log =
+      m.log_term > TermAt(LastIndex()) ||
+      (m.log_term == TermAt(LastIndex()) && m.index >= LastIndex());
+  // A leader heard lately, or being it, keeps its office: a host that comes
+  // back from a cut must not unseat a working leader.
+  bool has_leader = LeaderAge() < options_.election_min;
+  if (m.pre_vote) {
+    r.ok = m.term > term_ && newer_log && !has_leader;
+    return r;
+  }
+  if (has_leader || m.term < term_) return r;
+  if (m.term > term_) StepDown(m.term, "newer term");
+  r.term = term_;
+  bool free = voted_for_.empty() || voted_for_ == m.from.id;
+  if (m.term != term_ || !free || !newer_log) return r;
+  if (role_ == ReplicaRole::kLeader) return r;
+  if (voted_for_ != m.from.id && !SetTerm(term_, m.from.id)) return r;
+  r.ok = true;
+  ResetElectionTimer();
+  return r;
+}
+
+void Replica::OnVoteReply(const ReplicaMessage& m) {
+  if (m.term > term_ && !m.pre_vote) {
+    StepDown(m.term, "newer term");
+    return;
+  }
+  if (m.pre_vote && m.term > term_ && !m.ok) {
+    // Take over the newer term, or this replica could never win it.
+    StepDown(m.term, "newer term");
+    return;
+  }
+  if (role_ != ReplicaRole::kCandidate || !m.ok) return;
+  if (m.pre_vote != pre_voting_) return;
+  CountVote(m.from.id);
+}
+
+void Replica::HeardLeader(const Member& m) {
+  bool changed = !leader_ || !(*leader_ == m);
+  leader_ = m;
+  leader_heard_ = clock_.Now();
+  ResetElectionTimer();
+  if (changed) {
+    LogEvent("leader_known", {{"term", term_}, {"leader", m.address}});
+    if (hooks_.on_change) hooks_.on_change();
+  }
+}
+
+ReplicaMessage Replica::OnAppend(const ReplicaMessage& m) {
+  ReplicaMessage r = Make(ReplicaMessage::Type::kAppendReply);
+  r.round = m.round;
+  if (m.term < term_) return r;
+  if (m.term > term_ || role_ != ReplicaRole::kFollower) {
+    StepDown(m.term, "another leader");
+  }
+  r.term = term_;
+  if (m.term != term_) return r;
+  HeardLeader(m.from);
+  r.index = LastIndex();
+  if (m.index > LastIndex() ||
+      (m.index > snapshot_.index && TermAt(m.index) != m.log_term)) {
+    // Where to go on from: the last entry that may still agree.
+    r.index = std::min(LastIndex(), m.index > 0 ? m.index - 1 : 0);
+    return r;
+  }
+  std::vector<LogEntry> fresh;
+  for (const LogEntry& e : m.entries) {
+    if (e.index <= snapshot_.index) continue;
+    if (fresh.empty() && e.index <= LastIndex()) {
+      if (TermAt(e.index) == e.term) continue;
+      absl::Status s = store_.Truncate(e.index);
+      if (!s.ok()) {
+        LogWarn("store_failed", {{"op", "truncate"}, {"error", s.message()}});
+        return r;
+      }
+      while (LastIndex() >= e.index) {
+        log_bytes_ -= BytesOf(log_.back());
+        log_.pop_back();
+      }
+      RefreshMembers();
+    }
+    fresh.push_back(e);
+  }
+  if (!fresh.empty()) {
+    absl::Status s = store_.Append(fresh);
+    if (!s.ok()) {
+      disk_bad_until_ = clock_.Now() + kDiskBackoff;
+      LogWarn("store_failed", {{"op", "append"}, {"error", s.message()}});
+      return r;
+    }
+    for (LogEntry& e : fresh) {
+      log_bytes_ += BytesOf(e);
+      log_.push_back(std::move(e));
+    }
+    RefreshMembers();
+  }
+  r.ok = true;
+  r.index = m.index + m.entries.size();
+  if (m.commit > commit_) {
+    commit_ = std::min(m.commit, std::max(r.index, commit_));
+    Apply(commit_);
+    MaybeCompact();
+  }
+  return r;
+}
+
+ReplicaMessage Replica::OnInstall(const ReplicaMessage& m) {
+  ReplicaMessage r = Make(ReplicaMessage::Type::kAppendReply);
+  r.round = m.round;
+  if (m.term < term_) return r;
+  if (m.term > term_ || role_ != ReplicaRole::kFollower) {
+    StepDown(m.term, "another leader");
+  }
+  r.term = term_;
+  if (m.term != term_) return r;
+  HeardLeader(m.from);
+  if (!m.snapshot) {
+    r.index = commit_;
+    return r;
+  }
+  if (m.snapshot->index > commit_) {
+    StoredState st;
+    st.self = self_;
+    st.term = term_;
+    st.voted_for = voted_for_;
+    st.snapshot = *m.snapshot;
+    absl::Status s = store_.Rewrite(st);
+    if (!s.ok()) {
+      disk_bad_until_ = clock_.Now() + kDiskBackoff;
+      LogWarn("store_failed", {{"op", "install"}, {"error", s.message()}});
+      return r;
+    }
+    snapshot_ = *m.snapshot;
+    log_.clear();
+    log_bytes_ = 0;
+    commit_ = applied_ = snapshot_.index;
+    RefreshMembers();
+    if (snapshot_.version > config_version_) {
+      config_version_ = snapshot_.version;
+      config_ = snapshot_.config;
+      if (hooks_.on_config) hooks_.on_config(config_version_, config_);
+    }
+  }
+  r.ok = true;
+  r.index = std::max(commit_, m.snapshot->index);
+  return r;
+}
+
+void Replica::OnAppendReply(const ReplicaMessage& m) {
+  if (m.term > term_) {
+    StepDown(m.term, "newer term");
+    return;
+  }
+  if (role_ != ReplicaRole::kLeader || m.term != term_) return;
+  auto it = peers_.find(m.from.id);
+  if (it == peers_.end()) return;
+  Peer& p = it->second;
+  p.heard = clock_.Now();
+  if (m.round > p.round) {
+    p.round = m.round;
+    p.round_at = RoundSent(m.round);
+  }
+  if (m.ok) {
+    p.in_flight = false;
+    p.match = std::max(p.match, m.index);
+    p.next = p.match + 1;
+    AdvanceCommit();
+    if (role_ == ReplicaRole::kLeader && p.next <= LastIndex()) SendTo(p);
+  } else if (m.index < p.next - 1) {
+    p.in_flight = false;
+    p.next = std::max<uint64_t>(1, std::max(m.index, p.match) + 1);
+    SendTo(p);
+  }
+  SettleWaiters();
+}
+
+void Replica::AdvanceCommit() {
+  std::vector<uint64_t> match;
+  for (const Member& m : members_) {
+    if (m.id == self_.id) {
+      match.push_back(LastIndex());
+      continue;
+    }
+    auto it = peers_.find(m.id);
+    match.push_back(it == peers_.end() ? 0 : it->second.match);
+  }
+  if (match.empty()) return;
+  std::sort(match.rbegin(), match.rend());
+  uint64_t n = match[Quorum() - 1];
+  // Only entries of its own term are committed by counting; older ones with
+  // them.
+  if (n <= commit_ || TermAt(n) != term_) return;
+  commit_ = n;
+  Apply(commit_);
+  MaybeCompact();
+  SettleWaiters();
+  if (!IsVoter(self_.id) && members_index_ <= commit_) {
+    StepDown(term_, "left the group");
+    return;
+  }
+  Broadcast();
+}
+
+void Replica::Apply(uint64_t to) {
+  while (applied_ < to) {
+    const LogEntry& e = At(++applied_);
+    if (e.kind != EntryKind::kConfig || e.version <= config_version_) continue;
+    config_version_ = e.version;
+    config_ = e.data;
+    if (hooks_.on_config) hooks_.on_config(config_version_, config_);
+  }
+}
+
+void Replica::MaybeCompact() {
+  if (log_.size() < options_.compact_entries &&
+      log_bytes_ < options_.compact_bytes) {
+    return;
+  }
+  // A store that is slow or full must not be asked again at each entry.
+  if (applied_ - snapshot_.index < options_.compact_entries / 2 &&
+      log_.size() < 2 * options_.compact_entries) {
+    return;
+  }
+  StoredState st;
+  st.self = self_;
+  st.term = term_;
+  st.voted_for = voted_for_;
+  st.snapshot.index = applied_;
+  st.snapshot.term = TermAt(applied_);
+  st.snapshot.version = config_version_;
+  st.snapshot.config = config_;
+  st.snapshot.members = snapshot_.members;
+  for (const LogEntry& e : log_) {
+    if (e.index <= applied_) {
+      if (e.kind == EntryKind::kMembers) st.snapshot.members = e.members;
+    } else {
+      st.log.push_back(e);
+    }
+  }
+  absl::Status s = store_.Rewrite(st);
+  if (!s.ok()) {
+    LogWarn("store_failed", {{"op", "compact"}, {"error", s.message()}});
+    return;
+  }
+  snapshot_ = std::move(st.snapshot);
+  log_.assign(st.log.begin(), st.log.end());
+  log_bytes_ = 0;
+  for (const LogEntry& e : log_) log_bytes_ += BytesOf(e);
+}
+
+// Asks seeds and the members last known, one at a time, for the group.
+void Replica::SeekGroup() {
+  TimePoint now = clock_.Now();
+  if (now - sought_at_ < kSeekInterval) return;
+  sought_at_ = now;
+  std::vector<std::string> ask;
+  for (const Member& m : hints_) ask.push_back(m.address);
+  for (const Member& m : members_) ask.push_back(m.address);
+  for (const std::string& s : seeds_) ask.push_back(s);
+  ask.erase(std::remove(ask.begin(), ask.end(), self_.address), ask.end());
+  if (ask.empty()) return;
+  ReplicaMessage m = Make(ReplicaMessage::Type::kJoin);
+  hooks_.send(Member{"", ask[seek_next_++ % ask.size()]}, m);
+}
+
+ReplicaMessage Replica::OnJoin(const ReplicaMessage& m) {
+  ReplicaMessage r = Make(ReplicaMessage::Type::kJoinReply);
+  r.members = members_;
+  if (role_ != ReplicaRole::kLeader) {
+    if (std::optional<Member> l = Leader())
+      r.members.insert(r.members.begin(), *l);
+    return r;
+  }
+  r.ok = true;
+  if (m.from.id == self_.id || peers_.count(m.from.id)) return r;
+  Peer p;
+  p.member = m.from;
+  p.learner = true;
+  p.next = LastIndex() + 1;
+  p.heard = clock_.Now();
+  LogEvent("joiner", {{"id", m.from.id}, {"address", m.from.address}});
+  SendTo(peers_[m.from.id] = p);
+  return r;
+}
+
+void Replica::OnJoinReply(const ReplicaMessage& m) { hints_ = m.members; }
+
+}  // namespace medlarwalk
--- /dev/null
+++ b/src/replica_codec.cc
@@ -0,0 +1,145 @@
+#include "replica_codec.h"
+
+namespace medlarwalk {
+
+using nlohmann::json;
+
+namespace {
+
+// Documents are kept as byte strings: an operator's body need not be UTF-8.
+json Bytes(const std::string& s) {
+  return json::binary(std::vector<uint8_t>(s.begin(), s.end()));
+}
+
+std::string BytesFrom(const json& j) {
+  const auto& b = j.get_binary();
+  return std::string(b.begin(), b.end());
+}
+
+json MembersToJson(const std::vector<Member>& members) {
+  json out = json::array();
+  for (const Member& m : members) out.push_back(ToJson(m));
+  return out;
+}
+
+std::vector<Member> MembersFromJson(const json& j) {
+  std::vector<Member> out;
+  for (const json& m : j) out.push_back(MemberFromJson(m));
+  return out;
+}
+
+}  // namespace
+
+json ToJson(const Member& m) { return json::array({m.id, m.address}); }
+
+Member MemberFromJson(const json& j) {
+  return Member{j.at(0).get<std::string>(), j.at(1).get<std::string>()};
+}
+
+json ToJson(const LogEntry& e) {
+  json j = {{"i", e.index}, {"t", e.term}, {"k", static_cast<int>(e.kind)}};
+  if (e.kind == EntryKind::kConfig) {
+    j["v"] = e.version;
+    j["d"] = Bytes(e.data);
+  }
+  if (e.kind == EntryKind::kMembers) j["m"] = MembersToJson(e.members);
+  return j;
+}
+
+LogEntry EntryFromJson(const json& j) {
+  LogEntry e;
+  e.index = j.at("i").get<uint64_t>();
+  e.term = j.at("t").get<uint64_t>();
+  int kind = j.at("k").get<int>();
+  if (kind < 0 || kind > static_cast<int>(EntryKind::kMembers)) {
+    throw json::other_error::create(501, "unknown entry kind", nullptr);
+  }
+  e.kind = static_cast<EntryKind>(kind);
+  if (e.kind == EntryKind::kConfig) {
+    e.version = j.at("v").get<int64_t>();
+    e.data = BytesFrom(j.at("d"));
+  }
+  if (e.kind == EntryKind::kMembers) e.members = MembersFromJson(j.at("m"));
+  return e;
+}
+
+json ToJson(const Snapshot& s) {
+  return {{"i", s.index},
+          {"t", s.term},
+          {"v", s.version},
+          {"d", Bytes(s.config)},
+          {"m", MembersToJson(s.members)}};
+}
+
+Snapshot SnapshotFromJson(const json& j) {
+  Snapshot s;
+  s.index = j.at("i").get<uint64_t>();
+  s.term = j.at("t").get<uint64_t>();
+  s.version = j.at("v").get<int64_t>();
+  s.config = BytesFrom(j.at("d"));
+  s.members = MembersFromJson(j.at("m"));
+  return s;
+}
+
+std::string ToCbor(const json& j) {
+  std::vector<uint8_t> v = json::to_cbor(j);
+  return std::string(v.begin(), v.end());
+}
+
+absl::StatusOr<json> FromCbor(absl::string_view bytes) {
+  json j = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  if (j.is_discarded()) return absl::InvalidArgumentError("not CBOR");
+  return j;
+}
+
+std::string EncodeMessage(const ReplicaMessage& m) {
+  json j = {{"y", static_cast<int>(m.type)},
+            {"f", ToJson(m.from)},
+            {"t", m.term},
+            {"p", m.pre_vote},
+            {"o", m.ok},
+            {"i", m.index},
+            {"l", m.log_term},
+            {"c", m.commit},
+            {"r", m.round}};
+  if (!m.entries.empty()) {
+    json entries = json::array();
+    for (const LogEntry& e : m.entries) entries.push_back(ToJson(e));
+    j["e"] = std::move(entries);
+  }
+  if (m.snapshot) j["s"] = ToJson(*m.snapshot);
+  if (!m.members.empty()) j["m"] = MembersToJson(m.members);
+  return ToCbor(j);
+}
+
+absl::StatusOr<ReplicaMessage> DecodeMessage(absl::string_view bytes) {
+  absl::StatusOr<json> decoded = FromCbor(bytes);
+  if (!decoded.ok()) return decoded.status();
+  const json& j = *decoded;
+  try {
+    ReplicaMessage m;
+    int type = j.at("y").get<int>();
+    if (type < 0 || type > static_cast<int>(ReplicaMessage::Type::kJoinReply)) {
+      return absl::InvalidArgumentError("unknown message type");
+    }
+    m.type = static_cast<ReplicaMessage::Type>(type);
+    m.from = MemberFromJson(j.at("f"));
+    m.term = j.at("t").get<uint64_t>();
+    m.pre_vote = j.at("p").get<bool>();
+    m.ok = j.at("o").get<bool>();
+    m.index = j.at("i").get<uint64_t>();
+    m.log_term = j.at("l").get<uint64_t>();
+    m.commit = j.at("c").get<uint64_t>();
+    m.round = j.at("r").get<uint64_t>();
+    if (j.contains("e")) {
+      for (const json& e : j["e"]) m.entries.push_back(EntryFromJson(e));
+    }
+    if (j.contains("s")) m.snapshot = SnapshotFromJson(j["s"]);
+    if (j.contains("m")) m.members = MembersFromJson(j["m"]);
+    return m;
+  } catch (const json::exception& e) {
+    return absl::InvalidArgumentError(e.what());
+  }
+}
+
+}  // namespace medlarwalk
--- /dev/null
+++ b/src/replica_codec.h
@@ -0,0 +1,33 @@
+// Binary form (CBOR, by nlohmann-json) of replica messages, log entries and
+// snapshots, for the links between control processes and for the store.
+#ifndef MEDLARWALK_REPLICA_CODEC_H_
+#define MEDLARWALK_REPLICA_CODEC_H_
+
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "absl/strings/string_view.h"
+#include "nlohmann/json.hpp"
+#include "replica.h"
+
+namespace medlarwalk {
+
+std::string EncodeMessage(const ReplicaMessage& m);
+// Errors: InvalidArgument when the bytes are no message.
+absl::StatusOr<ReplicaMessage> DecodeMessage(absl::string_view bytes);
+
+nlohmann::json ToJson(const LogEntry& e);
+nlohmann::json ToJson(const Snapshot& s);
+nlohmann::json ToJson(const Member& m);
+// These throw nlohmann::json::exception on a malformed value.
+LogEntry EntryFromJson(const nlohmann::json& j);
+Snapshot SnapshotFromJson(const nlohmann::json& j);
+Member MemberFromJson(const nlohmann::json& j);
+
+// CBOR bytes of `j`, and back. Errors: InvalidArgument.
+std::string ToCbor(const nlohmann::json& j);
+absl::StatusOr<nlohmann::json> FromCbor(absl::string_view bytes);
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_REPLICA_CODEC_H_
--- /dev/null
+++ b/src/serving.cc
@@ -0,0 +1,187 @@
+#include "serving.h"
+
+#include <random>
+
+#include "absl/strings/str_cat.h"
+#include "log.h"
+
+namespace medlarwalk {
+namespace {
+
+constexpr double kTickSeconds = 0.02;
+// The list is read by this process itself when no control process has told
+// one this lately: leaving upstreams must still be known in time.
+constexpr auto kAloneAfter = Millis(2000);
+constexpr auto kAloneInterval = Millis(2000);
+// After SIGTERM new connections still come until the balancer has asked twice
+// and taken this host out.
+constexpr auto kAcceptWhileDraining = Millis(2500);
+// Idle connections close from then on; callers open new ones elsewhere.
+constexpr auto kCloseIdleAfter = Millis(1500);
+// Left of the grace when what is still open gets its final answer.
+constexpr auto kGraceMargin = Millis(500);
+
+uint64_t RandomSeed() {
+  std::random_device rd;
+  return (static_cast<uint64_t>(rd()) << 32) | rd();
+}
+
+}  // namespace
+
+Serving::Serving(struct ev_loop* loop, const Clock& clock,
+                 ServingOptions options)
+    : loop_(loop),
+      clock_(clock),
+      options_(std::move(options)),
+      metrics_("entry"),
+      gateway_(loop, clock, options_.gateway, options_.dialect, metrics_,
+               RandomSeed()),
+      callers_(loop, clock,
+               [this](std::shared_ptr<CallerExchange> ex) {
+                 gateway_.Handle(std::move(ex));
+               }),
+      readiness_(loop, clock,
+                 [this](std::shared_ptr<CallerExchange> ex) {
+                   bool ours = ex->head.target == options_.readiness_path;
+                   ex->Respond(ours ? (ready() ? 200 : 503) : 404, {}, "");
+                 }),
+      metrics_server_(loop, clock,
+                      [this](std::shared_ptr<CallerExchange> ex) {
+                        ex->Respond(200, {{"Content-Type", "text/plain"}},
+                                    metrics_.Render());
+                      }),
+      watch_(
+          loop, clock,
+          [&] {
+            WatchOptions o;
+            o.name = options_.name;
+            o.serves_callers = true;
+            return o;
+          }(),
+          options_.control_seeds,
+          [this](const WatchReply& r, bool in_step) { OnWatch(r, in_step); }),
+      lister_(loop, clock, options_.list) {
+  ev_timer_init(&tick_, OnTick, kTickSeconds, kTickSeconds);
+  tick_.data = this;
+}
+
+Serving::~Serving() { ev_timer_stop(loop_, &tick_); }
+
+absl::Status Serving::Start() {
+  absl::Status s = callers_.Listen(options_.frontend);
+  if (s.ok()) s = readiness_.Listen(options_.readiness);
+  if (s.ok() && options_.metrics.port) {
+    s = metrics_server_.Listen(options_.metrics);
+  }
+  if (!s.ok()) return s;
+  ev_timer_start(loop_, &tick_);
+  watch_.Start();
+  LogEvent("entry_started", {{"frontend", options_.frontend.ToString()},
+                             {"control", options_.control_seeds.size()}});
+  return absl::OkStatus();
+}
+
+void Serving::set_control_seeds(std::vector<std::string> seeds) {
+  watch_.set_seeds(std::move(seeds));
+}
+
+bool Serving::ready() const {
+  return !draining_ && gateway_.has_config() && has_list_;
+}
+
+void Serving::OnWatch(const WatchReply& r, bool in_step) {
+  // What a control process out of step holds may be old: it is taken only if
+  // it is newer than what is in force here, and never as the first one.
+  bool first = watch_.state().config_version == 0;
+  if (r.config && (in_step || !first)) ApplyConfig(r.config_version, *r.config);
+  if (!in_step) return;
+  if (r.serving > 0) gateway_.SetServing(r.serving);
+  if (r.list) {
+    watch_.state().list_version = r.list->version;
+    has_list_ = true;
+    gateway_.SetUpstreams(*r.list);
+  }
+  if (r.list_age_ms >= 0) list_at_ = clock_.Now() - Millis(r.list_age_ms);
+}
+
+void Serving::ApplyConfig(int64_t version, const std::string& document) {
+  if (version <= watch_.state().config_version) return;
+  absl::StatusOr<RoutingConfig> c = options_.decode(document);
+  if (!c.ok()) {
+    LogWarn("config_unreadable",
+            {{"version", version}, {"error", c.status().message()}});
+    return;
+  }
+  IndexConfig(&*c);
+  CallerServerLimits limits;
+  limits.header_bytes = c->limits.header_bytes;
+  limits.body_bytes = c->limits.body_bytes;
+  limits.header_timeout = c->limits.header_timeout;
+  limits.idle_timeout = c->limits.idle_timeout;
+  callers_.set_limits(limits);
+  LogEvent("config_in_force", {{"version", version},
+                               {"routes", c->routes.size()},
+                               {"services", c->services.size()},
+                               {"accounts", c->accounts.size()}});
+  gateway_.SetConfig(std::make_shared<const RoutingConfig>(*std::move(c)));
+  watch_.state().config_version = version;
+}
+
+void Serving::ReadListAlone(TimePoint now) {
+  lister_.Tick();
+  if (lister_.busy() || !gateway_.has_config()) return;
+  if (now - list_at_ < kAloneAfter || now - listed_alone_at_ < kAloneInterval) {
+    return;
+  }
+  listed_alone_at_ = now;
+  lister_.Read([this, now](absl::StatusOr<UpstreamList> r) {
+    if (!r.ok()) {
+      LogWarn("list_lost", {{"error", r.status().message()}});
+      return;
+    }
+    LogEvent("list_read_alone", {{"upstreams", r->upstreams.size()}});
+    has_list_ = true;
+    list_at_ = now;
+    // Another version than any control process tells: theirs counts again as
+    // soon as one answers.
+    watch_.state().list_version = 0;
+    gateway_.SetUpstreams(*r);
+  });
+}
+
+void Serving::Drain() {
+  if (draining_) return;
+  draining_ = true;
+  drain_began_ = clock_.Now();
+  callers_.CloseAfterAnswers();
+  LogEvent("drain_started", {{"open", gateway_.open_requests()},
+                             {"connections", callers_.connections()}});
+}
+
+void Serving::DrainStep(TimePoint now) {
+  Duration since = now - drain_began_;
+  if (since > kAcceptWhileDraining && !stopped_accepting_) {
+    stopped_accepting_ = true;
+    callers_.StopAccepting();
+  }
+  if (since > kCloseIdleAfter) callers_.CloseIdle();
+  if (since > options_.grace - kGraceMargin) gateway_.EndAll();
+  if (stopped_accepting_ && gateway_.open_requests() == 0 &&
+      callers_.busy() == 0) {
+    LogEvent("stopped", {});
+    ev_break(loop_, EVBREAK_ALL);
+  }
+}
+
+void Serving::OnTick(struct ev_loop*, ev_timer* w, int) {
+  static_cast<Serving*>(w->data)->Tick();
+}
+
+void Serving::Tick() {
+  TimePoint now = clock_.Now();
+  gateway_.Tick();
+  ReadListAlone(now);
+  if (draining_) DrainStep(now);
+}
+
+}  // namespace medlarwalk
--- /dev/null
+++ b/src/serving.h
@@ -0,0 +1,82 @@
+// The serving process on the entry hosts: callers' requests through the
+// gateway, readiness for the balancer, and the newest configuration and
+// upstream list from the control processes.
+#ifndef MEDLARWALK_SERVING_H_
+#define MEDLARWALK_SERVING_H_
+
+#include <ev.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "caller_server.h"
+#include "gateway.h"
+#include "lister.h"
+#include "metrics.h"
+#include "watch_client.h"
+
+namespace medlarwalk {
+
+struct ServingOptions {
+  std::string name;
+  Endpoint frontend;   // Callers.
+  Endpoint readiness;  // The balancer's questions.
+  std::string readiness_path;
+  Endpoint metrics;  // Prometheus text, at /metrics.
+  std::vector<std::string> control_seeds;
+  Duration grace = std::chrono::seconds(8);  // From SIGTERM to SIGKILL.
+  GatewayOptions gateway;
+  Dialect dialect;
+  ListSource list;
+  // Reads a configuration document. Errors: InvalidArgument.
+  std::function<absl::StatusOr<RoutingConfig>(absl::string_view)> decode;
+};
+
+// Thread safety: loop thread only.
+class Serving {
+ public:
+  Serving(struct ev_loop* loop, const Clock& clock, ServingOptions options);
+  ~Serving();
+  Serving(const Serving&) = delete;
+  Serving& operator=(const Serving&) = delete;
+
+  // Errors: Unavailable when an address cannot be bound.
+  absl::Status Start();
+  void set_control_seeds(std::vector<std::string> seeds);
+  // Begins a planned stop: not ready at once, requests in progress finish,
+  // then the loop ends, at the latest shortly before the grace is over.
+  void Drain();
+  bool ready() const;
+
+ private:
+  static void OnTick(struct ev_loop* loop, ev_timer* w, int revents);
+  void Tick();
+  void OnWatch(const WatchReply& r, bool in_step);
+  void ApplyConfig(int64_t version, const std::string& document);
+  void ReadListAlone(TimePoint now);
+  void DrainStep(TimePoint now);
+
+  struct ev_loop* loop_;
+  const Clock& clock_;
+  ServingOptions options_;
+  Metrics metrics_;
+  Gateway gateway_;
+  CallerServer callers_;
+  CallerServer readiness_;
+  CallerServer metrics_server_;
+  WatchClient watch_;
+  Lister lister_;
+  TimePoint list_at_{};
+  TimePoint listed_alone_at_{};
+  bool has_list_ = false;
+  bool draining_ = false;
+  TimePoint drain_began_{};
+  bool stopped_accepting_ = false;
+  ev_timer tick_{};
+};
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_SERVING_H_
--- /dev/null
+++ b/src/tcp.cc
@@ -0,0 +1,265 @@
+#include "tcp.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace medlarwalk {
+namespace {
+
+constexpr size_t kReadBlock = 32 * 1024;
+constexpr int kListenBacklog = 1024;
+// A peer that acknowledges nothing for this long is gone: without it a write
+// into a silent connection would wait for the kernel's minutes.
+constexpr unsigned kUserTimeoutMs = 5000;
+
+bool ToSockaddr(const Endpoint& e, sockaddr_in* out) {
+  *out = {};
+  out->sin_family = AF_INET;
+  out->sin_port = htons(static_cast<uint16_t>(e.port));
+  return inet_pton(AF_INET, e.ip.c_str(), &out->sin_addr) == 1;
+}
+
+void Prepare(int fd) {
+  fcntl(fd, F_SETFL, fcntl(fd, F_GETFL, 0) | O_NONBLOCK);
+  int one = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
+             sizeof(kUserTimeoutMs));
+}
+
+}  // namespace
+
+std::string Endpoint::ToString() const { return absl::StrCat(ip, ":", port); }
+
+absl::Status ParseEndpoint(absl::string_view text, Endpoint* out) {
+  size_t colon = text.rfind(':');
+  in_addr addr{};
+  if (colon == absl::string_view::npos ||
+      !absl::SimpleAtoi(text.substr(colon + 1), &out->port) || out->port <= 0 ||
+      out->port > 65535) {
+    return absl::InvalidArgumentError(absl::StrCat("bad address ", text));
+  }
+  out->ip = std::string(text.substr(0, colon));
+  if (inet_pton(AF_INET, out->ip.c_str(), &addr) != 1) {
+    return absl::InvalidArgumentError(absl::StrCat("bad address ", text));
+  }
+  return absl::OkStatus();
+}
+
+std::shared_ptr<TcpConnection> TcpConnection::Accepted(struct ev_loop* loop,
+                                                       int fd) {
+  Prepare(fd);
+  auto c = std::make_shared<TcpConnection>(loop, fd, false);
+  c->UpdateIo();
+  return c;
+}
+
+std::shared_ptr<TcpConnection> TcpConnection::Connect(struct ev_loop* loop,
+                                                      const Endpoint& to,
+                                                      Duration timeout) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (fd >= 0) Prepare(fd);
+  auto c = std::make_shared<TcpConnection>(loop, fd, true);
+  sockaddr_in addr;
+  bool ok =
+      fd >= 0 && ToSockaddr(to, &addr) &&
+      (connect(fd, reinterpret_cast<sockaddr*>(&addr), sizeof(addr)) == 0 ||
+       errno == EINPROGRESS);
+  // An immediate failure is told through the timer, so that the caller has
+  // set its events by then.
+  ev_timer_set(&c->timer_, ok ? ToSeconds(timeout) : 0., 0.);
+  ev_timer_start(loop, &c->timer_);
+  if (ok) c->UpdateIo();
+  return c;
+}
+
+TcpConnection::TcpConnection(struct ev_loop* loop, int fd, bool connecting)
+    : loop_(loop), fd_(fd), connected_(!connecting) {
+  ev_io_init(&io_, OnIo, fd, EV_READ);
+  io_.data = this;
+  ev_init(&timer_, OnTimer);
+  timer_.data = this;
+}
+
+TcpConnection::~TcpConnection() { Close(); }
+
+void TcpConnection::UpdateIo() {
+  int want = 0;
+  if (fd_ >= 0) {
+    if (!connected_) {
+      want = EV_WRITE;
+    } else {
+      if (!paused_) want |= EV_READ;
+      if (unsent() > 0) want |= EV_WRITE;
+    }
+  }
+  if (want == io_events_) return;
+  if (io_events_) ev_io_stop(loop_, &io_);
+  io_events_ = want;
+  if (!want) return;
+  ev_io_set(&io_, fd_, want);
+  ev_io_start(loop_, &io_);
+}
+
+void TcpConnection::Write(absl::string_view data) {
+  if (fd_ < 0 || closing_) return;
+  if (connected_ && unsent() == 0) {
+    ssize_t n = send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
+    if (n > 0) data.remove_prefix(static_cast<size_t>(n));
+    // A failed send shows as an event on the socket as well; leave it to the
+    // loop, so that no callback runs inside the caller's Write.
+    if (data.empty()) return;
+  }
+  out_.append(data.data(), data.size());
+  UpdateIo();
+}
+
+void TcpConnection::CloseAfterWrites() {
+  closing_ = true;
+  if (unsent() == 0) Close();
+}
+
+void TcpConnection::Close() {
+  if (io_events_) ev_io_stop(loop_, &io_);
+  io_events_ = 0;
+  ev_timer_stop(loop_, &timer_);
+  if (fd_ >= 0) close(fd_);
+  fd_ = -1;
+  events_ = {};
+}
+
+void TcpConnection::PauseRead(bool paused) {
+  if (paused_ == paused) return;
+  paused_ = paused;
+  UpdateIo();
+}
+
+void TcpConnection::OnIo(struct ev_loop*, ev_io* w, int revents) {
+  auto self = static_cast<TcpConnection*>(w->data)->shared_from_this();
+  if (revents & EV_WRITE) self->Writable();
+  if (self->fd_ >= 0 && (revents & EV_READ)) self->Readable();
+}
+
+void TcpConnection::OnTimer(struct ev_loop*, ev_timer* w, int) {
+  auto self = static_cast<TcpConnection*>(w->data)->shared_from_this();
+  self->Fail(absl::UnavailableError("connect timed out or failed"));
+}
+
+void TcpConnection::Readable() {
+  char buf[kReadBlock];
+  ssize_t n = read(fd_, buf, sizeof(buf));
+  if (n < 0) {
+    if (errno == EAGAIN || errno == EINTR) return;
+    Fail(absl::UnavailableError(std::strerror(errno)));
+    return;
+  }
+  if (n == 0) {
+    Fail(absl::OkStatus());
+    return;
+  }
+  if (closing_) return;
+  // A copy: the callback may close the connection, which clears events_.
+  auto f = events_.on_data;
+  if (f) f(absl::string_view(buf, static_cast<size_t>(n)));
+}
+
+void TcpConnection::Writable() {
+  if (!connected_) {
+    int err = 0;
+    socklen_t len = sizeof(err);
+    getsockopt(fd_, SOL_SOCKET, SO_ERROR, &err, &len);
+    if (err != 0) {
+      Fail(absl::UnavailableError(std::strerror(err)));
+      return;
+    }
+    connected_ = true;
+    ev_timer_stop(loop_, &timer_);
+    auto f = events_.on_connected;
+    if (f) f();
+    if (fd_ < 0) return;
+  }
+  while (unsent() > 0) {
+    ssize_t n =
+        send(fd_, out_.data() + sent_, out_.size() - sent_, MSG_NOSIGNAL);
+    if (n < 0) {
+      if (errno == EAGAIN || errno == EINTR) break;
+      Fail(absl::UnavailableError(std::strerror(errno)));
+      return;
+    }
+    sent_ += static_cast<size_t>(n);
+  }
+  if (unsent() == 0) {
+    out_.clear();
+    sent_ = 0;
+    if (closing_) {
+      Close();
+      return;
+    }
+    auto f = events_.on_drained;
+    if (f) f();
+    if (fd_ < 0) return;
+  }
+  UpdateIo();
+}
+
+void TcpConnection::Fail(absl::Status status) {
+  auto f = events_.on_closed;
+  Close();
+  if (f) f(std::move(status));
+}
+
+TcpListener::TcpListener(
+    struct ev_loop* loop,
+    std::function<void(std::shared_ptr<TcpConnection>)> on_accept)
+    : loop_(loop), on_accept_(std::move(on_accept)) {}
+
+TcpListener::~TcpListener() { Stop(); }
+
+absl::Status TcpListener::Listen(const Endpoint& at) {
+  fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int one = 1;
+  setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+  sockaddr_in addr;
+  if (!ToSockaddr(at, &addr) ||
+      bind(fd_, reinterpret_cast<sockaddr*>(&addr), sizeof(addr)) != 0 ||
+      listen(fd_, kListenBacklog) != 0) {
+    absl::Status s = absl::UnavailableError(absl::StrCat(
+        "cannot listen on ", at.ToString(), ": ", std::strerror(errno)));
+    close(fd_);
+    fd_ = -1;
+    return s;
+  }
+  fcntl(fd_, F_SETFL, fcntl(fd_, F_GETFL, 0) | O_NONBLOCK);
+  ev_io_init(&io_, OnIo, fd_, EV_READ);
+  io_.data = this;
+  ev_io_start(loop_, &io_);
+  return absl::OkStatus();
+}
+
+void TcpListener::Stop() {
+  if (fd_ < 0) return;
+  ev_io_stop(loop_, &io_);
+  close(fd_);
+  fd_ = -1;
+}
+
+void TcpListener::OnIo(struct ev_loop*, ev_io* w, int) {
+  auto* self = static_cast<TcpListener*>(w->data);
+  while (self->fd_ >= 0) {
+    int fd = accept4(self->fd_, nullptr, nullptr, SOCK_CLOEXEC);
+    if (fd < 0) return;
+    self->on_accept_(TcpConnection::Accepted(self->loop_, fd));
+  }
+}
+
+}  // namespace medlarwalk
--- /dev/null
+++ b/src/tcp.h
@@ -0,0 +1,117 @@
+// Non-blocking TCP over libev: one connection, and a listener. Everything
+// runs on the loop thread.
+#ifndef MEDLARWALK_TCP_H_
+#define MEDLARWALK_TCP_H_
+
+#include <ev.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "absl/strings/string_view.h"
+#include "types.h"
+
+namespace medlarwalk {
+
+// An IPv4 address and port.
+struct Endpoint {
+  std::string ip;
+  int port = 0;
+  std::string ToString() const;
+  bool operator==(const Endpoint& o) const {
+    return ip == o.ip && port == o.port;
+  }
+};
+
+// Parses "ip:port". Errors: InvalidArgument.
+absl::Status ParseEndpoint(absl::string_view text, Endpoint* out);
+
+class TcpConnection;
+
+// What a connection tells its owner. Any callback may close the connection.
+struct TcpEvents {
+  std::function<void()> on_connected;
+  std::function<void(absl::string_view)> on_data;
+  // The peer closed its side (Ok) or the connection failed; it is closed.
+  std::function<void(absl::Status)> on_closed;
+  // The write buffer has become empty.
+  std::function<void()> on_drained;
+};
+
+// One connection. Held by shared_ptr so that a callback may drop it.
+class TcpConnection : public std::enable_shared_from_this<TcpConnection> {
+ public:
+  // Takes over an accepted socket.
+  static std::shared_ptr<TcpConnection> Accepted(struct ev_loop* loop, int fd);
+  // Begins to connect. The connection fails with Unavailable if it is not
+  // established within `timeout`.
+  static std::shared_ptr<TcpConnection> Connect(struct ev_loop* loop,
+                                                const Endpoint& to,
+                                                Duration timeout);
+  TcpConnection(struct ev_loop* loop, int fd, bool connecting);
+  ~TcpConnection();
+  TcpConnection(const TcpConnection&) = delete;
+  TcpConnection& operator=(const TcpConnection&) = delete;
+
+  void set_events(TcpEvents events) { events_ = std::move(events); }
+  // Sends `data`, buffering what the socket does not take now.
+  void Write(absl::string_view data);
+  // Closes once the buffer is written out; reads nothing more.
+  void CloseAfterWrites();
+  // Closes now. No callback follows.
+  void Close();
+  // Stops or resumes reading (backpressure).
+  void PauseRead(bool paused);
+  bool open() const { return fd_ >= 0; }
+  bool connected() const { return connected_; }
+  size_t unsent() const { return out_.size() - sent_; }
+
+ private:
+  static void OnIo(struct ev_loop* loop, ev_io* w, int revents);
+  static void OnTimer(struct ev_loop* loop, ev_timer* w, int revents);
+  void UpdateIo();
+  void Readable();
+  void Writable();
+  void Fail(absl::Status status);
+
+  struct ev_loop* loop_;
+  int fd_;
+  bool connected_;
+  bool closing_ = false;
+  bool paused_ = false;
+  int io_events_ = 0;
+  ev_io io_{};
+  ev_timer timer_{};
+  std::string out_;
+  size_t sent_ = 0;
+  TcpEvents events_;
+};
+
+// Accepts connections.
+class TcpListener {
+ public:
+  TcpListener(struct ev_loop* loop,
+              std::function<void(std::shared_ptr<TcpConnection>)> on_accept);
+  ~TcpListener();
+  TcpListener(const TcpListener&) = delete;
+  TcpListener& operator=(const TcpListener&) = delete;
+
+  // Errors: Unavailable when the address cannot be bound.
+  absl::Status Listen(const Endpoint& at);
+  void Stop();
+
+ private:
+  static void OnIo(struct ev_loop* loop, ev_io* w, int revents);
+
+  struct ev_loop* loop_;
+  std::function<void(std::shared_ptr<TcpConnection>)> on_accept_;
+  int fd_ = -1;
+  ev_io io_{};
+};
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_TCP_H_
--- a/src/types.h
+++ b/src/types.h
@@ -2,9 +2,13 @@
 #ifndef MEDLARWALK_TYPES_H_
 #define MEDLARWALK_TYPES_H_
 
+#include <time.h>
+
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "absl/strings/string_view.h"
 #include "xxhash.h"
@@ -31,6 +35,20 @@
   TimePoint Now() const override { return std::chrono::steady_clock::now(); }
 };
 
+// A monotonic clock that goes on counting while the machine is suspended
+// (CLOCK_BOOTTIME). Leases and freshness are judged by it: on steady_clock a
+// frozen and woken process would believe that no time had passed and act on a
+// lease that ended long ago.
+class BootClock : public Clock {
+ public:
+  TimePoint Now() const override {
+    timespec ts{};
+    clock_gettime(CLOCK_BOOTTIME, &ts);
+    return TimePoint(std::chrono::seconds(ts.tv_sec) +
+                     std::chrono::nanoseconds(ts.tv_nsec));
+  }
+};
+
 // A clock that moves only when told to; for tests and the bench.
 class ManualClock : public Clock {
  public:
@@ -42,6 +60,19 @@
   TimePoint now_{};
 };
 
+// Milliseconds of `d`, rounded down.
+inline int64_t ToMs(Duration d) {
+  return std::chrono::duration_cast<Millis>(d).count();
+}
+
+// Seconds of `d`, for libev timers.
+inline double ToSeconds(Duration d) {
+  return std::chrono::duration<double>(d).count();
+}
+
+// Header fields in the order received, names as written by the sender.
+using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
 // A tier orders classes of work: 0 is the most protected. A request of a
 // lower tier (higher number) is never served in place of a higher one except
 // through the starvation bound.
@@ -78,6 +109,10 @@
 // Upper bound on any request body the entry accepts, in bytes.
 inline constexpr size_t kMaxBodyBytes = 1 << 20;
 
+// Upper bound on any body between our own processes, in bytes: a whole
+// configuration (4 MiB at most) with its framing.
+inline constexpr size_t kMaxLinkBodyBytes = 8 << 20;
+
 }  // namespace medlarwalk
 
 #endif  // MEDLARWALK_TYPES_H_
--- /dev/null
+++ b/src/upstream_list.h
@@ -0,0 +1,36 @@
+// The list of upstreams: which exist, where, and whether they are leaving.
+#ifndef MEDLARWALK_UPSTREAM_LIST_H_
+#define MEDLARWALK_UPSTREAM_LIST_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "tcp.h"
+#include "types.h"
+
+namespace medlarwalk {
+
+// One running incarnation of an upstream.
+struct UpstreamInfo {
+  std::string id;  // New for each start.
+  std::string service;
+  Endpoint address;
+  std::string data_centre;
+  bool leaving = false;  // Takes no new work.
+  int slots = 1;
+  Duration warmup_left{};
+};
+
+// A reading of the list. `version` tells readings apart; it orders nothing.
+struct UpstreamList {
+  int64_t version = 0;
+  std::vector<UpstreamInfo> upstreams;
+};
+
+// Whether two readings say the same, their versions aside.
+bool SameUpstreams(const UpstreamList& a, const UpstreamList& b);
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_UPSTREAM_LIST_H_
--- /dev/null
+++ b/src/upstream_pool.cc
@@ -0,0 +1,114 @@
+#include "upstream_pool.h"
+
+#include <algorithm>
+
+#include "log.h"
+
+namespace medlarwalk {
+namespace {
+
+// A host that is there answers the first packet within a round trip or two;
+// one lost packet is sent again after a second.
+constexpr auto kConnectTimeout = Millis(1200);
+
+bool Usable(const Http1Client& c, TimePoint now) {
+  return c.open() && c.idle() && now - c.idle_since() < c.keep_for();
+}
+
+}  // namespace
+
+UpstreamPool::UpstreamPool(struct ev_loop* loop, const Clock& clock)
+    : loop_(loop), clock_(clock) {}
+
+void UpstreamPool::Update(const UpstreamList& list) {
+  for (UpstreamBoard& b : boards_) b.listed = false;
+  for (const UpstreamInfo& u : list.upstreams) {
+    auto it = index_.find(u.id);
+    if (it == index_.end()) {
+      index_[u.id] = boards_.size();
+      UpstreamBoard b;
+      b.info = u;
+      boards_.push_back(std::move(b));
+      LogEvent("upstream_added", {{"upstream", u.id},
+                                  {"service", u.service},
+                                  {"address", u.address.ToString()}});
+      continue;
+    }
+    UpstreamBoard& b = boards_[it->second];
+    if (u.leaving && !b.info.leaving) {
+      LogEvent("upstream_leaving",
+               {{"upstream", u.id}, {"in_flight", b.in_flight}});
+    }
+    b.info = u;
+    b.listed = true;
+  }
+  Tick();
+}
+
+UpstreamBoard* UpstreamPool::Find(const std::string& id) {
+  auto it = index_.find(id);
+  return it == index_.end() ? nullptr : &boards_[it->second];
+}
+
+bool UpstreamPool::Full(const UpstreamBoard& u, int limit) const {
+  auto it = connections_.find(u.info.id);
+  if (it == connections_.end()) return limit <= 0;
+  const Connections& c = it->second;
+  if (c.taken < limit) return false;
+  TimePoint now = clock_.Now();
+  return std::none_of(c.idle.begin(), c.idle.end(),
+                      [&](const auto& k) { return Usable(*k, now); });
+}
+
+std::shared_ptr<Http1Client> UpstreamPool::Take(const UpstreamBoard& u) {
+  Connections& c = connections_[u.info.id];
+  ++c.taken;
+  TimePoint now = clock_.Now();
+  // The most lately used first: the least likely to be closed meanwhile.
+  while (!c.idle.empty()) {
+    std::shared_ptr<Http1Client> k = std::move(c.idle.back());
+    c.idle.pop_back();
+    if (Usable(*k, now)) return k;
+    k->Close();
+  }
+  return Http1Client::Open(loop_, clock_, u.info.address, kConnectTimeout);
+}
+
+void UpstreamPool::Give(const std::string& upstream_id,
+                        const std::shared_ptr<Http1Client>& c) {
+  Connections& k = connections_[upstream_id];
+  --k.taken;
+  if (c->open() && c->idle()) {
+    k.idle.push_back(c);
+  } else {
+    c->Close();
+  }
+}
+
+void UpstreamPool::Tick() {
+  TimePoint now = clock_.Now();
+  for (auto& [id, c] : connections_) {
+    auto keep =
+        std::stable_partition(c.idle.begin(), c.idle.end(),
+                              [&](const auto& k) { return Usable(*k, now); });
+    for (auto it = keep; it != c.idle.end(); ++it) (*it)->Close();
+    c.idle.erase(keep, c.idle.end());
+  }
+  bool gone = false;
+  for (size_t i = 0; i < boards_.size();) {
+    UpstreamBoard& b = boards_[i];
+    if (b.listed || b.in_flight > 0) {
+      ++i;
+      continue;
+    }
+    LogEvent("upstream_gone", {{"upstream", b.info.id}});
+    connections_.erase(b.info.id);
+    boards_.erase(boards_.begin() + static_cast<long>(i));
+    gone = true;
+  }
+  if (!gone) return;
+  index_.clear();
+  for (size_t i = 0; i < boards_.size(); ++i) index_[boards_[i].info.id] = i;
+}
+
+}  // namespace medlarwalk
--- /dev/null
+++ b/src/upstream_pool.h
@@ -0,0 +1,61 @@
+// The upstreams an entry process knows, what it knows of each, and its kept
+// connections to them.
+#ifndef MEDLARWALK_UPSTREAM_POOL_H_
+#define MEDLARWALK_UPSTREAM_POOL_H_
+
+#include <ev.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "absl/types/span.h"
+#include "http1_client.h"
+#include "placement.h"
+#include "upstream_list.h"
+
+namespace medlarwalk {
+
+// Thread safety: loop thread only.
+class UpstreamPool {
+ public:
+  UpstreamPool(struct ev_loop* loop, const Clock& clock);
+
+  // Takes over a new reading of the list. Upstreams no longer listed stay
+  // until their last request has ended.
+  void Update(const UpstreamList& list);
+
+  std::vector<UpstreamBoard>& boards() { return boards_; }
+  const std::vector<UpstreamBoard>& boards() const { return boards_; }
+  // The board of upstream `id`, or nullptr.
+  UpstreamBoard* Find(const std::string& id);
+
+  // A connection for one call, kept or new.
+  std::shared_ptr<Http1Client> Take(const UpstreamBoard& u);
+  // Whether Take would have to open one beyond `limit`.
+  bool Full(const UpstreamBoard& u, int limit) const;
+  // Gives a connection back after its call.
+  void Give(const std::string& upstream_id,
+            const std::shared_ptr<Http1Client>& c);
+
+  // Closes connections idle for too long and forgets upstreams that are gone.
+  void Tick();
+
+ private:
+  struct Connections {
+    std::vector<std::shared_ptr<Http1Client>> idle;
+    int taken = 0;
+  };
+
+  struct ev_loop* loop_;
+  const Clock& clock_;
+  std::vector<UpstreamBoard> boards_;
+  std::unordered_map<std::string, size_t> index_;
+  std::unordered_map<std::string, Connections> connections_;
+};
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_UPSTREAM_POOL_H_
--- /dev/null
+++ b/src/watch_client.cc
@@ -0,0 +1,161 @@
+#include "watch_client.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "log.h"
+#include "tcp.h"
+
+namespace medlarwalk {
+namespace {
+
+constexpr double kTickSeconds = 0.05;
+// Pause before the next control process is asked after a failure, so that a
+// fleet without control does not hammer what is left of it.
+constexpr auto kRetryPause = Millis(100);
+constexpr Millis kPingInterval(400);
+constexpr Millis kPingTimeout(900);
+
+}  // namespace
+
+WatchClient::WatchClient(struct ev_loop* loop, const Clock& clock,
+                         WatchOptions options, std::vector<std::string> seeds,
+                         OnReply on_reply)
+    : loop_(loop),
+      clock_(clock),
+      options_(std::move(options)),
+      seeds_(std::move(seeds)),
+      on_reply_(std::move(on_reply)) {
+  state_.name = options_.name;
+  state_.serves_callers = options_.serves_callers;
+  ev_timer_init(&tick_, OnTick, kTickSeconds, kTickSeconds);
+  tick_.data = this;
+}
+
+WatchClient::~WatchClient() { ev_timer_stop(loop_, &tick_); }
+
+void WatchClient::Start() {
+  ev_timer_start(loop_, &tick_);
+  Ask();
+}
+
+void WatchClient::Pin(const std::string& address) {
+  if (pinned_ == address) return;
+  pinned_ = address;
+  if (asking_ && target_ != address) {
+    if (stream_) ClientFor(target_).Cancel(stream_);
+    asking_ = false;
+    not_before_ = {};
+  }
+}
+
+void WatchClient::Pause(bool paused) {
+  if (paused && asking_) {
+    if (stream_) ClientFor(target_).Cancel(stream_);
+    asking_ = false;
+    stream_ = 0;
+  }
+  paused_ = paused;
+}
+
+// In an order of this process's own, so that many followers spread over the
+// control processes.
+std::vector<std::string> WatchClient::Targets() const {
+  if (!pinned_.empty()) return {pinned_};
+  std::vector<std::string> all = known_.empty() ? seeds_ : known_;
+  // Seeds stay in reach: all that is known may have been replaced meanwhile.
+  if (misses_ > static_cast<int>(all.size())) {
+    all.insert(all.end(), seeds_.begin(), seeds_.end());
+  }
+  std::sort(
+      all.begin(), all.end(), [&](const std::string& a, const std::string& b) {
+        return StableHash(a + options_.name) < StableHash(b + options_.name);
+      });
+  all.erase(std::unique(all.begin(), all.end()), all.end());
+  return all;
+}
+
+void WatchClient::NextTarget(absl::string_view why) {
+  ++misses_;
+  LogEvent("control_lost", {{"control", target_},
+                            {"why", why},
+                            {"config_version", state_.config_version}});
+  std::vector<std::string> all = Targets();
+  if (all.empty()) return;
+  auto it = std::find(all.begin(), all.end(), target_);
+  size_t next = it == all.end() ? 0 : (it - all.begin() + 1) % all.size();
+  target_ = all[next];
+  not_before_ = clock_.Now() + kRetryPause;
+}
+
+H2Client& WatchClient::ClientFor(const std::string& address) {
+  std::unique_ptr<H2Client>& c = clients_[address];
+  if (!c) {
+    Endpoint e;
+    absl::Status s = ParseEndpoint(address, &e);
+    if (!s.ok()) LogWarn("bad_address", {{"address", address}});
+    c = std::make_unique<H2Client>(loop_, clock_, e.ip, e.port, kPingInterval,
+                                   kPingTimeout);
+  }
+  return *c;
+}
+
+void WatchClient::Ask() {
+  TimePoint now = clock_.Now();
+  if (paused_ || asking_ || now < not_before_) return;
+  std::vector<std::string> all = Targets();
+  if (all.empty()) return;
+  if (std::find(all.begin(), all.end(), target_) == all.end()) {
+    target_ = all[0];
+  }
+  asking_ = true;
+  asked_at_ = now;
+  uint64_t ask = ++ask_;
+  auto body = std::make_shared<std::string>();
+  auto status = std::make_shared<int>(0);
+  H2Call call;
+  call.path = kWatchPath;
+  call.body = EncodeWatchRequest(state_);
+  call.on_response = [status](int s, const auto&) { *status = s; };
+  call.on_data = [body](absl::string_view d) {
+    body->append(d.data(), d.size());
+  };
+  call.on_close = [this, ask, body, status](absl::Status s, bool) {
+    Answered(ask, *body, s.ok() && *status == 200);
+  };
+  stream_ = ClientFor(target_).Submit(std::move(call));
+}
+
+void WatchClient::Answered(uint64_t ask, const std::string& body, bool ok) {
+  if (!asking_ || ask != ask_) return;
+  asking_ = false;
+  stream_ = 0;
+  absl::StatusOr<WatchReply> r = DecodeWatchReply(body);
+  if (!ok || !r.ok()) {
+    NextTarget("no answer");
+    return;
+  }
+  TimePoint now = clock_.Now();
+  bool in_step = r->age_ms >= 0 && r->age_ms <= ToMs(options_.max_age);
+  if (in_step) {
+    in_step_at_ = now;
+    misses_ = 0;
+    if (!r->control.empty()) known_ = r->control;
+  }
+  on_reply_(*r, in_step);
+  if (!in_step) NextTarget("out of step");
+}
+
+void WatchClient::OnTick(struct ev_loop*, ev_timer* w, int) {
+  auto* self = static_cast<WatchClient*>(w->data);
+  TimePoint now = self->clock_.Now();
+  if (self->asking_ && now - self->asked_at_ > self->options_.answer_timeout) {
+    if (self->stream_) self->ClientFor(self->target_).Cancel(self->stream_);
+    self->asking_ = false;
+    self->stream_ = 0;
+    self->NextTarget("silent");
+  }
+  self->Ask();
+}
+
+}  // namespace medlarwalk
--- /dev/null
+++ b/src/watch_client.h
@@ -0,0 +1,84 @@
+// Follows the control processes: holds a watch at one of them and changes to
+// another when it does not answer or is itself out of step with a leader.
+#ifndef MEDLARWALK_WATCH_CLIENT_H_
+#define MEDLARWALK_WATCH_CLIENT_H_
+
+#include <ev.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "control_wire.h"
+#include "h2.h"
+#include "types.h"
+
+namespace medlarwalk {
+
+struct WatchOptions {
+  std::string name;
+  bool serves_callers = false;
+  // A watch is held for less than this; one that is not back by then is
+  // given up and another control process asked.
+  Duration answer_timeout = Millis(900);
+  // The answerer must have been in step with a leader this lately.
+  Duration max_age = Millis(800);
+};
+
+// Thread safety: loop thread only.
+class WatchClient {
+ public:
+  using OnReply = std::function<void(const WatchReply&, bool in_step)>;
+  // `seeds`: addresses ("ip:port") of control processes.
+  WatchClient(struct ev_loop* loop, const Clock& clock, WatchOptions options,
+              std::vector<std::string> seeds, OnReply on_reply);
+  ~WatchClient();
+  WatchClient(const WatchClient&) = delete;
+  WatchClient& operator=(const WatchClient&) = delete;
+
+  void Start();
+  // Follows only this address from now on ("" for any): a control process
+  // follows its leader.
+  void Pin(const std::string& address);
+  // Stops or resumes asking: a leader follows nobody.
+  void Pause(bool paused);
+  void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+  // What the asker holds and says of itself, sent with the next watch.
+  WatchRequest& state() { return state_; }
+  // When a control process in step with a leader last answered.
+  TimePoint in_step_at() const { return in_step_at_; }
+
+ private:
+  static void OnTick(struct ev_loop* loop, ev_timer* w, int revents);
+  void Ask();
+  void Answered(uint64_t ask, const std::string& body, bool ok);
+  void NextTarget(absl::string_view why);
+  H2Client& ClientFor(const std::string& address);
+  std::vector<std::string> Targets() const;
+
+  struct ev_loop* loop_;
+  const Clock& clock_;
+  WatchOptions options_;
+  std::vector<std::string> seeds_;
+  std::vector<std::string> known_;
+  OnReply on_reply_;
+  WatchRequest state_;
+  std::string pinned_;
+  std::string target_;
+  std::map<std::string, std::unique_ptr<H2Client>> clients_;
+  uint64_t ask_ = 0;  // Number of the watch under way.
+  bool asking_ = false;
+  bool paused_ = false;
+  int32_t stream_ = 0;
+  TimePoint asked_at_{};
+  TimePoint not_before_{};
+  TimePoint in_step_at_{};
+  int misses_ = 0;
+  ev_timer tick_{};
+};
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_WATCH_CLIENT_H_
