check-settings reads the file it is given; unused arguments are refused

Cause: check-settings ignored its argument and checked the built-in default, with exit 0 even for a file that does not exist.

Ruled out: making the argument an error: the README's readers write it so.

--- a/src/main.cc
+++ b/src/main.cc
@@ -128,6 +128,20 @@
   return Serve(loop, service);
 }
 
+// check-settings [FILE]: the file named, or the one of --settings, or the
+// built-in default.
+int CheckSettings(const std::vector<char*>& args) {
+  if (args.size() > 3 ||
+      (args.size() == 3 && !absl::GetFlag(FLAGS_settings).empty())) {
+    return Fail(absl::InvalidArgumentError("check-settings takes one file"));
+  }
+  absl::StatusOr<Settings> s =
+      args.size() == 3 ? LoadSettings(args[2]) : Load();
+  if (!s.ok()) return Fail(s.status());
+  std::cout << "settings ok: version " << s->version << "\n";
+  return 0;
+}
+
 int RunLoadCommand() {
   std::ifstream in(absl::GetFlag(FLAGS_workload));
   if (!in) return Fail(absl::NotFoundError("load: cannot read --workload"));
@@ -164,11 +178,10 @@
     return 2;
   }
   std::string command = args[1];
-  if (command == "check-settings") {
-    absl::StatusOr<Settings> s = Load();
-    if (!s.ok()) return Fail(s.status());
-    std::cout << "settings ok: version " << s->version << "\n";
-    return 0;
+  if (command == "check-settings") return CheckSettings(args);
+  if (args.size() > 2) {
+    return Fail(absl::InvalidArgumentError(
+        absl::StrCat(command, " takes no argument '", args[2], "'")));
   }
   if (command == "default-settings") {
     std::cout << DefaultSettingsJson(absl::GetFlag(FLAGS_base_port)) << "\n";
