Long generations kept apart from long prompts; a stopping entry takes none

Change: placement keeps the lowest-ranked engines, as many as the long generations in flight need, for these; each shared part has one home, the first in its own order that is not clearly busier than the best. A stopping entry refuses new long generations with a come-back time of 20 ms.

Ruled out: separating by route or pause target (unknown classes must work); cutting later than the grace allows.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -41,6 +41,12 @@
 // callers told the same moment would return together.
 constexpr double kRetryAfterSeconds = 0.3;
 constexpr double kRetryAfterSpread = 0.5;
+// Come-back time where another entry can serve at once.
+constexpr auto kRetryElsewhere = Millis(20);
+// Demand by shape is averaged over this, so that a few requests more or less
+// do not move an engine from one shape of work to the other.
+constexpr std::chrono::duration<double> kDemandSmoothing =
+    std::chrono::seconds(3);
 // Lowest rank an engine knows.
 constexpr int kLastEnginePriority = 9;
 
@@ -73,6 +79,7 @@
   std::string account;
   Tier tier = 0;
   uint64_t affinity = 0;
+  WorkShape shape = WorkShape::kPlain;
   TimePoint give_up_at{};
   std::multimap<TimePoint, uint64_t>::iterator give_up_entry;
   bool waiting = false;
@@ -189,6 +196,15 @@
   r.give_up_at = r.exchange->arrived + patience;
   r.give_up_entry = give_up_.emplace(r.give_up_at, r.seq);
   r.last_event = r.facts.last_event;
+  if (r.service->engine) {
+    int64_t output = r.facts.likely_output_tokens > 0
+                         ? r.facts.likely_output_tokens
+                         : r.facts.most_output_tokens;
+    r.shape = ShapeOf(r.facts.prompt_tokens, output, options_.placement);
+  }
+  if (draining_ && r.shape == WorkShape::kDecode) {
+    return MakeError(ErrorKind::kDraining, "stopping");
+  }
   // The parts shared with others: all but the request's own.
   if (r.facts.parts.size() >= 2) {
     r.affinity = r.facts.parts[r.facts.parts.size() - 2].id;
@@ -229,7 +245,16 @@
   ask.affinity = r.affinity;
   ask.data_centre = options_.data_centre;
   ask.avoid = r.tried;
-  ask.engine = engine;
+  ask.shape = r.shape;
+  if (engine) {
+    int engines = 1;
+    for (const UpstreamBoard& b : pool_.boards()) {
+      if (b.info.service == r.service->name) engines = b.ranks;
+    }
+    ask.decode_engines =
+        DecodeEngines(decode_demand_[r.service->name] * serving_,
+                      r.service->engine->slots, engines, options_.placement);
+  }
   ask.most_load = engine ? kMostEngineLoad : kMostPlainLoad;
   std::uniform_real_distribution<double> draw(0, 1);
   std::optional<size_t> i = Place(pool_.boards(), ask, clock_.Now(),
@@ -253,6 +278,7 @@
   r.splitter.Reset();
   if (u.in_flight == 0) u.quiet_since = now;
   ++u.in_flight;
+  u.decode_in_flight += r.shape == WorkShape::kDecode;
   NotePrefill(u, static_cast<double>(r.facts.prompt_tokens), now,
               options_.placement);
   ForwardFacts f;
@@ -296,6 +322,7 @@
   if (r.upstream.empty()) return;
   if (UpstreamBoard* u = pool_.Find(r.upstream)) {
     --u->in_flight;
+    u->decode_in_flight -= r.shape == WorkShape::kDecode;
     if (u->in_flight == 0) u->quiet_since = {};
   }
   pool_.Give(r.upstream, r.connection);
@@ -487,7 +514,9 @@
   ServeWaiting();
 }
 
-Duration Gateway::RetryAfter(const Request& r) {
+Duration Gateway::RetryAfter(ErrorKind kind) {
+  // Other entries are there: nothing to wait for.
+  if (kind == ErrorKind::kDraining) return kRetryElsewhere;
   std::uniform_real_distribution<double> spread(1 - kRetryAfterSpread,
                                                 1 + kRetryAfterSpread);
   return std::chrono::duration_cast<Duration>(
@@ -507,7 +536,7 @@
   HeaderList headers;
   if (a.retry_after && a.not_run) {
     headers.emplace_back("Retry-After",
-                         absl::StrFormat("%.3f", ToSeconds(RetryAfter(r))));
+                         absl::StrFormat("%.3f", ToSeconds(RetryAfter(kind))));
   }
   r.exchange->Respond(a.http_status, headers, "");
   Finish(r, a.code, why);
@@ -583,8 +612,25 @@
   AttemptFailed(r, CallEnd::kNoAnswer, "silent");
 }
 
+void Gateway::NoteDemand(TimePoint now) {
+  std::map<std::string, int> running;
+  for (const UpstreamBoard& b : pool_.boards()) {
+    if (b.decode_in_flight > 0) running[b.info.service] += b.decode_in_flight;
+  }
+  double share = std::min(
+      1.0, std::chrono::duration<double>(now - ticked_at_) / kDemandSmoothing);
+  ticked_at_ = now;
+  for (const auto& [service, n] : running) decode_demand_.try_emplace(service);
+  for (auto& [service, demand] : decode_demand_) {
+    auto it = running.find(service);
+    double n = it == running.end() ? 0 : it->second;
+    demand += (n - demand) * share;
+  }
+}
+
 void Gateway::Tick() {
   TimePoint now = clock_.Now();
+  NoteDemand(now);
   std::vector<uint64_t> due;
   for (auto it = give_up_.begin(); it != give_up_.end() && it->first <= now;
        ++it) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -55,6 +55,9 @@
   void Tick();
   int open_requests() const { return static_cast<int>(requests_.size()); }
   bool has_config() const { return config_ != nullptr; }
+  // A planned stop has begun: new long generations, which would not end in
+  // the grace, are refused; their callers find another entry at once.
+  void BeginDrain() { draining_ = true; }
   // Ends what is still open: the end of a planned stop's grace.
   void EndAll();
 
@@ -82,7 +85,8 @@
   void CheckStall(Request& r, TimePoint now);
   void ServeWaiting();
   Request* Find(uint64_t seq, int attempt);
-  Duration RetryAfter(const Request& r);
+  void NoteDemand(TimePoint now);
+  Duration RetryAfter(ErrorKind kind);
   RetryBudget& BudgetFor(const std::string& service);
 
   struct ev_loop* loop_;
@@ -98,8 +102,12 @@
   std::unordered_map<uint64_t, RequestPtr> requests_;
   std::multimap<TimePoint, uint64_t> give_up_;
   std::map<std::string, RetryBudget> budgets_;
+  // Long generations under way here, by service, smoothed.
+  std::map<std::string, double> decode_demand_;
+  TimePoint ticked_at_{};
   uint64_t next_seq_ = 1;
   bool serving_waiting_ = false;
+  bool draining_ = false;
 };
 
 }  // namespace medlarwalk
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -12,8 +12,6 @@
 constexpr double kFailureSmoothing = 0.15;
 // Answers before an upstream's failure share says anything.
 constexpr int kFailureSamples = 4;
-// Homes of one prompt part: two, so that a popular part is spread.
-constexpr size_t kHomes = 2;
 
 double PrefillLeft(const UpstreamBoard& u, TimePoint now,
                    const PlacementPolicy& policy) {
@@ -86,7 +84,11 @@
       busy = true;
       continue;
     }
-    if (ask.engine) {
+    if (ask.shape != WorkShape::kPlain) {
+      bool kept_for_decode = u.rank < ask.decode_engines;
+      if (kept_for_decode != (ask.shape == WorkShape::kDecode)) {
+        score += policy.wrong_shape_cost;
+      }
       score += policy.prefill_weight * PrefillLeft(u, now, policy) /
                policy.prefill_rate / 1000.0;
     }
@@ -108,25 +110,55 @@
     if (s.score < best->score) best = &s;
   }
   if (ask.affinity == 0) return best->index;
-  // The prompt's homes, the same for every entry process without talking.
-  std::vector<std::pair<uint64_t, const Scored*>> homes;
+  // The prompt's homes in order, the same for every entry process without
+  // talking: the first that is not clearly busier than the best.
+  const Scored* home = nullptr;
+  uint64_t home_hash = 0;
   for (const Scored& s : usable) {
-    homes.emplace_back(StableHash(boards[s.index].info.id, ask.affinity), &s);
+    if (s.score > best->score + policy.affinity_slack) continue;
+    uint64_t h = StableHash(boards[s.index].info.id, ask.affinity);
+    if (!home || h > home_hash) {
+      home = &s;
+      home_hash = h;
+    }
   }
-  size_t keep = std::min(kHomes, homes.size());
-  std::partial_sort(
-      homes.begin(), homes.begin() + static_cast<long>(keep), homes.end(),
-      [](const auto& a, const auto& b) { return a.first > b.first; });
-  const Scored* home = nullptr;
-  for (size_t k = 0; k < keep; ++k) {
-    // The second home only if the first is clearly busier.
-    double slack = home ? policy.affinity_slack / 2 : 0;
-    if (!home || homes[k].second->score + slack < home->score) {
-      home = homes[k].second;
+  return home->index;
+}
+
+int DecodeEngines(double in_flight, int slots, int engines,
+                  const PlacementPolicy& policy) {
+  double need = in_flight /
+                std::max(1.0, policy.decode_fill * static_cast<double>(slots));
+  int least = std::max(1, engines / 6);
+  return std::clamp(static_cast<int>(std::ceil(need)), least,
+                    std::max(least, engines / 2));
+}
+
+WorkShape ShapeOf(int64_t prompt_tokens, int64_t output_tokens,
+                  const PlacementPolicy& policy) {
+  return static_cast<double>(output_tokens) >=
+                 policy.decode_share * static_cast<double>(prompt_tokens)
+             ? WorkShape::kDecode
+             : WorkShape::kPrefill;
+}
+
+void RankUpstreams(absl::Span<UpstreamBoard> boards) {
+  auto before = [](const UpstreamBoard& a, const UpstreamBoard& b) {
+    uint64_t x = StableHash(a.info.id);
+    uint64_t y = StableHash(b.info.id);
+    return x != y ? x < y : a.info.id < b.info.id;
+  };
+  for (UpstreamBoard& u : boards) {
+    u.rank = 0;
+    u.ranks = 0;
+    for (const UpstreamBoard& o : boards) {
+      if (o.info.service != u.info.service || !o.listed || o.info.leaving) {
+        continue;
+      }
+      ++u.ranks;
+      if (before(o, u)) ++u.rank;
     }
   }
-  if (home->score <= best->score + policy.affinity_slack) return home->index;
-  return best->index;
 }
 
 void NoteSuccess(UpstreamBoard& u, TimePoint now) {
--- a/src/placement.h
+++ b/src/placement.h
@@ -36,12 +36,24 @@
   int answers = 0;
   // Nothing has come from it since this moment though it works for us.
   TimePoint quiet_since{};
-  bool full = false;  // No connection may be added to those in use.
+  bool full = false;         // No connection may be added to those in use.
+  int decode_in_flight = 0;  // Of in_flight: long generations.
+  // Place in an order of its service's upstreams that is the same for every
+  // entry process, and how many stand in it.
+  int rank = 0;
+  int ranks = 1;
   // Prompt tokens sent to it that it is still reading, as far as known.
   double prefill_tokens = 0;
   TimePoint prefill_at{};
 };
 
+// What a request mostly asks of an engine.
+enum class WorkShape {
+  kPlain,    // Not an engine's work.
+  kPrefill,  // Reads much, writes little.
+  kDecode,   // Writes for long; its pauses suffer beside long prompts.
+};
+
 // Limits of placement.
 struct PlacementPolicy {
   // A report counts for this long, less as it ages; then only own requests
@@ -51,6 +63,15 @@
   // parts may be than the least busy one and still be chosen. Reading the
   // parts again costs more than a few places in the batch.
   double affinity_slack = 0.25;
+  // A request writes for long if its likely output is at least this share of
+  // its prompt.
+  double decode_share = 0.1;
+  // Share of an engine's slots that long generations should fill on the
+  // engines kept for them.
+  double decode_fill = 0.4;
+  // Added, in shares of slots, to an engine kept for the other shape of work:
+  // it is used once the own ones are that much busier.
+  double wrong_shape_cost = 0.4;
   // Weight of the failure share above the average of the service.
   double failure_weight = 2.0;
   // An upstream that works for us but sent nothing for this long is avoided.
@@ -75,9 +96,23 @@
   absl::string_view data_centre;
   absl::Span<const std::string> avoid;  // Ids already tried.
   double most_load = 1.0;  // Estimated load over slots; busier ones are full.
-  bool engine = false;
+  WorkShape shape = WorkShape::kPlain;
+  // The engines of the lowest ranks that are kept for long generations.
+  int decode_engines = 0;
 };
 
+// How many of `engines` engines to keep for long generations when about
+// `in_flight` of these run in all. Between a sixth and a half of them.
+int DecodeEngines(double in_flight, int slots, int engines,
+                  const PlacementPolicy& policy);
+
+// The shape of a request by its tokens (0 where not known).
+WorkShape ShapeOf(int64_t prompt_tokens, int64_t output_tokens,
+                  const PlacementPolicy& policy);
+
+// Ranks the upstreams of each service, the same way in every process.
+void RankUpstreams(absl::Span<UpstreamBoard> boards);
+
 // Requests running or waiting at `u`, as well as it can be told.
 double EstimatedLoad(const UpstreamBoard& u, TimePoint now,
                      const PlacementPolicy& policy);
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -19,7 +19,7 @@
 // Idle connections close from then on; callers open new ones elsewhere.
 constexpr auto kCloseIdleAfter = Millis(1500);
 // Left of the grace when what is still open gets its final answer.
-constexpr auto kGraceMargin = Millis(500);
+constexpr auto kGraceMargin = Millis(250);
 
 uint64_t RandomSeed() {
   std::random_device rd;
@@ -154,6 +154,7 @@
   draining_ = true;
   drain_began_ = clock_.Now();
   callers_.CloseAfterAnswers();
+  gateway_.BeginDrain();
   LogEvent("drain_started", {{"open", gateway_.open_requests()},
                              {"connections", callers_.connections()}});
 }
--- a/src/upstream_pool.cc
+++ b/src/upstream_pool.cc
@@ -42,6 +42,7 @@
     b.info = u;
     b.listed = true;
   }
+  RankUpstreams(absl::MakeSpan(boards_));
   Tick();
 }
 
--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -272,6 +272,28 @@
   CHECK_TRUE(rig.Await([&] { return Ends(*first, "from a"); }));
 }
 
+// Symptom: a planned stop cuts a stream. Sequence: the entry is told to stop,
+// takes a long generation in from a connection that is still open, and the
+// grace ends before the stream does. Such a request is refused and its caller
+// told to come back at once, to another entry; short ones are still served.
+TEST(gateway, AStoppingEntryTakesNoLongStreams) {
+  Rig rig;
+  ScriptedUpstream& u = rig.Upstream("i-1", "engine");
+  u.script = [](Conn& c, const std::string& r) {
+    c.Say(StreamHead(HeaderOf(r, "Attempt-Id")) + Chunk(Event(0)) +
+          "0\r\n\r\n");
+  };
+  rig.gateway()->BeginDrain();
+  auto chat =
+      rig.Call(Request("POST", "/talk/", "a1", "Token-Counts: 700,280\r\n"));
+  CHECK_TRUE(rig.Await([&] { return !chat->got.empty(); }));
+  CHECK_TRUE(absl::StartsWith(chat->got, "HTTP/1.1 503 "));
+  CHECK_TRUE(std::stod(HeaderOf(chat->got, "Retry-After")) < 0.1);
+  auto digest =
+      rig.Call(Request("POST", "/digest/", "a2", "Token-Counts: 9000,50\r\n"));
+  CHECK_TRUE(rig.Await([&] { return Ends(*digest, "0\r\n\r\n"); }));
+}
+
 // Two ways to say where a body ends are refused, so that no request hides in
 // another.
 TEST(gateway, SmuggledRequestsAreRefused) {
--- /dev/null
+++ b/test/placement_test.cc
@@ -0,0 +1,138 @@
+// Placement decisions on the load patterns they are meant for.
+#include "placement.h"
+
+#include <map>
+#include <random>
+
+#include "CppUTest/TestHarness.h"
+#include "absl/strings/str_cat.h"
+
+using namespace medlarwalk;
+
+namespace {
+
+std::vector<UpstreamBoard> Engines(int n) {
+  std::vector<UpstreamBoard> boards;
+  for (int i = 0; i < n; ++i) {
+    UpstreamBoard b;
+    b.info.id = absl::StrCat("i-", i);
+    b.info.service = "engine";
+    b.info.slots = 64;
+    boards.push_back(b);
+  }
+  RankUpstreams(absl::MakeSpan(boards));
+  return boards;
+}
+
+const TimePoint kNow = TimePoint(std::chrono::hours(1));
+const PlacementPolicy kPolicy;
+
+PlacementAsk Ask(WorkShape shape, uint64_t affinity = 0) {
+  PlacementAsk a;
+  a.service = "engine";
+  a.shape = shape;
+  a.affinity = affinity;
+  a.decode_engines = 3;
+  return a;
+}
+
+}  // namespace
+
+TEST_GROUP(placement){};
+
+// Symptom: long generations pause past their limit. Load pattern: long
+// prompts and long generations in equal number. Cause: a prompt's reading
+// holds up every stream beside it. They are kept on engines of their own, and
+// two entries that share nothing choose the same ones.
+TEST(placement, LongGenerationsAreKeptFromLongPrompts) {
+  std::vector<UpstreamBoard> boards = Engines(12);
+  std::mt19937_64 random(1);
+  std::uniform_real_distribution<double> draw(0, 1);
+  std::map<size_t, int> decode;
+  std::map<size_t, int> prefill;
+  for (int i = 0; i < 300; ++i) {
+    bool d = i % 3 == 0;
+    auto at =
+        Place(boards, Ask(d ? WorkShape::kDecode : WorkShape::kPrefill, i),
+              kNow, draw(random), kPolicy);
+    CHECK_TRUE(at.has_value());
+    ++(d ? decode : prefill)[*at];
+    if (i % 10 < 2) ++boards[*at].in_flight;
+  }
+  for (const auto& [i, n] : decode) LONGS_EQUAL(0, prefill[i]);
+  LONGS_EQUAL(3, decode.size());
+}
+
+// The engines kept for long generations are given up when they are full while
+// others are idle: no class waits for the sake of the split.
+TEST(placement, TheSplitGivesWayUnderLoad) {
+  std::vector<UpstreamBoard> boards = Engines(4);
+  for (UpstreamBoard& b : boards) {
+    if (b.rank < 3) b.in_flight = 60;
+  }
+  auto at = Place(boards, Ask(WorkShape::kDecode), kNow, 0, kPolicy);
+  LONGS_EQUAL(3, boards[*at].rank);
+}
+
+// Symptom: prompt parts are read again on many engines. Load pattern: many
+// requests about a hundred subjects. Each subject has one home while that is
+// not clearly busier than the rest; when it fails, one next home.
+TEST(placement, OneHomeForEachSharedPart) {
+  std::vector<UpstreamBoard> boards = Engines(12);
+  std::mt19937_64 random(2);
+  std::uniform_real_distribution<double> draw(0, 1);
+  for (uint64_t part = 1; part <= 100; ++part) {
+    auto home = Place(boards, Ask(WorkShape::kPrefill, part), kNow, 0, kPolicy);
+    for (int i = 0; i < 5; ++i) {
+      boards[*home].in_flight = 8;
+      auto again = Place(boards, Ask(WorkShape::kPrefill, part), kNow,
+                         draw(random), kPolicy);
+      LONGS_EQUAL(*home, *again);
+    }
+    boards[*home].aside_until = kNow + std::chrono::seconds(1);
+    auto next = Place(boards, Ask(WorkShape::kPrefill, part), kNow, 0, kPolicy);
+    CHECK_TRUE(*next != *home);
+    boards[*home].aside_until = {};
+    boards[*home].in_flight = 0;
+  }
+}
+
+// A part asked for far more than others does not overload its home.
+TEST(placement, AHotPartIsSpreadOnceItsHomeIsBusy) {
+  std::vector<UpstreamBoard> boards = Engines(12);
+  for (int i = 0; i < 300; ++i) {
+    auto at = Place(boards, Ask(WorkShape::kPrefill, 7), kNow, 0, kPolicy);
+    ++boards[*at].in_flight;
+  }
+  for (const UpstreamBoard& b : boards) CHECK_TRUE(b.in_flight <= 64);
+}
+
+// Leaving, unlisted and silent upstreams get nothing while others can.
+TEST(placement, OnlyUsableUpstreamsAreChosen) {
+  std::vector<UpstreamBoard> boards = Engines(4);
+  boards[0].info.leaving = true;
+  boards[1].listed = false;
+  boards[2].in_flight = 1;
+  boards[2].quiet_since = kNow - std::chrono::seconds(2);
+  for (double draw : {0.0, 0.3, 0.6, 0.9}) {
+    LONGS_EQUAL(3,
+                *Place(boards, Ask(WorkShape::kPrefill), kNow, draw, kPolicy));
+  }
+  boards[3].full = true;
+  LONGS_EQUAL(2, *Place(boards, Ask(WorkShape::kPrefill), kNow, 0, kPolicy));
+}
+
+// A failing upstream is put aside for longer each time, and is back at its
+// first success.
+TEST(placement, FailuresPutAsideForLongerEachTime) {
+  UpstreamBoard u = Engines(1)[0];
+  NoteFailure(u, kNow, true, kPolicy);
+  CHECK_TRUE(Usable(u, kNow, kPolicy));
+  NoteFailure(u, kNow, true, kPolicy);
+  CHECK_FALSE(Usable(u, kNow, kPolicy));
+  Duration first = u.aside_until - kNow;
+  NoteFailure(u, kNow, true, kPolicy);
+  CHECK_TRUE(u.aside_until - kNow > first);
+  NoteSuccess(u, kNow);
+  CHECK_TRUE(Usable(u, kNow, kPolicy));
+}
