Service is back sooner after all processes were stopped

Change: the first election wait is 150 to 300 ms, and pre-votes repeat at that pace until a leader was heard; a connection between our processes is given up after 300 ms and tried anew; a request that comes before the first configuration waits for it, up to 900 ms, then is told when to come back.

Ruled out: serving from a follower that is out of step (would show an older configuration); not listening until configured (callers lose a try).

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -41,6 +41,8 @@
 // callers told the same moment would return together.
 constexpr double kRetryAfterSeconds = 0.3;
 constexpr double kRetryAfterSpread = 0.5;
+// Longest wait of a request for the first configuration.
+constexpr auto kConfigWait = Millis(900);
 // Come-back time where another entry can serve at once.
 constexpr auto kRetryElsewhere = Millis(20);
 // Demand by shape is averaged over this, so that a few requests more or less
@@ -129,6 +131,12 @@
 
 void Gateway::SetConfig(std::shared_ptr<const RoutingConfig> config) {
   config_ = std::move(config);
+  std::vector<uint64_t> early = std::move(early_);
+  early_.clear();
+  for (uint64_t seq : early) {
+    auto it = requests_.find(seq);
+    if (it != requests_.end()) Begin(*it->second);
+  }
 }
 
 void Gateway::SetUpstreams(const UpstreamList& list) {
@@ -153,11 +161,22 @@
   Request& r = *owned;
   r.seq = next_seq_++;
   r.exchange = std::move(ex);
-  r.give_up_at = r.exchange->arrived + std::chrono::seconds(60);
+  // Refused by then, unless Admit sets its own time.
+  r.give_up_at = r.exchange->arrived + kConfigWait;
   r.give_up_entry = give_up_.emplace(r.give_up_at, r.seq);
   requests_[r.seq] = std::move(owned);
   uint64_t seq = r.seq;
   r.exchange->set_on_gone([this, seq] { CallerLeft(seq); });
+  if (!config_) {
+    // A process that has just started hears of a configuration within a
+    // moment: its callers do better to wait than to come back.
+    early_.push_back(r.seq);
+    return;
+  }
+  Begin(r);
+}
+
+void Gateway::Begin(Request& r) {
   absl::Status s = Admit(r);
   if (!s.ok()) {
     Fail(r, KindOf(s), s.message());
@@ -173,9 +192,6 @@
     return MakeError(ErrorKind::kBadRequest, facts.status().message());
   }
   r.facts = *std::move(facts);
-  if (!config_) {
-    return MakeError(ErrorKind::kNoConfiguration, "no configuration yet");
-  }
   r.config = config_;
   absl::string_view path = r.exchange->head.target;
   path = path.substr(0, path.find('?'));
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -65,6 +65,9 @@
   struct Request;
   using RequestPtr = std::unique_ptr<Request>;
 
+  // Admits and dispatches, or refuses, a request that has just come or that
+  // waited for the first configuration.
+  void Begin(Request& r);
   absl::Status Admit(Request& r);
   void Dispatch(Request& r);
   bool TrySend(Request& r);
@@ -99,6 +102,8 @@
   UpstreamPool pool_;
   WaitingRoom waiting_;
   int serving_;
+  // Requests that came before the first configuration, oldest first.
+  std::vector<uint64_t> early_;
   std::unordered_map<uint64_t, RequestPtr> requests_;
   std::multimap<TimePoint, uint64_t> give_up_;
   std::map<std::string, RetryBudget> budgets_;
--- a/src/h2.cc
+++ b/src/h2.cc
@@ -25,6 +25,10 @@
 // a dead agent is not hammered with retries that fail at once.
 constexpr auto kReconnectBackoff = std::chrono::milliseconds(200);
 
+// A host that is there answers within a round trip; a lost first packet is
+// sent again sooner by a new connection than by the kernel's second.
+constexpr auto kConnectTimeout = std::chrono::milliseconds(300);
+
 void SetNonBlocking(int fd) {
   fcntl(fd, F_SETFL, fcntl(fd, F_GETFL, 0) | O_NONBLOCK);
   int one = 1;
@@ -675,7 +679,8 @@
   if (!c) return;
   if (!c->connected()) {
     // A host without power or behind a cut answers nothing at all.
-    if (now - c->opened_at() > self->ping_timeout_) {
+    if (now - c->opened_at() >
+        std::min<Duration>(self->ping_timeout_, kConnectTimeout)) {
       self->DropSilent("connect timed out");
     }
     return;
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -51,12 +51,11 @@
   config_version_ = snapshot_.version;
   config_ = snapshot_.config;
   RefreshMembers();
-  ResetElectionTimer();
+  ResetElectionTimer(options_.first_election);
 }
 
-void Replica::ResetElectionTimer() {
-  auto min = std::chrono::duration_cast<std::chrono::microseconds>(
-      options_.election_min);
+void Replica::ResetElectionTimer(Duration least) {
+  auto min = std::chrono::duration_cast<std::chrono::microseconds>(least);
   std::uniform_int_distribution<int64_t> d(min.count(), 2 * min.count());
   election_at_ = clock_.Now() + std::chrono::microseconds(d(random_));
 }
@@ -186,7 +185,11 @@
 }
 
 void Replica::StartElection(bool pre_vote) {
-  ResetElectionTimer();
+  // A pre-vote unseats nobody, so until a leader was ever heard it is
+  // repeated at the short interval: the others may only just be starting.
+  bool heard_none = leader_heard_ == TimePoint{};
+  ResetElectionTimer(heard_none ? options_.first_election
+                                : options_.election_min);
   if (!pre_vote && !SetTerm(term_ + 1, self_.id)) return;
   role_ = ReplicaRole::kCandidate;
   pre_voting_ = pre_vote;
--- a/src/replica.h
+++ b/src/replica.h
@@ -105,6 +105,9 @@
   // A follower that hears nothing for a time drawn from [min, 2 x min] asks
   // for votes; a leader without its quorum for min steps down.
   Duration election_min = Millis(600);
+  // The first wait after a start is drawn from [this, 2 x this]: no leader can
+  // be known yet, and where all were stopped at once nobody else will begin.
+  Duration first_election = Millis(150);
   // A joiner takes the place of a voter silent for this long.
   Duration replace_silent_after = Millis(1500);
   // A voter silent for this long is dropped while enough others remain, so
@@ -225,7 +228,8 @@
   uint64_t TermAt(uint64_t index) const;
   const LogEntry& At(uint64_t index) const;
   ReplicaMessage Make(ReplicaMessage::Type type) const;
-  void ResetElectionTimer();
+  void ResetElectionTimer(Duration min);
+  void ResetElectionTimer() { ResetElectionTimer(options_.election_min); }
 
   const Clock& clock_;
   ReplicaOptions options_;
--- a/test/gateway_rig.cc
+++ b/test/gateway_rig.cc
@@ -53,7 +53,7 @@
   tcp_->set_events(std::move(e));
 }
 
-Rig::Rig() : loop(ev_loop_new(EVFLAG_AUTO)), metrics_("entry") {
+Rig::Rig(bool configured) : loop(ev_loop_new(EVFLAG_AUTO)), metrics_("entry") {
   config.version = 1;
   ServiceRule engine;
   engine.name = "engine";
@@ -87,7 +87,7 @@
   o.retry.slack = 1000;
   gateway_ = std::make_unique<Gateway>(loop, clock_, o, platform::MakeDialect(),
                                        metrics_, 1);
-  gateway_->SetConfig(std::make_shared<const RoutingConfig>(config));
+  if (configured) Configure();
   gateway_->SetServing(1);
   callers_ = std::make_unique<CallerServer>(
       loop, clock_, [this](std::shared_ptr<CallerExchange> ex) {
@@ -106,6 +106,10 @@
   ev_timer_start(loop, &tick_);
 }
 
+void Rig::Configure() {
+  gateway_->SetConfig(std::make_shared<const RoutingConfig>(config));
+}
+
 Rig::~Rig() {
   ev_timer_stop(loop, &tick_);
   callers_.reset();
--- a/test/gateway_rig.h
+++ b/test/gateway_rig.h
@@ -59,7 +59,8 @@
 // The rig: "engine" (streams, resumable and not) and "desk" (plain) services.
 class Rig {
  public:
-  Rig();
+  explicit Rig(bool configured = true);
+  void Configure();
   ~Rig();
   ScriptedUpstream& Upstream(const std::string& id, const std::string& service);
   std::unique_ptr<ScriptedCaller> Call(const std::string& request);
--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -294,6 +294,28 @@
   CHECK_TRUE(rig.Await([&] { return Ends(*digest, "0\r\n\r\n"); }));
 }
 
+// Symptom: after all processes were stopped at once, callers are refused twice
+// and lost, although service is back a moment later. Sequence: an entry is up
+// before it has heard of a configuration. Its requests wait for that, shortly;
+// if none comes they are told when to come back.
+TEST(gateway, RequestsBeforeTheFirstConfigurationWait) {
+  Rig rig(false);
+  ScriptedUpstream& u = rig.Upstream("i-1", "desk");
+  u.script = [](Conn& c, const std::string&) {
+    c.Say(SignedAnswer(200, "a1", "served"));
+  };
+  auto served = rig.Call(Request("POST", "/once/", "a1"));
+  rig.Wait(50);
+  STRCMP_EQUAL("", served->got.c_str());
+  rig.Configure();
+  CHECK_TRUE(rig.Await([&] { return Ends(*served, "served"); }));
+  Rig bare(false);
+  auto refused = bare.Call(Request("POST", "/once/", "a1"));
+  CHECK_TRUE(bare.Await([&] { return !refused->got.empty(); }));
+  CHECK_TRUE(absl::StartsWith(refused->got, "HTTP/1.1 503 "));
+  CHECK_TRUE(!HeaderOf(refused->got, "Retry-After").empty());
+}
+
 // Two ways to say where a body ends are refused, so that no request hides in
 // another.
 TEST(gateway, SmuggledRequestsAreRefused) {
