Few long prompts under way at one engine; each part at two homes

A part has two homes; a request whose homes have their hands full waits for them. More homes only while less than a third of the engines are busy.

Replay tests: placement BusyHomesAreWaitedFor, AHotPartSpreadsWhileOthersHaveRoom, PromptsUnderWayFollowTheFirstEvents.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -99,6 +99,7 @@
   AnswerFacts answer_facts;
   std::string held;  // An answer's body until it is whole.
   bool have_head = false;
+  bool reading = false;  // Counted as a prompt being read at `upstream`.
   // Streams.
   bool relaying = false;        // This attempt's events go to the caller.
   bool stream_started = false;  // The caller has the head.
@@ -106,6 +107,9 @@
   std::optional<int64_t> last_event;
   int events = 0;
   TimePoint first_event_at{};
+  TimePoint last_event_at{};
+  Duration longest_pause{};
+  std::string longest_pause_at;  // The upstream it came from.
 
   bool repeatable() const {
     return route->kind == RequestKind::kRepeatable ||
@@ -229,7 +233,7 @@
 }
 
 void Gateway::Dispatch(Request& r) {
-  if (!waiting_.Behind(r.service->name, r.tier) && TrySend(r)) return;
+  if (TrySend(r)) return;
   WaitingRequest w;
   w.seq = r.seq;
   w.tier = r.tier;
@@ -295,6 +299,8 @@
   if (u.in_flight == 0) u.quiet_since = now;
   ++u.in_flight;
   u.decode_in_flight += r.shape == WorkShape::kDecode;
+  r.reading = r.shape == WorkShape::kPrefill;
+  u.reading += r.reading;
   NotePrefill(u, static_cast<double>(r.facts.prompt_tokens), now,
               options_.placement);
   ForwardFacts f;
@@ -339,8 +345,10 @@
   if (UpstreamBoard* u = pool_.Find(r.upstream)) {
     --u->in_flight;
     u->decode_in_flight -= r.shape == WorkShape::kDecode;
+    u->reading -= r.reading;
     if (u->in_flight == 0) u->quiet_since = {};
   }
+  r.reading = false;
   pool_.Give(r.upstream, r.connection);
   r.connection.reset();
   r.upstream.clear();
@@ -380,6 +388,11 @@
   TimePoint now = clock_.Now();
   r.progress_at = now;
   if (UpstreamBoard* u = pool_.Find(r.upstream)) u->quiet_since = now;
+  if (r.reading) {
+    PromptRead(r, now);
+    // Before anyone who comes now: those who wait were here first.
+    ServeWaiting();
+  }
   if (!r.relaying) {
     r.held.append(data.data(), data.size());
     if (r.held.size() > kMostHeldAnswer) {
@@ -404,6 +417,16 @@
   }
 }
 
+// The first of the answer's body has come: the prompt has been read.
+void Gateway::PromptRead(Request& r, TimePoint now) {
+  r.reading = false;
+  UpstreamBoard* u = pool_.Find(r.upstream);
+  if (!u) return;
+  --u->reading;
+  NoteFirstEvent(*u, now - r.sent_at, r.route->latency_target,
+                 options_.placement);
+}
+
 // Passes one event on. Returns false when it does not follow the last one.
 bool Gateway::RelayEvent(Request& r, absl::string_view event) {
   std::optional<int64_t> id = EventId(event);
@@ -422,6 +445,12 @@
     metrics_.ObserveFirstToken(
         ClassLabel(r.tier), ToSeconds(r.first_event_at - r.exchange->arrived));
   }
+  TimePoint now = clock_.Now();
+  if (r.events > 0 && now - r.last_event_at > r.longest_pause) {
+    r.longest_pause = now - r.last_event_at;
+    r.longest_pause_at = r.upstream;
+  }
+  r.last_event_at = now;
   r.exchange->Write(event);
   if (id) r.last_event = id;
   ++r.events;
@@ -597,11 +626,12 @@
   if (serving_waiting_) return;
   serving_waiting_ = true;
   for (const std::string& service : waiting_.Services()) {
-    while (std::optional<uint64_t> seq = waiting_.Next(service)) {
-      Request& r = *requests_.at(*seq);
-      if (!TrySend(r)) break;
+    // Those whose own place is not free do not hold up the ones behind them.
+    for (uint64_t seq : waiting_.InOrder(service)) {
+      Request& r = *requests_.at(seq);
+      if (!TrySend(r)) continue;
       r.waiting = false;
-      waiting_.Leave(*seq);
+      waiting_.Leave(seq);
     }
   }
   serving_waiting_ = false;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -75,6 +75,7 @@
   bool OnHead(Request& r, const MessageHead& head);
   void OnBody(Request& r, absl::string_view data);
   void OnEnd(Request& r, CallEnd end, absl::string_view why);
+  void PromptRead(Request& r, TimePoint now);
   bool RelayEvent(Request& r, absl::string_view event);
   void AnswerWhole(Request& r);
   // The attempt failed; moves the request on or gives it up.
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -27,8 +27,76 @@
 struct Scored {
   size_t index;
   double score;
+  bool busy;         // Gets no more now.
+  bool wrong_shape;  // Kept for the other shape of work.
 };
 
+// The average failure share of the service's upstreams.
+double UsualFailureShare(absl::Span<const UpstreamBoard> boards,
+                         absl::string_view service) {
+  double sum = 0;
+  int n = 0;
+  for (const UpstreamBoard& u : boards) {
+    if (u.info.service != service || u.answers < kFailureSamples) continue;
+    sum += u.failure_share;
+    ++n;
+  }
+  return n ? sum / n : 0;
+}
+
+Scored ScoreOf(const UpstreamBoard& u, size_t index, const PlacementAsk& ask,
+               TimePoint now, double usual_share,
+               const PlacementPolicy& policy) {
+  Scored s{index, 0, false, false};
+  s.score = EstimatedLoad(u, now, policy) / std::max(1, u.info.slots);
+  s.busy = s.score >= ask.most_load;
+  if (ask.shape == WorkShape::kPrefill &&
+      u.reading >= std::max(1, static_cast<int>(u.reading_limit))) {
+    s.busy = true;
+  }
+  if (ask.shape != WorkShape::kPlain) {
+    bool kept_for_decode = u.rank < ask.decode_engines;
+    s.wrong_shape = kept_for_decode != (ask.shape == WorkShape::kDecode);
+    if (s.wrong_shape) s.score += policy.wrong_shape_cost;
+    s.score += policy.prefill_weight * PrefillLeft(u, now, policy) /
+               policy.prefill_rate / 1000.0;
+  }
+  if (u.answers >= kFailureSamples) {
+    s.score +=
+        policy.failure_weight * std::max(0.0, u.failure_share - usual_share);
+  }
+  if (u.info.data_centre != ask.data_centre) s.score += policy.remote_cost;
+  return s;
+}
+
+size_t HomesFor(absl::Span<const Scored> usable,
+                const PlacementPolicy& policy) {
+  int right = 0;
+  int busy = 0;
+  for (const Scored& s : usable) {
+    if (s.wrong_shape) continue;
+    ++right;
+    busy += s.busy;
+  }
+  bool room = busy < policy.hot_busy_share * right;
+  return static_cast<size_t>(room ? policy.hot_homes : policy.homes);
+}
+
+// Leaves the homes of a prompt part, in order: the same for every entry
+// process without talking. A part that is spread over more engines is read
+// again on each and crowds others out of their memory.
+void KeepHomes(absl::Span<const UpstreamBoard> boards, uint64_t affinity,
+               size_t homes, std::vector<Scored>* usable) {
+  auto weight = [&](const Scored& s) {
+    return std::make_pair(!s.wrong_shape,
+                          StableHash(boards[s.index].info.id, affinity));
+  };
+  std::sort(
+      usable->begin(), usable->end(),
+      [&](const Scored& a, const Scored& b) { return weight(a) > weight(b); });
+  usable->resize(std::min(usable->size(), homes));
+}
+
 }  // namespace
 
 double EstimatedLoad(const UpstreamBoard& u, TimePoint now,
@@ -57,17 +125,9 @@
 std::optional<size_t> Place(absl::Span<const UpstreamBoard> boards,
                             const PlacementAsk& ask, TimePoint now, double draw,
                             const PlacementPolicy& policy) {
+  double usual_share = UsualFailureShare(boards, ask.service);
   std::vector<Scored> usable;
   std::optional<size_t> fallback;
-  bool busy = false;
-  double share_sum = 0;
-  int share_n = 0;
-  for (const UpstreamBoard& u : boards) {
-    if (u.info.service != ask.service || u.answers < kFailureSamples) continue;
-    share_sum += u.failure_share;
-    ++share_n;
-  }
-  double usual_share = share_n ? share_sum / share_n : 0;
   for (size_t i = 0; i < boards.size(); ++i) {
     const UpstreamBoard& u = boards[i];
     if (u.info.service != ask.service || !u.listed || u.info.leaving) continue;
@@ -78,51 +138,30 @@
       }
       continue;
     }
-    double slots = std::max(1, u.info.slots);
-    double score = EstimatedLoad(u, now, policy) / slots;
-    if (score >= ask.most_load) {
-      busy = true;
-      continue;
-    }
-    if (ask.shape != WorkShape::kPlain) {
-      bool kept_for_decode = u.rank < ask.decode_engines;
-      if (kept_for_decode != (ask.shape == WorkShape::kDecode)) {
-        score += policy.wrong_shape_cost;
-      }
-      score += policy.prefill_weight * PrefillLeft(u, now, policy) /
-               policy.prefill_rate / 1000.0;
-    }
-    if (u.answers >= kFailureSamples) {
-      score +=
-          policy.failure_weight * std::max(0.0, u.failure_share - usual_share);
-    }
-    if (u.info.data_centre != ask.data_centre) score += policy.remote_cost;
-    usable.push_back({i, score});
+    usable.push_back(ScoreOf(u, i, ask, now, usual_share, policy));
+  }
+  if (usable.empty()) return fallback;
+  if (ask.affinity != 0) {
+    KeepHomes(boards, ask.affinity, HomesFor(usable, policy), &usable);
   }
-  // Busy is no reason to try one that does not work.
-  if (usable.empty()) return busy ? std::nullopt : fallback;
   // Equals are told apart by lot, so that entries do not all pick the same.
   size_t n = usable.size();
   size_t start = static_cast<size_t>(draw * static_cast<double>(n)) % n;
-  const Scored* best = &usable[start];
-  for (size_t k = 1; k < n; ++k) {
+  const Scored* best = nullptr;
+  for (size_t k = 0; k < n; ++k) {
     const Scored& s = usable[(start + k) % n];
-    if (s.score < best->score) best = &s;
+    if (!s.busy && (!best || s.score < best->score)) best = &s;
   }
+  // Busy is no reason to try one that does not work.
+  if (!best) return std::nullopt;
   if (ask.affinity == 0) return best->index;
-  // The prompt's homes in order, the same for every entry process without
-  // talking: the first that is not clearly busier than the best.
-  const Scored* home = nullptr;
-  uint64_t home_hash = 0;
+  // The first home that is not clearly busier than the best.
   for (const Scored& s : usable) {
-    if (s.score > best->score + policy.affinity_slack) continue;
-    uint64_t h = StableHash(boards[s.index].info.id, ask.affinity);
-    if (!home || h > home_hash) {
-      home = &s;
-      home_hash = h;
+    if (!s.busy && s.score <= best->score + policy.affinity_slack) {
+      return s.index;
     }
   }
-  return home->index;
+  return best->index;
 }
 
 int DecodeEngines(double in_flight, int slots, int engines,
@@ -186,6 +225,17 @@
   u.reported_at = now;
 }
 
+void NoteFirstEvent(UpstreamBoard& u, Duration took, Duration target,
+                    const PlacementPolicy& policy) {
+  if (took >
+      std::chrono::duration_cast<Duration>(target * policy.reading_target)) {
+    u.reading_limit = std::max(1.0, u.reading_limit * policy.reading_backoff);
+  } else {
+    u.reading_limit =
+        std::min(policy.reading_most, u.reading_limit + policy.reading_step);
+  }
+}
+
 void NotePrefill(UpstreamBoard& u, double tokens, TimePoint now,
                  const PlacementPolicy& policy) {
   u.prefill_tokens = PrefillLeft(u, now, policy) + tokens;
--- a/src/placement.h
+++ b/src/placement.h
@@ -38,6 +38,10 @@
   TimePoint quiet_since{};
   bool full = false;         // No connection may be added to those in use.
   int decode_in_flight = 0;  // Of in_flight: long generations.
+  // Long prompts sent there whose first event has not come, and how many of
+  // these this process allows itself.
+  int reading = 0;
+  double reading_limit = 2;
   // Place in an order of its service's upstreams that is the same for every
   // entry process, and how many stand in it.
   int rank = 0;
@@ -63,12 +67,28 @@
   // parts may be than the least busy one and still be chosen. Reading the
   // parts again costs more than a few places in the batch.
   double affinity_slack = 0.25;
+  // Engines at which one prompt part is kept: a second one for when the first
+  // has its hands full.
+  int homes = 2;
+  // More of them while fewer than this share of the engines have their hands
+  // full: then it is the part that is hot, not the whole service.
+  int hot_homes = 4;
+  double hot_busy_share = 0.34;
   // A request writes for long if its likely output is at least this share of
   // its prompt.
   double decode_share = 0.1;
   // Share of an engine's slots that long generations should fill on the
   // engines kept for them.
-  double decode_fill = 0.4;
+  double decode_fill = 0.6;
+  // An engine reads the prompts it was given one after another, so what is
+  // sent beyond a few only waits there, where it can neither be reordered nor
+  // refused. The number under way at one engine is lowered (times
+  // reading_backoff) when a first event took longer than reading_target of
+  // its latency target, and raised by reading_step for each that was sooner.
+  double reading_target = 0.5;
+  double reading_backoff = 0.85;
+  double reading_step = 0.1;
+  double reading_most = 12;
   // Added, in shares of slots, to an engine kept for the other shape of work:
   // it is used once the own ones are that much busier.
   double wrong_shape_cost = 0.4;
@@ -133,6 +153,10 @@
 void NoteFailure(UpstreamBoard& u, TimePoint now, bool connection,
                  const PlacementPolicy& policy);
 void NoteReport(UpstreamBoard& u, int running, int waiting, TimePoint now);
+// Notes that a long prompt's first event came from `u`, `took` after it was
+// sent, where the request's latency target is `target`.
+void NoteFirstEvent(UpstreamBoard& u, Duration took, Duration target,
+                    const PlacementPolicy& policy);
 // Notes that `tokens` of prompt went to `u`.
 void NotePrefill(UpstreamBoard& u, double tokens, TimePoint now,
                  const PlacementPolicy& policy);
--- a/src/waiting.cc
+++ b/src/waiting.cc
@@ -36,10 +36,12 @@
   return out;
 }
 
-std::optional<uint64_t> WaitingRoom::Next(const std::string& service) const {
+std::vector<uint64_t> WaitingRoom::InOrder(const std::string& service) const {
+  std::vector<uint64_t> out;
   auto it = rooms_.find(service);
-  if (it == rooms_.end() || it->second.empty()) return std::nullopt;
-  return it->second.front().seq;
+  if (it == rooms_.end()) return out;
+  for (const WaitingRequest& w : it->second) out.push_back(w.seq);
+  return out;
 }
 
 std::vector<uint64_t> WaitingRoom::Expired(TimePoint now) const {
@@ -57,10 +59,4 @@
   return it == rooms_.end() ? 0 : it->second.size();
 }
 
-bool WaitingRoom::Behind(const std::string& service, Tier tier) const {
-  auto it = rooms_.find(service);
-  return it != rooms_.end() && !it->second.empty() &&
-         it->second.front().tier <= tier;
-}
-
 }  // namespace medlarwalk
--- a/src/waiting.h
+++ b/src/waiting.h
@@ -44,14 +44,12 @@
   void Leave(uint64_t seq);
   // Services for which any request waits.
   std::vector<std::string> Services() const;
-  // The next to be served at `service`: most urgent tier first, then longest
-  // waiting.
-  std::optional<uint64_t> Next(const std::string& service) const;
+  // The requests that wait for `service` in serving order: most urgent tier
+  // first, then longest waiting.
+  std::vector<uint64_t> InOrder(const std::string& service) const;
   // Those whose time is up.
   std::vector<uint64_t> Expired(TimePoint now) const;
   size_t size(const std::string& service) const;
-  // Whether a request of `tier` must queue behind others at `service`.
-  bool Behind(const std::string& service, Tier tier) const;
 
  private:
   WaitingPolicy policy_;
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -97,14 +97,48 @@
   }
 }
 
-// A part asked for far more than others does not overload its home.
-TEST(placement, AHotPartIsSpreadOnceItsHomeIsBusy) {
+// Symptom: parts are read again and again at the worst load, each reading
+// making it worse. Load pattern: more long prompts than can be read. A request
+// whose homes have their hands full waits for them; it is not sent wherever
+// there is room.
+TEST(placement, BusyHomesAreWaitedFor) {
   std::vector<UpstreamBoard> boards = Engines(12);
-  for (int i = 0; i < 300; ++i) {
-    auto at = Place(boards, Ask(WorkShape::kPrefill, 7), kNow, 0, kPolicy);
-    ++boards[*at].in_flight;
+  for (size_t i = 0; i < boards.size(); i += 2) boards[i].reading = 2;
+  std::map<size_t, int> placed;
+  while (auto at =
+             Place(boards, Ask(WorkShape::kPrefill, 7), kNow, 0, kPolicy)) {
+    ++boards[*at].reading;
+    ++placed[*at];
+  }
+  CHECK_TRUE(placed.size() <= 2);
+}
+
+// A part asked for by more callers than its homes can serve spreads while the
+// other engines have room.
+TEST(placement, AHotPartSpreadsWhileOthersHaveRoom) {
+  std::vector<UpstreamBoard> boards = Engines(12);
+  std::map<size_t, int> placed;
+  while (auto at =
+             Place(boards, Ask(WorkShape::kPrefill, 7), kNow, 0, kPolicy)) {
+    ++boards[*at].reading;
+    ++placed[*at];
+  }
+  LONGS_EQUAL(4, placed.size());
+}
+
+// The number of prompts under way at one engine follows how soon it reads.
+TEST(placement, PromptsUnderWayFollowTheFirstEvents) {
+  UpstreamBoard u = Engines(1)[0];
+  double start = u.reading_limit;
+  for (int i = 0; i < 10; ++i) {
+    NoteFirstEvent(u, Millis(900), Millis(1000), kPolicy);
+  }
+  DOUBLES_EQUAL(1, u.reading_limit, 0.001);
+  for (int i = 0; i < 100; ++i) {
+    NoteFirstEvent(u, Millis(100), Millis(1000), kPolicy);
   }
-  for (const UpstreamBoard& b : boards) CHECK_TRUE(b.in_flight <= 64);
+  CHECK_TRUE(u.reading_limit > start);
+  CHECK_TRUE(u.reading_limit <= kPolicy.reading_most);
 }
 
 // Leaving, unlisted and silent upstreams get nothing while others can.
