Log: the longest pause of a stream and where it came from

Cause: late streams could not be told from the logs: an answer's end said nothing of its pauses. Change: request_ended carries pause_ms and pause_at. Ruled out: logging each event (a line for each would be hundreds a second).

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -605,7 +605,9 @@
        {"ms", ToMs(took)},
        {"first_ms",
         r.stream_started ? ToMs(r.first_event_at - r.exchange->arrived) : -1},
-       {"events", r.events}});
+       {"events", r.events},
+       {"pause_ms", ToMs(r.longest_pause)},
+       {"pause_at", r.longest_pause_at}});
   metrics_.CountFinished(ClassLabel(r.tier), outcome);
   metrics_.ObserveDuration(ClassLabel(r.tier), ToSeconds(took));
   r.exchange->set_on_gone(nullptr);
