More engines for long generations while calm; these by load, not by home

Change: engines kept for long generations are filled to a quarter of their slots while nothing waits, to 0.6 while long prompts must wait; among them long generations go by load, since they share little of their prompts. Ruled out: a fixed number of engines (unseen deployments differ).

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -271,9 +271,10 @@
     for (const UpstreamBoard& b : pool_.boards()) {
       if (b.info.service == r.service->name) engines = b.ranks;
     }
+    const Demand& d = demand_[r.service->name];
     ask.decode_engines =
-        DecodeEngines(decode_demand_[r.service->name] * serving_,
-                      r.service->engine->slots, engines, options_.placement);
+        DecodeEngines(d.decode * serving_, r.service->engine->slots, engines,
+                      d.pressure, options_.placement);
   }
   ask.most_load = engine ? kMostEngineLoad : kMostPlainLoad;
   std::uniform_real_distribution<double> draw(0, 1);
@@ -668,11 +669,13 @@
   double share = std::min(
       1.0, std::chrono::duration<double>(now - ticked_at_) / kDemandSmoothing);
   ticked_at_ = now;
-  for (const auto& [service, n] : running) decode_demand_.try_emplace(service);
-  for (auto& [service, demand] : decode_demand_) {
+  for (const auto& [service, n] : running) demand_.try_emplace(service);
+  for (auto& [service, demand] : demand_) {
     auto it = running.find(service);
     double n = it == running.end() ? 0 : it->second;
-    demand += (n - demand) * share;
+    demand.decode += (n - demand.decode) * share;
+    double waits = waiting_.size(service) > 0 ? 1 : 0;
+    demand.pressure += (waits - demand.pressure) * share;
   }
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -108,8 +108,13 @@
   std::unordered_map<uint64_t, RequestPtr> requests_;
   std::multimap<TimePoint, uint64_t> give_up_;
   std::map<std::string, RetryBudget> budgets_;
-  // Long generations under way here, by service, smoothed.
-  std::map<std::string, double> decode_demand_;
+  // Of each service with engines, smoothed: long generations under way here,
+  // and the share of the time in which requests had to wait.
+  struct Demand {
+    double decode = 0;
+    double pressure = 0;
+  };
+  std::map<std::string, Demand> demand_;
   TimePoint ticked_at_{};
   uint64_t next_seq_ = 1;
   bool serving_waiting_ = false;
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -141,7 +141,8 @@
     usable.push_back(ScoreOf(u, i, ask, now, usual_share, policy));
   }
   if (usable.empty()) return fallback;
-  if (ask.affinity != 0) {
+  bool homes = ask.affinity != 0 && ask.shape == WorkShape::kPrefill;
+  if (homes) {
     KeepHomes(boards, ask.affinity, HomesFor(usable, policy), &usable);
   }
   // Equals are told apart by lot, so that entries do not all pick the same.
@@ -154,7 +155,7 @@
   }
   // Busy is no reason to try one that does not work.
   if (!best) return std::nullopt;
-  if (ask.affinity == 0) return best->index;
+  if (!homes) return best->index;
   // The first home that is not clearly busier than the best.
   for (const Scored& s : usable) {
     if (!s.busy && s.score <= best->score + policy.affinity_slack) {
@@ -164,10 +165,12 @@
   return best->index;
 }
 
-int DecodeEngines(double in_flight, int slots, int engines,
+int DecodeEngines(double in_flight, int slots, int engines, double pressure,
                   const PlacementPolicy& policy) {
-  double need = in_flight /
-                std::max(1.0, policy.decode_fill * static_cast<double>(slots));
+  double fill =
+      policy.decode_fill_calm +
+      pressure * (policy.decode_fill_pressed - policy.decode_fill_calm);
+  double need = in_flight / std::max(1.0, fill * static_cast<double>(slots));
   int least = std::max(1, engines / 6);
   return std::clamp(static_cast<int>(std::ceil(need)), least,
                     std::max(least, engines / 2));
--- a/src/placement.h
+++ b/src/placement.h
@@ -78,8 +78,11 @@
   // its prompt.
   double decode_share = 0.1;
   // Share of an engine's slots that long generations should fill on the
-  // engines kept for them.
-  double decode_fill = 0.6;
+  // engines kept for them: few, so that their own prompts, which come in
+  // clumps, do not hold each other up; more while long prompts have to wait
+  // for a place and every engine is needed.
+  double decode_fill_calm = 0.25;
+  double decode_fill_pressed = 0.6;
   // An engine reads the prompts it was given one after another, so what is
   // sent beyond a few only waits there, where it can neither be reordered nor
   // refused. The number under way at one engine is lowered (times
@@ -123,7 +126,8 @@
 
 // How many of `engines` engines to keep for long generations when about
 // `in_flight` of these run in all. Between a sixth and a half of them.
-int DecodeEngines(double in_flight, int slots, int engines,
+// `pressure`: share of the time in which long prompts had to wait.
+int DecodeEngines(double in_flight, int slots, int engines, double pressure,
                   const PlacementPolicy& policy);
 
 // The shape of a request by its tokens (0 where not known).
