Prompt parts are copied from the engine that holds them

Change: each entry remembers for 12 s which engine last read a part and names it as the source to copy from when it sends the prompt elsewhere; knowing none, it names the first home of the prompt's first part.

Ruled out: asking engines for their cache events (priced as probes; to be weighed with figures when the memory proves too poor).

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -12,6 +12,7 @@
 
 #include "absl/status/statusor.h"
 #include "http1.h"
+#include "tcp.h"
 #include "types.h"
 
 namespace medlarwalk {
@@ -42,6 +43,9 @@
   std::string account;      // Empty when there is none.
   std::optional<int> engine_priority;  // 0 first.
   std::optional<int64_t> last_event;   // Resume after this event.
+  // An engine that holds leading parts of the prompt: cheaper to copy from
+  // than to read again. Empty ip: none known.
+  Endpoint copy_from;
 };
 
 // What an upstream's answer says of itself.
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -49,6 +49,10 @@
 // do not move an engine from one shape of work to the other.
 constexpr std::chrono::duration<double> kDemandSmoothing =
     std::chrono::seconds(3);
+// A part is believed to be kept for this long after it was read, and so many
+// parts are remembered.
+constexpr auto kPartTrust = std::chrono::seconds(12);
+constexpr size_t kMostParts = 4096;
 // Lowest rank an engine knows.
 constexpr int kLastEnginePriority = 9;
 
@@ -82,6 +86,7 @@
   Tier tier = 0;
   uint64_t affinity = 0;
   WorkShape shape = WorkShape::kPlain;
+  int decode_engines = 0;  // As last placed.
   TimePoint give_up_at{};
   std::multimap<TimePoint, uint64_t>::iterator give_up_entry;
   bool waiting = false;
@@ -128,6 +133,7 @@
       metrics_(metrics),
       random_(random_seed),
       pool_(loop, clock),
+      parts_(kPartTrust, kMostParts),
       waiting_(options_.waiting),
       serving_(kAssumedServing) {}
 
@@ -276,6 +282,7 @@
         DecodeEngines(d.decode * serving_, r.service->engine->slots, engines,
                       d.pressure, options_.placement);
   }
+  r.decode_engines = ask.decode_engines;
   ask.most_load = engine ? kMostEngineLoad : kMostPlainLoad;
   std::uniform_real_distribution<double> draw(0, 1);
   std::optional<size_t> i = Place(pool_.boards(), ask, clock_.Now(),
@@ -312,6 +319,7 @@
     f.engine_priority = std::clamp(r.tier, 0, kLastEnginePriority);
   }
   f.last_event = r.last_event;
+  if (r.service->engine) f.copy_from = CopySource(r, u, now);
   LogEvent("sent",
            {{"request", r.facts.id},
             {"upstream", u.info.id},
@@ -320,6 +328,7 @@
             {"load_age_ms",
              u.reported_at == TimePoint{} ? -1 : ToMs(now - u.reported_at)},
             {"own", u.in_flight},
+            {"copy_from", f.copy_from.ip},
             {"left_ms", ToMs(f.patience)}});
   uint64_t seq = r.seq;
   int attempt = r.attempt;
@@ -340,6 +349,28 @@
   r.connection->Start(std::move(call));
 }
 
+// The engine that most likely holds leading parts of the prompt that `to` may
+// lack: the last one seen to read them here, else the first home of the first
+// part, where other entries' requests for it began.
+Endpoint Gateway::CopySource(const Request& r, const UpstreamBoard& to,
+                             TimePoint now) {
+  if (r.facts.parts.size() < 2) return {};
+  std::string holder = parts_.Holder(r.facts.parts, now);
+  const UpstreamBoard* h = nullptr;
+  if (!holder.empty()) {
+    h = pool_.Find(holder);
+  } else if (std::optional<size_t> i =
+                 FirstHome(pool_.boards(), r.service->name, r.facts.parts[0].id,
+                           r.decode_engines, now, options_.placement)) {
+    h = &pool_.boards()[*i];
+  }
+  if (!h || h->info.id == to.info.id || h->info.service != to.info.service ||
+      !Usable(*h, now, options_.placement)) {
+    return {};
+  }
+  return h->info.address;
+}
+
 // Lets go of the upstream; the connection is kept if its call has ended.
 void Gateway::ReleaseUpstream(Request& r) {
   if (r.upstream.empty()) return;
@@ -435,6 +466,9 @@
     if (*id <= *r.last_event) return true;  // Sent again by a resumed run.
     if (*id != *r.last_event + 1) return false;
   }
+  if (r.service->engine && r.events == 0) {
+    parts_.Note(r.facts.parts, r.upstream, clock_.Now());
+  }
   if (!r.stream_started) {
     HeaderList headers;
     for (const auto& h : r.answer.headers) {
@@ -682,6 +716,7 @@
 void Gateway::Tick() {
   TimePoint now = clock_.Now();
   NoteDemand(now);
+  parts_.Tick(now);
   std::vector<uint64_t> due;
   for (auto it = give_up_.begin(); it != give_up_.end() && it->first <= now;
        ++it) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -20,6 +20,7 @@
 #include "event_stream.h"
 #include "http1_client.h"
 #include "metrics.h"
+#include "part_memory.h"
 #include "placement.h"
 #include "retry_budget.h"
 #include "routing_config.h"
@@ -78,6 +79,7 @@
   void PromptRead(Request& r, TimePoint now);
   bool RelayEvent(Request& r, absl::string_view event);
   void AnswerWhole(Request& r);
+  Endpoint CopySource(const Request& r, const UpstreamBoard& to, TimePoint now);
   // The attempt failed; moves the request on or gives it up.
   void AttemptFailed(Request& r, CallEnd end, absl::string_view why);
   bool MayMove(Request& r, CallEnd end, absl::string_view why);
@@ -101,6 +103,7 @@
   std::mt19937_64 random_;
   std::shared_ptr<const RoutingConfig> config_;
   UpstreamPool pool_;
+  PartMemory parts_;
   WaitingRoom waiting_;
   int serving_;
   // Requests that came before the first configuration, oldest first.
--- /dev/null
+++ b/src/part_memory.cc
@@ -0,0 +1,37 @@
+#include "part_memory.h"
+
+namespace medlarwalk {
+
+void PartMemory::Note(absl::Span<const PromptPart> parts,
+                      const std::string& engine, TimePoint now) {
+  for (size_t i = 0; i + 1 < parts.size(); ++i) {
+    if (seen_.size() >= most_ && !seen_.count(parts[i].id)) return;
+    seen_[parts[i].id] = Seen{engine, now};
+  }
+}
+
+void PartMemory::Forget(const std::string& engine) {
+  for (auto it = seen_.begin(); it != seen_.end();) {
+    it = it->second.engine == engine ? seen_.erase(it) : std::next(it);
+  }
+}
+
+std::string PartMemory::Holder(absl::Span<const PromptPart> parts,
+                               TimePoint now) const {
+  for (size_t i = parts.size(); i-- > 0;) {
+    if (i + 1 == parts.size()) continue;
+    auto it = seen_.find(parts[i].id);
+    if (it != seen_.end() && now - it->second.at <= trust_) {
+      return it->second.engine;
+    }
+  }
+  return "";
+}
+
+void PartMemory::Tick(TimePoint now) {
+  for (auto it = seen_.begin(); it != seen_.end();) {
+    it = now - it->second.at > trust_ ? seen_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace medlarwalk
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -165,6 +165,27 @@
   return best->index;
 }
 
+std::optional<size_t> FirstHome(absl::Span<const UpstreamBoard> boards,
+                                absl::string_view service, uint64_t part,
+                                int decode_engines, TimePoint now,
+                                const PlacementPolicy& policy) {
+  std::optional<size_t> home;
+  uint64_t best = 0;
+  for (size_t i = 0; i < boards.size(); ++i) {
+    const UpstreamBoard& u = boards[i];
+    if (u.info.service != service || u.rank < decode_engines ||
+        !Usable(u, now, policy)) {
+      continue;
+    }
+    uint64_t h = StableHash(u.info.id, part);
+    if (!home || h > best) {
+      home = i;
+      best = h;
+    }
+  }
+  return home;
+}
+
 int DecodeEngines(double in_flight, int slots, int engines, double pressure,
                   const PlacementPolicy& policy) {
   double fill =
--- a/src/placement.h
+++ b/src/placement.h
@@ -152,6 +152,12 @@
                             const PlacementAsk& ask, TimePoint now, double draw,
                             const PlacementPolicy& policy);
 
+// The engine of `service` that a part would be kept at first, or nullopt.
+std::optional<size_t> FirstHome(absl::Span<const UpstreamBoard> boards,
+                                absl::string_view service, uint64_t part,
+                                int decode_engines, TimePoint now,
+                                const PlacementPolicy& policy);
+
 // Notes how a request at `u` went.
 void NoteSuccess(UpstreamBoard& u, TimePoint now);
 void NoteFailure(UpstreamBoard& u, TimePoint now, bool connection,
--- /dev/null
+++ b/test/part_memory_test.cc
@@ -0,0 +1,49 @@
+// Where prompt parts are believed to be kept.
+#include "part_memory.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace medlarwalk;
+
+namespace {
+
+const TimePoint kNow = TimePoint(std::chrono::hours(1));
+
+std::vector<PromptPart> Parts(uint64_t doc, uint64_t subject, uint64_t own) {
+  return {{doc, 100}, {subject, 200}, {own, 300}};
+}
+
+}  // namespace
+
+TEST_GROUP(part_memory){};
+
+// Symptom: the same parts are read again on engine after engine. The longest
+// leading run decides which engine to copy from: the subject's if it was
+// seen, else the document's; a request's own part is never shared.
+TEST(part_memory, TheLongestLeadingRunDecides) {
+  PartMemory m(std::chrono::seconds(10), 100);
+  STRCMP_EQUAL("", m.Holder(Parts(1, 2, 3), kNow).c_str());
+  m.Note(Parts(1, 2, 3), "i-a", kNow);
+  STRCMP_EQUAL("i-a", m.Holder(Parts(1, 2, 9), kNow).c_str());
+  m.Note(Parts(1, 4, 5), "i-b", kNow);
+  STRCMP_EQUAL("i-a", m.Holder(Parts(1, 2, 9), kNow).c_str());
+  STRCMP_EQUAL("i-b", m.Holder(Parts(1, 7, 9), kNow).c_str());
+  STRCMP_EQUAL("", m.Holder(Parts(8, 3, 9), kNow).c_str());
+}
+
+// What was seen too long ago, or at an engine that ended, is not believed;
+// the memory stays bounded whatever callers send.
+TEST(part_memory, ForgetsAndStaysBounded) {
+  PartMemory m(std::chrono::seconds(10), 100);
+  m.Note(Parts(1, 2, 3), "i-a", kNow);
+  STRCMP_EQUAL(
+      "", m.Holder(Parts(1, 2, 3), kNow + std::chrono::seconds(11)).c_str());
+  m.Forget("i-a");
+  STRCMP_EQUAL("", m.Holder(Parts(1, 2, 3), kNow).c_str());
+  for (uint64_t i = 0; i < 1000; ++i) {
+    m.Note(Parts(10 * i, 10 * i + 1, 10 * i + 2), "i-b", kNow);
+  }
+  CHECK_TRUE(m.size() <= 100);
+  m.Tick(kNow + std::chrono::seconds(11));
+  LONGS_EQUAL(0, m.size());
+}
