--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -41,6 +41,7 @@
 // callers told the same moment would return together.
 constexpr double kRetryAfterSeconds = 0.3;
 constexpr double kRetryAfterSpread = 0.5;
+constexpr double kMostRetryAfterSeconds = 3;
 // Longest wait of a request for the first configuration.
 constexpr auto kConfigWait = Millis(900);
 // Come-back time where another entry can serve at once.
@@ -516,6 +517,7 @@
     return;
   }
   if (u) NoteSuccess(*u, now);
+  served_at_[r.service->name] = now;
   ReleaseUpstream(r);
   if (!r.relaying) {
     AnswerWhole(r);
@@ -565,6 +567,11 @@
   bool not_run = r.have_head && r.answer_facts.not_run;
   if (UpstreamBoard* u = pool_.Find(r.upstream)) {
     NoteFailure(*u, now, end != CallEnd::kWhole, options_.placement);
+    if (r.have_head && r.answer_facts.other_upstream && !u->ended) {
+      u->ended = true;
+      parts_.Forget(u->info.id);
+      LogEvent("upstream_ended", {{"upstream", u->info.id}});
+    }
   }
   if (end != CallEnd::kNotSent && !not_run) r.maybe_run = true;
   LogEvent("attempt_failed", {{"request", r.facts.id},
@@ -594,13 +601,21 @@
   ServeWaiting();
 }
 
-Duration Gateway::RetryAfter(ErrorKind kind) {
+Duration Gateway::RetryAfter(const Request& r, ErrorKind kind) {
   // Other entries are there: nothing to wait for.
   if (kind == ErrorKind::kDraining) return kRetryElsewhere;
   std::uniform_real_distribution<double> spread(1 - kRetryAfterSpread,
                                                 1 + kRetryAfterSpread);
+  double seconds = kRetryAfterSeconds;
+  // A service that answers nobody has been down for a while and will be for
+  // about as long again.
+  auto it = r.service ? served_at_.find(r.service->name) : served_at_.end();
+  if (it != served_at_.end()) {
+    seconds = std::clamp(ToSeconds(clock_.Now() - it->second),
+                         kRetryAfterSeconds, kMostRetryAfterSeconds);
+  }
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(kRetryAfterSeconds * spread(random_)));
+      std::chrono::duration<double>(seconds * spread(random_)));
 }
 
 // The request's one final answer when it gets none from an upstream.
@@ -615,8 +630,8 @@
   metrics_.CountRefusal(a.code);
   HeaderList headers;
   if (a.retry_after && a.not_run) {
-    headers.emplace_back("Retry-After",
-                         absl::StrFormat("%.3f", ToSeconds(RetryAfter(kind))));
+    headers.emplace_back(
+        "Retry-After", absl::StrFormat("%.3f", ToSeconds(RetryAfter(r, kind))));
   }
   r.exchange->Respond(a.http_status, headers, "");
   Finish(r, a.code, why);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -92,7 +92,7 @@
   void ServeWaiting();
   Request* Find(uint64_t seq, int attempt);
   void NoteDemand(TimePoint now);
-  Duration RetryAfter(ErrorKind kind);
+  Duration RetryAfter(const Request& r, ErrorKind kind);
   RetryBudget& BudgetFor(const std::string& service);
 
   struct ev_loop* loop_;
@@ -111,6 +111,8 @@
   std::unordered_map<uint64_t, RequestPtr> requests_;
   std::multimap<TimePoint, uint64_t> give_up_;
   std::map<std::string, RetryBudget> budgets_;
+  // When a request of each service was last answered.
+  std::map<std::string, TimePoint> served_at_;
   // Of each service with engines, smoothed: long generations under way here,
   // and the share of the time in which requests had to wait.
   struct Demand {
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -116,7 +116,7 @@
 
 bool Usable(const UpstreamBoard& u, TimePoint now,
             const PlacementPolicy& policy) {
-  if (!u.listed || u.info.leaving || u.full) return false;
+  if (!u.listed || u.info.leaving || u.full || u.ended) return false;
   if (now < u.aside_until) return false;
   return !(u.in_flight > 0 && u.quiet_since != TimePoint{} &&
            now - u.quiet_since > policy.quiet_limit);
@@ -131,7 +131,7 @@
   for (size_t i = 0; i < boards.size(); ++i) {
     const UpstreamBoard& u = boards[i];
     if (u.info.service != ask.service || !u.listed || u.info.leaving) continue;
-    if (Contains(ask.avoid, u.info.id) || u.full) continue;
+    if (Contains(ask.avoid, u.info.id) || u.full || u.ended) continue;
     if (!Usable(u, now, policy)) {
       if (!fallback || u.aside_until < boards[*fallback].aside_until) {
         fallback = i;
--- a/src/placement.h
+++ b/src/placement.h
@@ -23,7 +23,10 @@
 struct UpstreamBoard {
   UpstreamInfo info;
   bool listed = true;  // In the newest list; others only finish their work.
-  int in_flight = 0;   // Own requests there now.
+  // Another incarnation answers at its address: this one is gone for good,
+  // whatever the list still says.
+  bool ended = false;
+  int in_flight = 0;  // Own requests there now.
   // The last load it told, when, and what of that was ours.
   int reported = 0;
   int reported_in_flight = 0;
--- a/test/gateway_test.cc
+++ b/test/gateway_test.cc
@@ -316,6 +316,34 @@
   CHECK_TRUE(!HeaderOf(refused->got, "Retry-After").empty());
 }
 
+// Symptom: requests are refused with 421 for seconds after a server was born
+// again. Sequence: the list still names the incarnation that ended, another
+// answers at its address. Its first 421 says that the one meant is gone for
+// good: nothing more is sent there, and a service that answers nobody tells
+// its callers to stay away longer the longer that lasts.
+TEST(gateway, AnEndedIncarnationIsNotAskedAgain) {
+  Rig rig;
+  ScriptedUpstream& u = rig.Upstream("i-1", "desk");
+  u.script = [](Conn& c, const std::string& r) {
+    if (c.requests == 1) {
+      c.Say(SignedAnswer(200, HeaderOf(r, "Attempt-Id"), "one"));
+    } else {
+      c.Say("HTTP/1.1 421 X\r\nInstance-Id: i-2\r\nContent-Length: 0\r\n\r\n");
+    }
+  };
+  auto first = rig.Call(Request("POST", "/once/", "a1"));
+  CHECK_TRUE(rig.Await([&] { return Ends(*first, "one"); }));
+  rig.Wait(600);
+  auto second = rig.Call(Request("POST", "/once/", "a2"));
+  CHECK_TRUE(rig.Await([&] { return !second->got.empty(); }));
+  CHECK_TRUE(absl::StartsWith(second->got, "HTTP/1.1 503 "));
+  CHECK_TRUE(std::stod(HeaderOf(second->got, "Retry-After")) >= 0.3);
+  rig.Publish();
+  auto third = rig.Call(Request("POST", "/once/", "a3"));
+  CHECK_TRUE(rig.Await([&] { return !third->got.empty(); }));
+  LONGS_EQUAL(2, u.requests.size());
+}
+
 // Two ways to say where a body ends are refused, so that no request hides in
 // another.
 TEST(gateway, SmuggledRequestsAreRefused) {
--- /dev/null
+++ b/tools/make-days.py
@@ -0,0 +1,138 @@
+#!/usr/bin/env python3
+"""Writes days of our own for the users' bench into deploy/days/.
+
+Every kind of trouble and every variant stands in at least three days: once
+with little else, twice beside others. The days are drawn from a fixed seed, so
+running this again writes the same files. tools/play-days.sh plays them.
+"""
+import pathlib
+import random
+import sys
+
+SERVERS = [
+    ("srv_crash", ["", "dark", "gone", "all", "across"], {"for_s": 4.0, "share": 0.2}),
+    ("srv_slow", [""], {"for_s": 5.0, "share": 0.2, "x": 5.0}),
+    ("srv_grey", ["errors", "shed", "busy", "hang", "reset", "mute", "slow",
+                  "errors all", "mute one_zone"],
+     {"for_s": 5.0, "share": 0.25, "x": 0.5}),
+    ("release", [""], {"share": 0.5, "x": 1.0, "gap_s": 0.8}),
+    ("scale_out", [""], {"share": 0.3, "gap_s": 1.0}),
+    ("scale_in", ["", "spot", "reclaim"], {"share": 0.15}),
+    ("answer_lost", ["", "reset"], {"for_s": 5.0, "share": 0.5, "x": 0.08}),
+    ("garble", ["", "extra", "unframed", "early", "rot", "extra late"],
+     {"for_s": 5.0, "share": 0.5, "x": 0.05}),
+    ("srv_cut", ["", "fronts", "some", "one_way", "reset", "reborn"],
+     {"for_s": 4.0, "share": 0.2}),
+    ("replace_with_reuse", ["", "drain", "dark"], {"share": 0.2}),
+]
+CALLERS = [
+    ("burst", [""], {"for_s": 4.0, "x": 2.0}),
+    ("hot_key", [""], {"for_s": 5.0, "share": 0.25}),
+    ("hot_tenant", [""], {"for_s": 5.0, "x": 7.0}),
+    ("retry_abuse", [""], {"for_s": 5.0, "share": 0.3, "x": 3.0}),
+    ("give_up", ["", "once"], {"for_s": 5.0, "share": 0.25}),
+]
+HOSTS = [
+    ("node_kill", ["", "power", "leader", "leader meet", "leader race", "reader",
+                   "follower", "seed", "leader drain"],
+     {"for_s": 3.0, "count": 1, "on": "core"}),
+    ("node_kill", ["", "power"], {"for_s": 3.0, "share": 0.2}),
+    ("node_freeze", ["", "leader", "leader race", "reader drain", "turn"],
+     {"for_s": 3.0, "count": 1, "on": "core"}),
+    ("node_freeze", [""], {"for_s": 3.0, "share": 0.2}),
+    ("node_slow", [""], {"for_s": 4.0, "share": 0.2, "x": 5.0}),
+    ("herd_kill", ["", "power"], {"for_s": 2.0, "share": 0.6}),
+    ("herd_kill", ["", "off"], {"for_s": 2.0, "on": "core"}),
+    ("node_cut", ["", "all", "servers", "servers reborn"],
+     {"for_s": 4.0, "share": 0.2}),
+    ("reset_conns", [""], {"share": 0.4, "x": 0.6}),
+    ("lossy", [""], {"for_s": 5.0, "x": 0.04}),
+    ("clock_step", ["", "back", "ahead"], {"for_s": 5.0, "share": 0.4, "x": 4000.0}),
+    ("add_nodes", [""], {}),
+]
+STOPS = [
+    ("roll_term", ["", "busy", "leader", "remove"], {"share": 0.5, "x": 1.0, "gap_s": 1.2}),
+    ("hup", [""], {"share": 0.5, "gap_s": 1.0}),
+    ("seed_turnover", [""], {}),
+    ("replace_core", ["", "planned", "oldest", "seed"], {"x": 1.5}),
+]
+CORE = [
+    ("core_cut", ["", "split", "all", "near", "oldest", "one_way", "seeds",
+                  "both", "lure", "relieve", "behind", "leader race",
+                  "leader one_way"], {"for_s": 4.0, "count": 1}),
+    ("after_ack_kill", ["", "kill", "timed"], {"for_s": 2.0}),
+    ("after_ack_wipe", ["", "oldest"], {"for_s": 2.0}),
+    ("disk_slow", ["", "leader"], {"for_s": 5.0, "count": 1, "x": 30.0}),
+    ("disk_stall", ["", "leader"], {"for_s": 3.0, "count": 1}),
+    ("disk_full", ["", "leader"], {"for_s": 4.0, "count": 1}),
+    ("ack_lost", [""], {"for_s": 6.0, "x": 0.7}),
+]
+CONFIGS = [
+    ("config_change", ["route", "weights", "timeout", "tenant", "quota", "idle"], {}),
+    ("config_storm", [""], {"for_s": 4.0, "gap_s": 0.2}),
+    ("config_race", [""], {"count": 3, "gap_s": 1.0}),
+    ("bad_config", ["cut_short", "unknown_service", "same_place", "no_weight",
+                    "no_timeout", "old_version", "same_version", "shared_key"],
+     {"count": 2, "gap_s": 0.6}),
+    ("big_config", [""], {"count": 350}),
+    ("revoke", ["", "last"], {"count": 2, "gap_s": 1.0}),
+]
+PLANNED = {"release", "scale_out", "scale_in", "add_nodes", "roll_term", "hup",
+           "seed_turnover", "replace_core", "config_change", "config_storm",
+           "config_race", "bad_config", "big_config", "revoke"}
+CLOSINGS = ["power_off_all", "wipe_after_ack", "kill_all"]
+
+
+def variants():
+    for group in (SERVERS, CALLERS, HOSTS, STOPS, CORE, CONFIGS):
+        for kind, hows, fields in group:
+            for how in hows:
+                yield kind, how, fields
+
+
+def entry(kind, how, fields, at):
+    parts = [f'at = {at:.2f}', f'kind = "{kind}"']
+    if how:
+        parts.append(f'how = "{how}"')
+    for k, v in fields.items():
+        parts.append(f'{k} = "{v}"' if isinstance(v, str) else f"{k} = {v}")
+    return "{ " + ", ".join(parts) + " }"
+
+
+def write_day(folder, name, seed, entries, closing):
+    plan = [e for k, e in entries if k in PLANNED]
+    faults = [e for k, e in entries if k not in PLANNED]
+    lines = [f'name = "{name}"', 'slot = "trouble"', f"seed = {seed}"]
+    if closing:
+        lines.append(f'closing = {{ kind = "{closing}", down_s = 1.5 }}')
+    for title, items in (("plan", plan), ("faults", faults)):
+        lines.append(f"{title} = [")
+        lines += [f"  {e}," for e in items]
+        lines.append("]")
+    (folder / f"{name}.toml").write_text("\n".join(lines) + "\n")
+
+
+def main():
+    folder = pathlib.Path(sys.argv[1] if len(sys.argv) > 1 else "deploy/days")
+    folder.mkdir(parents=True, exist_ok=True)
+    rnd = random.Random(20261202)
+    every = list(variants())
+    # Apart: four to a day, eight seconds from one to the next.
+    for n in range(0, len(every), 4):
+        entries = [(k, entry(k, h, f, 2.0 + 8.0 * i))
+                   for i, (k, h, f) in enumerate(every[n:n + 4])]
+        closing = CLOSINGS[n // 4 % 4] if n // 4 % 4 < 3 else None
+        write_day(folder, f"apart-{n // 4:02d}", 1000 + n, entries, closing)
+    # Together: eight to a day at any moment, each variant twice.
+    for round_ in range(2):
+        order = every[:]
+        rnd.shuffle(order)
+        for n in range(0, len(order), 8):
+            entries = [(k, entry(k, h, f, rnd.uniform(0.5, 28.0)))
+                       for k, h, f in order[n:n + 8]]
+            closing = rnd.choice(CLOSINGS + [None])
+            write_day(folder, f"together-{round_}-{n // 8:02d}",
+                      5000 + 100 * round_ + n, entries, closing)
+
+
+main()
