Hosts without a disk pass operators' calls on; the core tells them where it is

Cause: the grown deployments tolerate the loss of two disks, so more than one control process a data centre is needed; with count = 2 the small ones get control processes on hosts without a disk. These pass calls on. And followers' watches asked for the configuration again every 50 ms.

Change: control processes without a disk relay to the leader they are told of; core processes say every 300 ms to seeds that are no members where the group is; such a process names the group to watchers and joiners. A follower's watch asks for the list only.

--- a/src/control.cc
+++ b/src/control.cc
@@ -1,6 +1,7 @@
 #include "control.h"
 
 #include <algorithm>
+#include <limits>
 #include <random>
 
 #include "absl/strings/str_cat.h"
@@ -27,6 +28,9 @@
 constexpr auto kLeaderWait = Millis(850);
 // A follower not heard for this long is no longer counted.
 constexpr auto kFollowerGone = std::chrono::seconds(3);
+// How long a process without a disk believes in the leader it was told of.
+constexpr auto kToldLeaderTrust = std::chrono::seconds(1);
+constexpr auto kHelloInterval = Millis(300);
 constexpr auto kStoreRetry = std::chrono::seconds(1);
 
 std::string NewId() {
@@ -68,6 +72,8 @@
           [this](const WatchReply& r, bool in_step) {
             if (!in_step || IsLeader()) return;
             serving_from_leader_ = r.serving;
+            told_leader_ = r.leader;
+            told_at_ = clock_.Now();
             if (r.list) {
               list_ = *r.list;
               leader_watch_.state().list_version = list_.version;
@@ -77,6 +83,8 @@
             }
             if (r.list) AnswerWatchers(false);
           }) {
+  // Configurations come through the log, not through this watch.
+  leader_watch_.state().config_version = std::numeric_limits<int64_t>::max();
   ev_timer_init(&tick_, OnTick, kTickSeconds, kTickSeconds);
   tick_.data = this;
 }
@@ -86,9 +94,13 @@
 absl::Status Control::Start() {
   absl::Status s = server_.Listen(options_.peer.ip, options_.peer.port);
   if (!s.ok()) return s;
-  OpenStore();
+  if (keeps_state()) {
+    OpenStore();
+    leader_watch_.Pause(true);
+  } else {
+    leader_watch_.set_seeds(options_.seeds);
+  }
   ev_timer_start(loop_, &tick_);
-  leader_watch_.Pause(true);
   leader_watch_.Start();
   LogEvent("control_started", {{"peer", options_.peer.ToString()},
                                {"bootstrap", options_.bootstrap},
@@ -99,6 +111,7 @@
 void Control::set_seeds(std::vector<std::string> seeds) {
   options_.seeds = std::move(seeds);
   if (replica_) replica_->set_seeds(options_.seeds);
+  if (!keeps_state()) leader_watch_.set_seeds(options_.seeds);
 }
 
 // Opens the replica on what the disk holds. A disk that cannot be read or
@@ -158,7 +171,11 @@
 }
 
 std::optional<Member> Control::Leader() const {
-  return replica_ ? replica_->Leader() : std::nullopt;
+  if (replica_) return replica_->Leader();
+  if (told_leader_.empty() || clock_.Now() - told_at_ > kToldLeaderTrust) {
+    return std::nullopt;
+  }
+  return Member{"", told_leader_};
 }
 
 H2Client& Control::ClientFor(const std::string& address) {
@@ -201,19 +218,12 @@
     HandleWatch(req, std::move(stream));
     return;
   }
-  if (!replica_) {
-    stream->Respond(503, {}, "");
+  if (req.path == kHelloPath) {
+    HandleHello(req, std::move(stream));
     return;
   }
   if (req.path == kReplicaPath) {
-    absl::StatusOr<ReplicaMessage> m = DecodeMessage(req.body);
-    if (!m.ok()) {
-      LogWarn("bad_peer_message", {{"error", m.status().message()}});
-      stream->Respond(400, {}, "");
-      return;
-    }
-    std::optional<ReplicaMessage> reply = replica_->Handle(*m);
-    stream->Respond(200, {}, reply ? EncodeMessage(*reply) : "");
+    HandleReplica(req, std::move(stream));
     return;
   }
   if (req.path == kSubmitPath) {
@@ -236,6 +246,62 @@
   stream->Respond(404, {}, "");
 }
 
+void Control::HandleReplica(const H2Request& req,
+                            std::shared_ptr<H2Stream> stream) {
+  absl::StatusOr<ReplicaMessage> m = DecodeMessage(req.body);
+  if (!m.ok()) {
+    LogWarn("bad_peer_message", {{"error", m.status().message()}});
+    stream->Respond(400, {}, "");
+    return;
+  }
+  std::optional<ReplicaMessage> reply;
+  if (replica_) {
+    reply = replica_->Handle(*m);
+  } else if (m->type == ReplicaMessage::Type::kJoin) {
+    reply.emplace();
+    reply->type = ReplicaMessage::Type::kJoinReply;
+    for (const std::string& a : told_members_) {
+      reply->members.push_back(Member{"", a});
+    }
+  }
+  stream->Respond(200, {}, reply ? EncodeMessage(*reply) : "");
+}
+
+void Control::HandleHello(const H2Request& req,
+                          std::shared_ptr<H2Stream> stream) {
+  absl::StatusOr<std::vector<std::string>> members = DecodeHello(req.body);
+  stream->Respond(members.ok() ? 200 : 400, {}, "");
+  if (!members.ok() || replica_ || members->empty()) return;
+  if (told_members_ != *members) {
+    LogEvent("members_told", {{"members", members->size()}});
+  }
+  told_members_ = *std::move(members);
+  std::vector<std::string> ask = options_.seeds;
+  ask.insert(ask.end(), told_members_.begin(), told_members_.end());
+  leader_watch_.set_seeds(std::move(ask));
+}
+
+// Tells seeds that are no members where the group is.
+void Control::SayHello(TimePoint now) {
+  if (!replica_ || now - hello_at_ < kHelloInterval) return;
+  hello_at_ = now;
+  std::vector<std::string> members;
+  for (const Member& m : replica_->members()) members.push_back(m.address);
+  if (members.empty()) return;
+  for (const std::string& seed : options_.seeds) {
+    if (seed == options_.peer.ToString() ||
+        std::find(members.begin(), members.end(), seed) != members.end()) {
+      continue;
+    }
+    H2Client& client = ClientFor(seed);
+    if (!client.usable()) continue;
+    H2Call call;
+    call.path = kHelloPath;
+    call.body = EncodeHello(members);
+    client.Submit(std::move(call));
+  }
+}
+
 int Control::DirectServing() const {
   int n = 0;
   for (const auto& [name, f] : followers_) n += f.serves_callers;
@@ -258,7 +324,9 @@
     w.config_version = replica_->config_version();
     if (w.config_version > r.config_version) w.config = replica_->config();
     for (const Member& m : replica_->members()) w.control.push_back(m.address);
+    if (std::optional<Member> l = replica_->Leader()) w.leader = l->address;
   }
+  if (!replica_) w.control = told_members_;
   if (list_.version != 0 && list_.version != r.list_version) w.list = list_;
   if (list_read_at_ != TimePoint{}) w.list_age_ms = ToMs(now - list_read_at_);
   w.serving = TotalServing();
@@ -319,11 +387,11 @@
 
 void Control::Tick() {
   TimePoint now = clock_.Now();
-  if (!replica_) {
-    if (now - store_tried_at_ > kStoreRetry) OpenStore();
-    if (!replica_) return;
+  if (!replica_ && keeps_state() && now - store_tried_at_ > kStoreRetry) {
+    OpenStore();
   }
-  replica_->Tick();
+  if (replica_) replica_->Tick();
+  SayHello(now);
   for (auto it = followers_.begin(); it != followers_.end();) {
     it = now - it->second.seen > kFollowerGone ? followers_.erase(it)
                                                : std::next(it);
@@ -349,7 +417,7 @@
 
 void Control::PollList(TimePoint now) {
   lister_.Tick();
-  if (lister_.busy()) return;
+  if (lister_.busy() || !replica_) return;
   bool lone = !IsLeader() && replica_->LeaderAge() > kLeaderlessAfter;
   if (!IsLeader() && !lone) return;
   if (now - polled_at_ < (lone ? kLoneListInterval : kListInterval)) return;
--- a/src/control.h
+++ b/src/control.h
@@ -29,6 +29,8 @@
   Endpoint peer;                   // Where control processes talk.
   std::vector<std::string> seeds;  // Peer addresses of some of them.
   bool bootstrap = false;  // The whole system starts for the first time.
+  // Empty on a host without a disk: the process keeps nothing and passes
+  // operators' calls on to the leader.
   std::string data_dir;
   int tolerate = 1;  // Hosts that may be lost at once.
   ListSource list;
@@ -80,6 +82,9 @@
   bool OpenStore();
   void HandlePeer(const H2Request& req, std::shared_ptr<H2Stream> stream);
   void HandleWatch(const H2Request& req, std::shared_ptr<H2Stream> stream);
+  void HandleReplica(const H2Request& req, std::shared_ptr<H2Stream> stream);
+  void HandleHello(const H2Request& req, std::shared_ptr<H2Stream> stream);
+  void SayHello(TimePoint now);
   void SendToPeer(const Member& to, const ReplicaMessage& m);
   void Forward(absl::string_view path, std::string body,
                std::function<void(int status, std::string body)> done);
@@ -89,6 +94,7 @@
   void ReadHere(ReadDone done);
   void ReadAnywhere(TimePoint until, ReadDone done);
   bool IsLeader() const;
+  bool keeps_state() const { return !options_.data_dir.empty(); }
   std::optional<Member> Leader() const;
   WatchReply MakeReply(const WatchRequest& r) const;
   void AnswerWatchers(bool all);
@@ -113,8 +119,13 @@
   std::vector<Watcher> watchers_;
   std::map<std::string, Follower> followers_;
   int serving_from_leader_ = 0;
+  // Without a disk: the members as last told; the leader, and when.
+  std::vector<std::string> told_members_;
+  std::string told_leader_;
+  TimePoint told_at_{};
   std::vector<Waiting> waiting_;
   TimePoint store_tried_at_{};
+  TimePoint hello_at_{};
   bool list_lost_ = false;
   ev_timer tick_{};
 };
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -49,6 +49,15 @@
 
 }  // namespace
 
+std::string EncodeHello(const std::vector<std::string>& control) {
+  return ToCbor(json(control));
+}
+
+absl::StatusOr<std::vector<std::string>> DecodeHello(absl::string_view bytes) {
+  return Decode<std::vector<std::string>>(
+      bytes, [](const json& j) { return j.get<std::vector<std::string>>(); });
+}
+
 std::string EncodeWatchRequest(const WatchRequest& r) {
   return ToCbor({{"n", r.name},
                  {"s", r.serves_callers},
@@ -70,11 +79,8 @@
 }
 
 std::string EncodeWatchReply(const WatchReply& r) {
-  json j = {{"a", r.age_ms},
-            {"c", r.config_version},
-            {"g", r.list_age_ms},
-            {"s", r.serving},
-            {"m", r.control}};
+  json j = {{"a", r.age_ms},  {"c", r.config_version}, {"g", r.list_age_ms},
+            {"s", r.serving}, {"m", r.control},        {"h", r.leader}};
   if (r.config) {
     j["d"] =
         json::binary(std::vector<uint8_t>(r.config->begin(), r.config->end()));
@@ -91,6 +97,7 @@
     r.list_age_ms = j.at("g").get<int64_t>();
     r.serving = j.at("s").get<int>();
     r.control = j.at("m").get<std::vector<std::string>>();
+    r.leader = j.at("h").get<std::string>();
     if (j.contains("d")) {
       const auto& b = j["d"].get_binary();
       r.config = std::string(b.begin(), b.end());
--- a/src/control_wire.h
+++ b/src/control_wire.h
@@ -19,6 +19,7 @@
 inline constexpr char kWatchPath[] = "/watch";      // A watch request.
 inline constexpr char kSubmitPath[] = "/submit";    // A configuration.
 inline constexpr char kReadPath[] = "/read";        // Read of the newest one.
+inline constexpr char kHelloPath[] = "/hello";      // Where the group is.
 
 // Asks for what is newer than the asker holds. Held back for a while when
 // there is nothing.
@@ -41,8 +42,13 @@
   int64_t list_age_ms = -1;
   int serving = 0;  // Processes that serve callers, as far as known.
   std::vector<std::string> control;  // Addresses of the control processes.
+  std::string leader;                // Address of the leader, if known.
 };
 
+// The addresses of the group's members, told to processes that seeds name but
+// that keep no state: after a start they know of nobody else.
+std::string EncodeHello(const std::vector<std::string>& control);
+absl::StatusOr<std::vector<std::string>> DecodeHello(absl::string_view bytes);
 std::string EncodeWatchRequest(const WatchRequest& r);
 absl::StatusOr<WatchRequest> DecodeWatchRequest(absl::string_view bytes);
 std::string EncodeWatchReply(const WatchReply& r);
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -756,6 +756,8 @@
   return r;
 }
 
-void Replica::OnJoinReply(const ReplicaMessage& m) { hints_ = m.members; }
+void Replica::OnJoinReply(const ReplicaMessage& m) {
+  if (!m.members.empty()) hints_ = m.members;
+}
 
 }  // namespace medlarwalk
--- a/src/watch_client.cc
+++ b/src/watch_client.cc
@@ -140,8 +140,9 @@
   if (in_step) {
     in_step_at_ = now;
     misses_ = 0;
-    if (!r->control.empty()) known_ = r->control;
   }
+  // Also from one out of step: it may know where the others are.
+  if (!r->control.empty()) known_ = r->control;
   on_reply_(*r, in_step);
   if (!in_step) NextTarget("out of step");
 }
