One limit of long prompts under way for each entry, across engines

Change: ReadingGate: the long prompts under way at all engines together follow all first events; a request whose shared parts are under 2000 tokens goes anywhere (its home only preferred).

Ruled out: pacing each engine (learns nothing at this rate).

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -86,6 +86,7 @@
   std::string account;
   Tier tier = 0;
   uint64_t affinity = 0;
+  int64_t shared_tokens = 0;
   WorkShape shape = WorkShape::kPlain;
   int decode_engines = 0;  // As last placed.
   TimePoint give_up_at{};
@@ -161,6 +162,10 @@
   return budgets_.try_emplace(service, clock_.Now()).first->second;
 }
 
+ReadingGate& Gateway::GateFor(const std::string& service) {
+  return reading_.try_emplace(service, options_.reading).first->second;
+}
+
 Gateway::Request* Gateway::Find(uint64_t seq, int attempt) {
   auto it = requests_.find(seq);
   if (it == requests_.end() || it->second->attempt != attempt) return nullptr;
@@ -235,6 +240,9 @@
   // The parts shared with others: all but the request's own.
   if (r.facts.parts.size() >= 2) {
     r.affinity = r.facts.parts[r.facts.parts.size() - 2].id;
+    for (size_t i = 0; i + 1 < r.facts.parts.size(); ++i) {
+      r.shared_tokens += r.facts.parts[i].tokens;
+    }
   }
   return absl::OkStatus();
 }
@@ -261,6 +269,9 @@
 }
 
 bool Gateway::TrySend(Request& r) {
+  if (r.shape == WorkShape::kPrefill && !GateFor(r.service->name).open()) {
+    return false;
+  }
   bool engine = r.service->engine.has_value();
   int limit = std::max(2, static_cast<int>(r.service->max_connections *
                                            kConnectionShare / serving_));
@@ -270,6 +281,7 @@
   PlacementAsk ask;
   ask.service = r.service->name;
   ask.affinity = r.affinity;
+  ask.shared_tokens = r.shared_tokens;
   ask.data_centre = options_.data_centre;
   ask.avoid = r.tried;
   ask.shape = r.shape;
@@ -310,6 +322,7 @@
   u.decode_in_flight += r.shape == WorkShape::kDecode;
   r.reading = r.shape == WorkShape::kPrefill;
   u.reading += r.reading;
+  if (r.reading) GateFor(r.service->name).Sent();
   NotePrefill(u, static_cast<double>(r.facts.prompt_tokens), now,
               options_.placement);
   ForwardFacts f;
@@ -381,6 +394,7 @@
     u->reading -= r.reading;
     if (u->in_flight == 0) u->quiet_since = {};
   }
+  if (r.reading) GateFor(r.service->name).Ended();
   r.reading = false;
   pool_.Give(r.upstream, r.connection);
   r.connection.reset();
@@ -453,11 +467,14 @@
 // The first of the answer's body has come: the prompt has been read.
 void Gateway::PromptRead(Request& r, TimePoint now) {
   r.reading = false;
+  ReadingGate& gate = GateFor(r.service->name);
+  gate.Ended();
+  Duration took = now - r.sent_at;
+  gate.NoteFirstEvent(took, r.route->latency_target);
   UpstreamBoard* u = pool_.Find(r.upstream);
   if (!u) return;
   --u->reading;
-  NoteFirstEvent(*u, now - r.sent_at, r.route->latency_target,
-                 options_.placement);
+  NoteFirstEvent(*u, took, r.route->latency_target, options_.placement);
 }
 
 // Passes one event on. Returns false when it does not follow the last one.
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -22,6 +22,7 @@
 #include "metrics.h"
 #include "part_memory.h"
 #include "placement.h"
+#include "reading_gate.h"
 #include "retry_budget.h"
 #include "routing_config.h"
 #include "upstream_pool.h"
@@ -34,6 +35,7 @@
   RetryAllowance retry;
   PlacementPolicy placement;
   WaitingPolicy waiting;
+  ReadingGatePolicy reading;
 };
 
 // Thread safety: loop thread only.
@@ -93,6 +95,7 @@
   Request* Find(uint64_t seq, int attempt);
   void NoteDemand(TimePoint now);
   Duration RetryAfter(const Request& r, ErrorKind kind);
+  ReadingGate& GateFor(const std::string& service);
   RetryBudget& BudgetFor(const std::string& service);
 
   struct ev_loop* loop_;
@@ -120,6 +123,7 @@
     double pressure = 0;
   };
   std::map<std::string, Demand> demand_;
+  std::map<std::string, ReadingGate> reading_;  // By service.
   TimePoint ticked_at_{};
   uint64_t next_seq_ = 1;
   bool serving_waiting_ = false;
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -143,7 +143,10 @@
   if (usable.empty()) return fallback;
   bool homes = ask.affinity != 0 && ask.shape == WorkShape::kPrefill;
   if (homes) {
-    KeepHomes(boards, ask.affinity, HomesFor(usable, policy), &usable);
+    size_t keep = ask.shared_tokens >= policy.home_tokens
+                      ? HomesFor(usable, policy)
+                      : usable.size();
+    KeepHomes(boards, ask.affinity, keep, &usable);
   }
   // Equals are told apart by lot, so that entries do not all pick the same.
   size_t n = usable.size();
--- a/src/placement.h
+++ b/src/placement.h
@@ -70,6 +70,8 @@
   // parts may be than the least busy one and still be chosen. Reading the
   // parts again costs more than a few places in the batch.
   double affinity_slack = 0.25;
+  // Fewer shared tokens than this are read again rather than waited for.
+  int64_t home_tokens = 2000;
   // Engines at which one prompt part is kept: a second one for when the first
   // has its hands full.
   int homes = 2;
@@ -119,6 +121,7 @@
 struct PlacementAsk {
   absl::string_view service;
   uint64_t affinity = 0;  // Hash of the shared parts of its prompt; 0: none.
+  int64_t shared_tokens = 0;  // In these parts.
   absl::string_view data_centre;
   absl::Span<const std::string> avoid;  // Ids already tried.
   double most_load = 1.0;  // Estimated load over slots; busier ones are full.
--- /dev/null
+++ b/src/reading_gate.h
@@ -0,0 +1,61 @@
+// How many long prompts one entry process keeps under way at all engines of a
+// service together.
+//
+// Load pattern: more long prompts than the engines can read, sent by many
+// entries, each of which sees one engine too seldom to learn anything from
+// it. What is sent beyond the engines' capacity waits there in the order it
+// came, where it can neither be ordered by tier nor refused. The limit follows
+// the first events of all engines together: down a little for each that came
+// late against its target, up while it binds and they come in time.
+#ifndef MEDLARWALK_READING_GATE_H_
+#define MEDLARWALK_READING_GATE_H_
+
+#include <algorithm>
+
+#include "types.h"
+
+namespace medlarwalk {
+
+struct ReadingGatePolicy {
+  double start = 16;
+  // Never fewer: an entry that sends nothing learns nothing.
+  double least = 2;
+  double most = 512;
+  // A first event is late past this share of its latency target: the rest is
+  // for the wait before it was sent, and for the next entry's estimate.
+  double late_share = 0.5;
+  double backoff = 0.97;  // Of the limit, for each late first event.
+  double step = 0.2;      // Onto the limit, for each in time while it binds.
+};
+
+// Thread safety: loop thread only.
+class ReadingGate {
+ public:
+  explicit ReadingGate(const ReadingGatePolicy& policy)
+      : policy_(policy), limit_(policy.start) {}
+
+  bool open() const { return under_way_ < static_cast<int>(limit_); }
+  void Sent() { ++under_way_; }
+  // The prompt was read or its request ended otherwise.
+  void Ended() { --under_way_; }
+  // The first event came `took` after the prompt was sent.
+  void NoteFirstEvent(Duration took, Duration target) {
+    double share = ToSeconds(took) / std::max(1e-3, ToSeconds(target));
+    if (share > policy_.late_share) {
+      limit_ = std::max(policy_.least, limit_ * policy_.backoff);
+    } else if (under_way_ + 1 >= static_cast<int>(limit_)) {
+      limit_ = std::min(policy_.most, limit_ + policy_.step);
+    }
+  }
+  double limit() const { return limit_; }
+  int under_way() const { return under_way_; }
+
+ private:
+  ReadingGatePolicy policy_;
+  double limit_;
+  int under_way_ = 0;
+};
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_READING_GATE_H_
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -32,6 +32,7 @@
   a.service = "engine";
   a.shape = shape;
   a.affinity = affinity;
+  a.shared_tokens = affinity ? 5000 : 0;
   a.decode_engines = 3;
   return a;
 }
@@ -113,6 +114,21 @@
   CHECK_TRUE(placed.size() <= 2);
 }
 
+// Symptom: a class goes unserved while a less urgent one is served. Load
+// pattern: short shared parts and long ones at once. A request whose shared
+// parts are short goes anywhere rather than wait for their home.
+TEST(placement, ShortSharedPartsAreNotWaitedFor) {
+  std::vector<UpstreamBoard> boards = Engines(12);
+  PlacementAsk ask = Ask(WorkShape::kPrefill, 7);
+  ask.shared_tokens = 500;
+  std::map<size_t, int> placed;
+  while (auto at = Place(boards, ask, kNow, 0, kPolicy)) {
+    ++boards[*at].reading;
+    ++placed[*at];
+  }
+  LONGS_EQUAL(12, placed.size());
+}
+
 // A part asked for by more callers than its homes can serve spreads while the
 // other engines have room.
 TEST(placement, AHotPartSpreadsWhileOthersHaveRoom) {
--- /dev/null
+++ b/test/reading_gate_test.cc
@@ -0,0 +1,38 @@
+// How many long prompts an entry keeps under way.
+#include "reading_gate.h"
+
+#include "CppUTest/TestHarness.h"
+
+using namespace medlarwalk;
+
+TEST_GROUP(reading_gate){};
+
+// Symptom: at the worst load every long prompt is late. Load pattern: 24
+// entries, 38 engines, prompts for half as many again; each entry sees one
+// engine every few seconds. The limit falls until first events are in time
+// and rises again only while it binds.
+TEST(reading_gate, FollowsTheFirstEventsOfAllEngines) {
+  ReadingGatePolicy policy;
+  ReadingGate gate(policy);
+  for (int i = 0; i < 100; ++i) gate.NoteFirstEvent(Millis(900), Millis(1000));
+  DOUBLES_EQUAL(policy.least, gate.limit(), 0.2);
+  double low = gate.limit();
+  gate.NoteFirstEvent(Millis(100), Millis(1000));
+  DOUBLES_EQUAL(low, gate.limit(), 0.001);
+  for (int i = 0; i < 20; ++i) {
+    while (gate.open()) gate.Sent();
+    gate.NoteFirstEvent(Millis(100), Millis(1000));
+  }
+  CHECK_TRUE(gate.limit() > low + 2);
+}
+
+// Late ones among many in time do not close it.
+TEST(reading_gate, AFewLateOnesDoNotCloseIt) {
+  ReadingGatePolicy policy;
+  ReadingGate gate(policy);
+  for (int i = 0; i < 300; ++i) {
+    while (gate.open()) gate.Sent();
+    gate.NoteFirstEvent(Millis(i % 8 ? 100 : 900), Millis(1000));
+  }
+  CHECK_TRUE(gate.limit() > policy.start / 2);
+}
