--- a/test/procs.cc
+++ b/test/procs.cc
@@ -66,7 +66,8 @@
 
 }  // namespace
 
-pid_t Spawn(const std::vector<std::string>& args, const std::string& log) {
+pid_t Spawn(const std::vector<std::string>& args, const std::string& log,
+            const std::string& env) {
   const char* bin = std::getenv("MEDLARWALK_BIN");
   std::string path = bin ? bin : "./medlarwalk";
   pid_t pid = fork();
@@ -78,6 +79,7 @@
     argv.push_back(const_cast<char*>(path.c_str()));
     for (const auto& a : args) argv.push_back(const_cast<char*>(a.c_str()));
     argv.push_back(nullptr);
+    if (!env.empty()) putenv(const_cast<char*>(env.c_str()));
     execv(path.c_str(), argv.data());
     _exit(127);
   }
--- a/test/procs.h
+++ b/test/procs.h
@@ -14,7 +14,9 @@
 
 // Starts `medlarwalk ARGS...` (the binary named by $MEDLARWALK_BIN), its
 // output appended to `log`. Returns the process id.
-pid_t Spawn(const std::vector<std::string>& args, const std::string& log);
+// `env`: "NAME=value" added to its environment.
+pid_t Spawn(const std::vector<std::string>& args, const std::string& log,
+            const std::string& env = "");
 
 // Sends `sig` and, for ending signals, waits up to `wait_ms` for the exit.
 // Returns true when the process has exited.
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -7,9 +7,9 @@
 tools/install-deps.sh
 tools/build.sh
 echo "== format"
-bad=$(clang-format --dry-run -Werror src/*.cc src/*.h platform/*.cc platform/*.h test/*.cc test/*.h 2>&1 | grep -c 'error:' || true)
+bad=$(clang-format --dry-run -Werror src/*.cc src/*.h platform/*.cc platform/*.h platform/test/*.cc platform/test/*.h test/*.cc test/*.h 2>&1 | grep -c 'error:' || true)
 if [ "$bad" != "0" ]; then
-  clang-format --dry-run -Werror src/*.cc src/*.h platform/*.cc platform/*.h test/*.cc test/*.h 2>&1 | head -20
+  clang-format --dry-run -Werror src/*.cc src/*.h platform/*.cc platform/*.h platform/test/*.cc platform/test/*.h test/*.cc test/*.h 2>&1 | head -20
   echo "clang-format: $bad places not formatted"; exit 1
 fi
 echo "clang-format clean"
