--- a/src/control.cc
+++ b/src/control.cc
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr double kTickSeconds = 0.02;
-constexpr Millis kPingInterval(300);
-constexpr Millis kPingTimeout(900);
 // A watch with nothing new is answered after this, which also tells the
 // asker that this process is still there and in step.
 constexpr auto kWatchHold = Millis(400);
@@ -60,6 +58,7 @@
               [this](const H2Request& r, std::shared_ptr<H2Stream> s) {
                 HandlePeer(r, std::move(s));
               }),
+      links_(loop, clock),
       lister_(loop, clock, options_.list),
       leader_watch_(
           loop, clock,
@@ -178,38 +177,19 @@
   return Member{"", told_leader_};
 }
 
-H2Client& Control::ClientFor(const std::string& address) {
-  std::unique_ptr<H2Client>& c = clients_[address];
-  if (!c) {
-    Endpoint e;
-    absl::Status s = ParseEndpoint(address, &e);
-    if (!s.ok()) LogWarn("bad_address", {{"address", address}});
-    c = std::make_unique<H2Client>(loop_, clock_, e.ip, e.port, kPingInterval,
-                                   kPingTimeout);
-  }
-  return *c;
-}
-
 void Control::SendToPeer(const Member& to, const ReplicaMessage& m) {
-  H2Client& client = ClientFor(to.address);
-  if (!client.usable()) return;
-  auto body = std::make_shared<std::string>();
-  H2Call call;
-  call.path = kReplicaPath;
-  call.body = EncodeMessage(m);
-  call.on_data = [body](absl::string_view d) {
-    body->append(d.data(), d.size());
-  };
-  call.on_close = [this, body](absl::Status s, bool) {
-    if (!s.ok() || body->empty() || !replica_) return;
-    absl::StatusOr<ReplicaMessage> reply = DecodeMessage(*body);
-    if (!reply.ok()) {
-      LogWarn("bad_peer_message", {{"error", reply.status().message()}});
-      return;
-    }
-    replica_->Handle(*reply);
-  };
-  client.Submit(std::move(call));
+  if (!links_.To(to.address).usable()) return;
+  links_.Post(
+      to.address, kReplicaPath, EncodeMessage(m),
+      [this](int status, const std::string& body) {
+        if (status != 200 || body.empty() || !replica_) return;
+        absl::StatusOr<ReplicaMessage> reply = DecodeMessage(body);
+        if (!reply.ok()) {
+          LogWarn("bad_peer_message", {{"error", reply.status().message()}});
+          return;
+        }
+        replica_->Handle(*reply);
+      });
 }
 
 void Control::HandlePeer(const H2Request& req,
@@ -293,12 +273,8 @@
         std::find(members.begin(), members.end(), seed) != members.end()) {
       continue;
     }
-    H2Client& client = ClientFor(seed);
-    if (!client.usable()) continue;
-    H2Call call;
-    call.path = kHelloPath;
-    call.body = EncodeHello(members);
-    client.Submit(std::move(call));
+    if (!links_.To(seed).usable()) continue;
+    links_.Post(seed, kHelloPath, EncodeHello(members), nullptr);
   }
 }
 
@@ -492,15 +468,17 @@
                 [done] { done(absl::UnavailableError("no leader")); }, until});
     return;
   }
-  Forward(kSubmitPath, *document, [done](int status, std::string body) {
-    if (status == 200) {
-      done(absl::OkStatus());
-    } else if (status == 400) {
-      done(absl::InvalidArgumentError(body));
-    } else {
-      done(absl::UnavailableError(body.empty() ? "leader lost" : body));
-    }
-  });
+  links_.Post(
+      Leader()->address, kSubmitPath, *document,
+      [done](int status, const std::string& body) {
+        if (status == 200) {
+          done(absl::OkStatus());
+        } else if (status == 400) {
+          done(absl::InvalidArgumentError(body));
+        } else {
+          done(absl::UnavailableError(body.empty() ? "leader lost" : body));
+        }
+      });
 }
 
 void Control::ReadHere(ReadDone done) {
@@ -538,30 +516,14 @@
                 [done] { done(absl::UnavailableError("no leader")); }, until});
     return;
   }
-  Forward(kReadPath, "", [done](int status, std::string body) {
-    if (status == 200) {
-      done(std::move(body));
-    } else {
-      done(absl::UnavailableError("leader cannot tell"));
-    }
-  });
-}
-
-void Control::Forward(absl::string_view path, std::string body,
-                      std::function<void(int status, std::string body)> done) {
-  auto status = std::make_shared<int>(0);
-  auto answer = std::make_shared<std::string>();
-  H2Call call;
-  call.path = std::string(path);
-  call.body = std::move(body);
-  call.on_response = [status](int s, const auto&) { *status = s; };
-  call.on_data = [answer](absl::string_view d) {
-    answer->append(d.data(), d.size());
-  };
-  call.on_close = [status, answer, done](absl::Status s, bool) {
-    done(s.ok() ? *status : 503, std::move(*answer));
-  };
-  ClientFor(Leader()->address).Submit(std::move(call));
+  links_.Post(Leader()->address, kReadPath, "",
+              [done](int status, const std::string& body) {
+                if (status == 200) {
+                  done(body);
+                } else {
+                  done(absl::UnavailableError("leader cannot tell"));
+                }
+              });
 }
 
 }  // namespace medlarwalk
--- a/src/control.h
+++ b/src/control.h
@@ -17,6 +17,7 @@
 #include "absl/status/statusor.h"
 #include "control_wire.h"
 #include "h2.h"
+#include "link_pool.h"
 #include "lister.h"
 #include "replica.h"
 #include "replica_store.h"
@@ -86,8 +87,6 @@
   void HandleHello(const H2Request& req, std::shared_ptr<H2Stream> stream);
   void SayHello(TimePoint now);
   void SendToPeer(const Member& to, const ReplicaMessage& m);
-  void Forward(absl::string_view path, std::string body,
-               std::function<void(int status, std::string body)> done);
   void SubmitHere(std::string document, int64_t version, SubmitDone done);
   void SubmitAnywhere(std::shared_ptr<std::string> document, int64_t version,
                       TimePoint until, SubmitDone done);
@@ -102,7 +101,6 @@
   void FollowLeader();
   int DirectServing() const;
   int TotalServing() const;
-  H2Client& ClientFor(const std::string& address);
 
   struct ev_loop* loop_;
   const Clock& clock_;
@@ -110,7 +108,7 @@
   FileReplicaStore store_;
   std::unique_ptr<Replica> replica_;
   H2Server server_;
-  std::map<std::string, std::unique_ptr<H2Client>> clients_;
+  LinkPool links_;
   Lister lister_;
   WatchClient leader_watch_;
   UpstreamList list_;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -5,6 +5,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "gateway_request.h"
 #include "log.h"
 
 namespace medlarwalk {
@@ -26,15 +27,6 @@
 // gets no more; beyond its slots an upstream queues in its own order.
 constexpr double kMostEngineLoad = 1.0;
 constexpr double kMostPlainLoad = 2.0;
-// A stream without a sign of life for this many pause targets, or this many
-// first-event targets, goes on elsewhere if it may.
-constexpr int kStallPauses = 6;
-constexpr int kStallTargets = 2;
-constexpr auto kLeastStall = Millis(1000);
-// A plain request that may be repeated is sent elsewhere after this many
-// latency targets without an answer.
-constexpr int kPlainStallTargets = 3;
-constexpr auto kLeastPlainStall = Millis(300);
 // Less time than this left is not worth another sending.
 constexpr auto kLeastTime = Millis(20);
 // The first come-back time told, before any load is known, and its spread:
@@ -46,10 +38,6 @@
 constexpr auto kConfigWait = Millis(900);
 // Come-back time where another entry can serve at once.
 constexpr auto kRetryElsewhere = Millis(20);
-// Demand by shape is averaged over this, so that a few requests more or less
-// do not move an engine from one shape of work to the other.
-constexpr std::chrono::duration<double> kDemandSmoothing =
-    std::chrono::seconds(3);
 // A part is believed to be kept for this long after it was read, and so many
 // parts are remembered.
 constexpr auto kPartTrust = std::chrono::seconds(12);
@@ -75,57 +63,6 @@
 
 }  // namespace
 
-// One request, from its arrival to its final answer.
-struct Gateway::Request {
-  uint64_t seq = 0;
-  std::shared_ptr<CallerExchange> exchange;
-  RequestFacts facts;
-  std::shared_ptr<const RoutingConfig> config;  // Keeps `route` alive.
-  const RouteRule* route = nullptr;
-  const ServiceRule* service = nullptr;
-  std::string account;
-  Tier tier = 0;
-  Tier rank = 0;  // The tier, and within it the route's own.
-  uint64_t affinity = 0;
-  int64_t shared_tokens = 0;
-  WorkShape shape = WorkShape::kPlain;
-  int decode_engines = 0;  // As last placed.
-  TimePoint give_up_at{};
-  std::multimap<TimePoint, uint64_t>::iterator give_up_entry;
-  bool waiting = false;
-  bool maybe_run = false;  // Some upstream may have run it.
-  int sends = 0;           // Upstreams it was sent to.
-  int connect_failures = 0;
-  std::vector<std::string> tried;
-  // The attempt under way.
-  int attempt = 0;
-  std::string upstream;  // Empty when none.
-  std::shared_ptr<Http1Client> connection;
-  TimePoint sent_at{};
-  TimePoint progress_at{};
-  MessageHead answer;
-  AnswerFacts answer_facts;
-  std::string held;  // An answer's body until it is whole.
-  bool have_head = false;
-  bool reading = false;  // Counted as a prompt being read at `upstream`.
-  // Streams.
-  bool relaying = false;        // This attempt's events go to the caller.
-  bool stream_started = false;  // The caller has the head.
-  EventSplitter splitter;
-  std::optional<int64_t> last_event;
-  int events = 0;
-  TimePoint first_event_at{};
-  TimePoint last_event_at{};
-  Duration longest_pause{};
-  std::string longest_pause_at;  // The upstream it came from.
-
-  bool repeatable() const {
-    return route->kind == RequestKind::kRepeatable ||
-           (route->kind == RequestKind::kStream && route->resumable);
-  }
-  bool stream() const { return route->kind == RequestKind::kStream; }
-};
-
 Gateway::Gateway(struct ev_loop* loop, const Clock& clock,
                  GatewayOptions options, Dialect dialect, Metrics& metrics,
                  uint64_t random_seed)
@@ -694,111 +631,4 @@
   ServeWaiting();
 }
 
-// Gives requests that wait the places that have come free.
-void Gateway::ServeWaiting() {
-  if (serving_waiting_) return;
-  serving_waiting_ = true;
-  for (const std::string& service : waiting_.Services()) {
-    // Those whose own place is not free do not hold up the ones behind them.
-    for (uint64_t seq : waiting_.InOrder(service)) {
-      Request& r = *requests_.at(seq);
-      if (!TrySend(r)) continue;
-      r.waiting = false;
-      waiting_.Leave(seq);
-    }
-  }
-  serving_waiting_ = false;
-}
-
-// Moves a request on whose upstream has fallen silent, where that is allowed.
-void Gateway::CheckStall(Request& r, TimePoint now) {
-  if (r.upstream.empty() || !r.repeatable()) return;
-  if (r.sends >= r.route->max_attempts) return;
-  Duration limit;
-  if (!r.stream()) {
-    limit = std::max<Duration>(kLeastPlainStall,
-                               r.route->latency_target * kPlainStallTargets);
-  } else {
-    limit = std::max<Duration>(kLeastStall,
-                               r.stream_started
-                                   ? r.route->pause_target * kStallPauses
-                                   : r.route->latency_target * kStallTargets);
-  }
-  if (now - r.progress_at < limit) return;
-  const UpstreamBoard* u = pool_.Find(r.upstream);
-  // An upstream that still sends to others is busy, not silent.
-  if (r.stream() && u && now - u->quiet_since < kLeastStall) return;
-  AttemptFailed(r, CallEnd::kNoAnswer, "silent");
-}
-
-void Gateway::NoteDemand(TimePoint now) {
-  std::map<std::string, int> running;
-  for (const UpstreamBoard& b : pool_.boards()) {
-    if (b.decode_in_flight > 0) running[b.info.service] += b.decode_in_flight;
-  }
-  double share = std::min(
-      1.0, std::chrono::duration<double>(now - ticked_at_) / kDemandSmoothing);
-  ticked_at_ = now;
-  for (const auto& [service, n] : running) demand_.try_emplace(service);
-  for (auto& [service, demand] : demand_) {
-    auto it = running.find(service);
-    double n = it == running.end() ? 0 : it->second;
-    demand.decode += (n - demand.decode) * share;
-    double waits = waiting_.size(service) > 0 ? 1 : 0;
-    demand.pressure += (waits - demand.pressure) * share;
-  }
-}
-
-void Gateway::Tick() {
-  TimePoint now = clock_.Now();
-  NoteDemand(now);
-  parts_.Tick(now);
-  std::vector<uint64_t> due;
-  for (auto it = give_up_.begin(); it != give_up_.end() && it->first <= now;
-       ++it) {
-    due.push_back(it->second);
-  }
-  for (uint64_t seq : due) {
-    auto it = requests_.find(seq);
-    if (it == requests_.end()) continue;
-    Request& r = *it->second;
-    bool sent = !r.upstream.empty() && r.connection->sent();
-    Fail(r,
-         sent || r.maybe_run ? ErrorKind::kTimedOut : ErrorKind::kNotRunInTime,
-         "time over");
-  }
-  for (uint64_t seq : waiting_.Expired(now)) {
-    auto it = requests_.find(seq);
-    if (it == requests_.end()) continue;
-    Request& r = *it->second;
-    Fail(
-        r,
-        r.maybe_run ? ErrorKind::kOutcomeUnknown : ErrorKind::kTargetUnmeetable,
-        "no place in time");
-  }
-  std::vector<uint64_t> open;
-  for (auto& [seq, r] : requests_) open.push_back(seq);
-  for (uint64_t seq : open) {
-    auto it = requests_.find(seq);
-    if (it != requests_.end()) CheckStall(*it->second, now);
-  }
-  pool_.Tick();
-  ServeWaiting();
-}
-
-void Gateway::EndAll() {
-  std::vector<uint64_t> open;
-  for (auto& [seq, r] : requests_) open.push_back(seq);
-  for (uint64_t seq : open) {
-    auto it = requests_.find(seq);
-    if (it == requests_.end()) continue;
-    Request& r = *it->second;
-    bool sent = !r.upstream.empty() && r.connection->sent();
-    Fail(
-        r,
-        sent || r.maybe_run ? ErrorKind::kOutcomeUnknown : ErrorKind::kDraining,
-        "stopping");
-  }
-}
-
 }  // namespace medlarwalk
--- /dev/null
+++ b/src/gateway_request.h
@@ -0,0 +1,68 @@
+// One request under way at a gateway. Internal to the gateway's sources.
+#ifndef MEDLARWALK_GATEWAY_REQUEST_H_
+#define MEDLARWALK_GATEWAY_REQUEST_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway.h"
+
+namespace medlarwalk {
+
+// One request, from its arrival to its final answer.
+struct Gateway::Request {
+  uint64_t seq = 0;
+  std::shared_ptr<CallerExchange> exchange;
+  RequestFacts facts;
+  std::shared_ptr<const RoutingConfig> config;  // Keeps `route` alive.
+  const RouteRule* route = nullptr;
+  const ServiceRule* service = nullptr;
+  std::string account;
+  Tier tier = 0;
+  Tier rank = 0;  // The tier, and within it the route's own.
+  uint64_t affinity = 0;
+  int64_t shared_tokens = 0;
+  WorkShape shape = WorkShape::kPlain;
+  int decode_engines = 0;  // As last placed.
+  TimePoint give_up_at{};
+  std::multimap<TimePoint, uint64_t>::iterator give_up_entry;
+  bool waiting = false;
+  bool maybe_run = false;  // Some upstream may have run it.
+  int sends = 0;           // Upstreams it was sent to.
+  int connect_failures = 0;
+  std::vector<std::string> tried;
+  // The attempt under way.
+  int attempt = 0;
+  std::string upstream;  // Empty when none.
+  std::shared_ptr<Http1Client> connection;
+  TimePoint sent_at{};
+  TimePoint progress_at{};
+  MessageHead answer;
+  AnswerFacts answer_facts;
+  std::string held;  // An answer's body until it is whole.
+  bool have_head = false;
+  bool reading = false;  // Counted as a prompt being read at `upstream`.
+  // Streams.
+  bool relaying = false;        // This attempt's events go to the caller.
+  bool stream_started = false;  // The caller has the head.
+  EventSplitter splitter;
+  std::optional<int64_t> last_event;
+  int events = 0;
+  TimePoint first_event_at{};
+  TimePoint last_event_at{};
+  Duration longest_pause{};
+  std::string longest_pause_at;  // The upstream it came from.
+
+  bool repeatable() const {
+    return route->kind == RequestKind::kRepeatable ||
+           (route->kind == RequestKind::kStream && route->resumable);
+  }
+  bool stream() const { return route->kind == RequestKind::kStream; }
+};
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_GATEWAY_REQUEST_H_
--- /dev/null
+++ b/src/gateway_timers.cc
@@ -0,0 +1,134 @@
+// The gateway's part that is driven by time: waiting requests, time-outs,
+// upstreams that have fallen silent, the end of a planned stop.
+#include <algorithm>
+
+#include "gateway.h"
+#include "gateway_request.h"
+
+namespace medlarwalk {
+namespace {
+
+// A stream without a sign of life for this many pause targets, or this many
+// first-event targets, goes on elsewhere if it may.
+constexpr int kStallPauses = 6;
+constexpr int kStallTargets = 2;
+constexpr auto kLeastStall = Millis(1000);
+// A plain request that may be repeated is sent elsewhere after this many
+// latency targets without an answer.
+constexpr int kPlainStallTargets = 3;
+constexpr auto kLeastPlainStall = Millis(300);
+// Demand by shape is averaged over this, so that a few requests more or less
+// do not move an engine from one shape of work to the other.
+constexpr std::chrono::duration<double> kDemandSmoothing =
+    std::chrono::seconds(3);
+
+}  // namespace
+
+// Gives requests that wait the places that have come free.
+void Gateway::ServeWaiting() {
+  if (serving_waiting_) return;
+  serving_waiting_ = true;
+  for (const std::string& service : waiting_.Services()) {
+    // Those whose own place is not free do not hold up the ones behind them.
+    for (uint64_t seq : waiting_.InOrder(service)) {
+      Request& r = *requests_.at(seq);
+      if (!TrySend(r)) continue;
+      r.waiting = false;
+      waiting_.Leave(seq);
+    }
+  }
+  serving_waiting_ = false;
+}
+
+// Moves a request on whose upstream has fallen silent, where that is allowed.
+void Gateway::CheckStall(Request& r, TimePoint now) {
+  if (r.upstream.empty() || !r.repeatable()) return;
+  if (r.sends >= r.route->max_attempts) return;
+  Duration limit;
+  if (!r.stream()) {
+    limit = std::max<Duration>(kLeastPlainStall,
+                               r.route->latency_target * kPlainStallTargets);
+  } else {
+    limit = std::max<Duration>(kLeastStall,
+                               r.stream_started
+                                   ? r.route->pause_target * kStallPauses
+                                   : r.route->latency_target * kStallTargets);
+  }
+  if (now - r.progress_at < limit) return;
+  const UpstreamBoard* u = pool_.Find(r.upstream);
+  // An upstream that still sends to others is busy, not silent.
+  if (r.stream() && u && now - u->quiet_since < kLeastStall) return;
+  AttemptFailed(r, CallEnd::kNoAnswer, "silent");
+}
+
+void Gateway::NoteDemand(TimePoint now) {
+  std::map<std::string, int> running;
+  for (const UpstreamBoard& b : pool_.boards()) {
+    if (b.decode_in_flight > 0) running[b.info.service] += b.decode_in_flight;
+  }
+  double share = std::min(
+      1.0, std::chrono::duration<double>(now - ticked_at_) / kDemandSmoothing);
+  ticked_at_ = now;
+  for (const auto& [service, n] : running) demand_.try_emplace(service);
+  for (auto& [service, demand] : demand_) {
+    auto it = running.find(service);
+    double n = it == running.end() ? 0 : it->second;
+    demand.decode += (n - demand.decode) * share;
+    double waits = waiting_.size(service) > 0 ? 1 : 0;
+    demand.pressure += (waits - demand.pressure) * share;
+  }
+}
+
+void Gateway::Tick() {
+  TimePoint now = clock_.Now();
+  NoteDemand(now);
+  parts_.Tick(now);
+  std::vector<uint64_t> due;
+  for (auto it = give_up_.begin(); it != give_up_.end() && it->first <= now;
+       ++it) {
+    due.push_back(it->second);
+  }
+  for (uint64_t seq : due) {
+    auto it = requests_.find(seq);
+    if (it == requests_.end()) continue;
+    Request& r = *it->second;
+    bool sent = !r.upstream.empty() && r.connection->sent();
+    Fail(r,
+         sent || r.maybe_run ? ErrorKind::kTimedOut : ErrorKind::kNotRunInTime,
+         "time over");
+  }
+  for (uint64_t seq : waiting_.Expired(now)) {
+    auto it = requests_.find(seq);
+    if (it == requests_.end()) continue;
+    Request& r = *it->second;
+    Fail(
+        r,
+        r.maybe_run ? ErrorKind::kOutcomeUnknown : ErrorKind::kTargetUnmeetable,
+        "no place in time");
+  }
+  std::vector<uint64_t> open;
+  for (auto& [seq, r] : requests_) open.push_back(seq);
+  for (uint64_t seq : open) {
+    auto it = requests_.find(seq);
+    if (it != requests_.end()) CheckStall(*it->second, now);
+  }
+  pool_.Tick();
+  ServeWaiting();
+}
+
+void Gateway::EndAll() {
+  std::vector<uint64_t> open;
+  for (auto& [seq, r] : requests_) open.push_back(seq);
+  for (uint64_t seq : open) {
+    auto it = requests_.find(seq);
+    if (it == requests_.end()) continue;
+    Request& r = *it->second;
+    bool sent = !r.upstream.empty() && r.connection->sent();
+    Fail(
+        r,
+        sent || r.maybe_run ? ErrorKind::kOutcomeUnknown : ErrorKind::kDraining,
+        "stopping");
+  }
+}
+
+}  // namespace medlarwalk
--- /dev/null
+++ b/src/link_pool.cc
@@ -0,0 +1,45 @@
+#include "link_pool.h"
+
+#include "log.h"
+#include "tcp.h"
+
+namespace medlarwalk {
+namespace {
+
+// A link is asked for a sign of life this often, and given up when none came
+// for the second: a host without power or behind a cut sends no reset.
+constexpr Millis kPingInterval(300);
+constexpr Millis kPingTimeout(900);
+
+}  // namespace
+
+H2Client& LinkPool::To(const std::string& address) {
+  std::unique_ptr<H2Client>& c = clients_[address];
+  if (!c) {
+    Endpoint e;
+    absl::Status s = ParseEndpoint(address, &e);
+    if (!s.ok()) LogWarn("bad_address", {{"address", address}});
+    c = std::make_unique<H2Client>(loop_, clock_, e.ip, e.port, kPingInterval,
+                                   kPingTimeout);
+  }
+  return *c;
+}
+
+int32_t LinkPool::Post(const std::string& address, absl::string_view path,
+                       std::string body, Done done) {
+  auto status = std::make_shared<int>(0);
+  auto answer = std::make_shared<std::string>();
+  H2Call call;
+  call.path = std::string(path);
+  call.body = std::move(body);
+  call.on_response = [status](int s, const auto&) { *status = s; };
+  call.on_data = [answer](absl::string_view d) {
+    answer->append(d.data(), d.size());
+  };
+  call.on_close = [status, answer, done](absl::Status s, bool) {
+    if (done) done(s.ok() ? *status : 0, *answer);
+  };
+  return To(address).Submit(std::move(call));
+}
+
+}  // namespace medlarwalk
--- a/src/watch_client.cc
+++ b/src/watch_client.cc
@@ -4,7 +4,6 @@
 
 #include "absl/strings/str_cat.h"
 #include "log.h"
-#include "tcp.h"
 
 namespace medlarwalk {
 namespace {
@@ -13,8 +12,6 @@
 // Pause before the next control process is asked after a failure, so that a
 // fleet without control does not hammer what is left of it.
 constexpr auto kRetryPause = Millis(100);
-constexpr Millis kPingInterval(400);
-constexpr Millis kPingTimeout(900);
 
 }  // namespace
 
@@ -25,7 +22,8 @@
       clock_(clock),
       options_(std::move(options)),
       seeds_(std::move(seeds)),
-      on_reply_(std::move(on_reply)) {
+      on_reply_(std::move(on_reply)),
+      links_(loop, clock) {
   state_.name = options_.name;
   state_.serves_callers = options_.serves_callers;
   ev_timer_init(&tick_, OnTick, kTickSeconds, kTickSeconds);
@@ -43,7 +41,7 @@
   if (pinned_ == address) return;
   pinned_ = address;
   if (asking_ && target_ != address) {
-    if (stream_) ClientFor(target_).Cancel(stream_);
+    if (stream_) links_.To(target_).Cancel(stream_);
     asking_ = false;
     not_before_ = {};
   }
@@ -51,7 +49,7 @@
 
 void WatchClient::Pause(bool paused) {
   if (paused && asking_) {
-    if (stream_) ClientFor(target_).Cancel(stream_);
+    if (stream_) links_.To(target_).Cancel(stream_);
     asking_ = false;
     stream_ = 0;
   }
@@ -88,18 +86,6 @@
   not_before_ = clock_.Now() + kRetryPause;
 }
 
-H2Client& WatchClient::ClientFor(const std::string& address) {
-  std::unique_ptr<H2Client>& c = clients_[address];
-  if (!c) {
-    Endpoint e;
-    absl::Status s = ParseEndpoint(address, &e);
-    if (!s.ok()) LogWarn("bad_address", {{"address", address}});
-    c = std::make_unique<H2Client>(loop_, clock_, e.ip, e.port, kPingInterval,
-                                   kPingTimeout);
-  }
-  return *c;
-}
-
 void WatchClient::Ask() {
   TimePoint now = clock_.Now();
   if (paused_ || asking_ || now < not_before_) return;
@@ -111,19 +97,10 @@
   asking_ = true;
   asked_at_ = now;
   uint64_t ask = ++ask_;
-  auto body = std::make_shared<std::string>();
-  auto status = std::make_shared<int>(0);
-  H2Call call;
-  call.path = kWatchPath;
-  call.body = EncodeWatchRequest(state_);
-  call.on_response = [status](int s, const auto&) { *status = s; };
-  call.on_data = [body](absl::string_view d) {
-    body->append(d.data(), d.size());
-  };
-  call.on_close = [this, ask, body, status](absl::Status s, bool) {
-    Answered(ask, *body, s.ok() && *status == 200);
-  };
-  stream_ = ClientFor(target_).Submit(std::move(call));
+  stream_ = links_.Post(target_, kWatchPath, EncodeWatchRequest(state_),
+                        [this, ask](int status, const std::string& body) {
+                          Answered(ask, body, status == 200);
+                        });
 }
 
 void WatchClient::Answered(uint64_t ask, const std::string& body, bool ok) {
@@ -151,7 +128,7 @@
   auto* self = static_cast<WatchClient*>(w->data);
   TimePoint now = self->clock_.Now();
   if (self->asking_ && now - self->asked_at_ > self->options_.answer_timeout) {
-    if (self->stream_) self->ClientFor(self->target_).Cancel(self->stream_);
+    if (self->stream_) self->links_.To(self->target_).Cancel(self->stream_);
     self->asking_ = false;
     self->stream_ = 0;
     self->NextTarget("silent");
--- a/src/watch_client.h
+++ b/src/watch_client.h
@@ -6,13 +6,11 @@
 #include <ev.h>
 
 #include <functional>
-#include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
 #include "control_wire.h"
-#include "h2.h"
+#include "link_pool.h"
 #include "types.h"
 
 namespace medlarwalk {
@@ -55,7 +53,6 @@
   void Ask();
   void Answered(uint64_t ask, const std::string& body, bool ok);
   void NextTarget(absl::string_view why);
-  H2Client& ClientFor(const std::string& address);
   std::vector<std::string> Targets() const;
 
   struct ev_loop* loop_;
@@ -64,10 +61,10 @@
   std::vector<std::string> seeds_;
   std::vector<std::string> known_;
   OnReply on_reply_;
+  LinkPool links_;
   WatchRequest state_;
   std::string pinned_;
   std::string target_;
-  std::map<std::string, std::unique_ptr<H2Client>> clients_;
   uint64_t ask_ = 0;  // Number of the watch under way.
   bool asking_ = false;
   bool paused_ = false;
