Ranking by sorting; connections looked through only at the limit

Ranking compared all pairs at each change of the list, and each placement looked through the kept connections of every server. Change: RankUpstreams sorts each service once; the pool is asked only where own requests have reached the limit. Ruled out: scoring a sample of the servers (changes decisions; later).

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -216,7 +216,11 @@
   int limit = std::max(2, static_cast<int>(r.service->max_connections *
                                            kConnectionShare / serving_));
   for (UpstreamBoard& b : pool_.boards()) {
-    if (b.info.service == r.service->name) b.full = pool_.Full(b, limit);
+    // Each own request there holds a connection: below the limit none can be
+    // in the way, and the look through the kept ones is saved.
+    if (b.info.service == r.service->name) {
+      b.full = b.in_flight >= limit && pool_.Full(b, limit);
+    }
   }
   PlacementAsk ask;
   ask.service = r.service->name;
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
+#include <tuple>
 
 #include "absl/strings/str_cat.h"
 
@@ -209,20 +211,24 @@
 }
 
 void RankUpstreams(absl::Span<UpstreamBoard> boards) {
-  auto before = [](const UpstreamBoard& a, const UpstreamBoard& b) {
-    uint64_t x = StableHash(a.info.id);
-    uint64_t y = StableHash(b.info.id);
-    return x != y ? x < y : a.info.id < b.info.id;
+  struct Place {
+    uint64_t hash;
+    UpstreamBoard* board;
   };
+  std::map<absl::string_view, std::vector<Place>> services;
   for (UpstreamBoard& u : boards) {
-    u.rank = 0;
-    u.ranks = 0;
-    for (const UpstreamBoard& o : boards) {
-      if (o.info.service != u.info.service || !o.listed || o.info.leaving) {
-        continue;
-      }
-      ++u.ranks;
-      if (before(o, u)) ++u.rank;
+    u.rank = u.ranks = 0;
+    if (!u.listed || u.info.leaving) continue;
+    services[u.info.service].push_back({StableHash(u.info.id), &u});
+  }
+  for (auto& [service, places] : services) {
+    std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
+      return std::tie(a.hash, a.board->info.id) <
+             std::tie(b.hash, b.board->info.id);
+    });
+    for (size_t i = 0; i < places.size(); ++i) {
+      places[i].board->rank = static_cast<int>(i);
+      places[i].board->ranks = static_cast<int>(places.size());
     }
   }
 }
