Dead code out: a flag never set, facts nobody reads

Cause: the last read of the diff. Change: AnswerWatchers has no parameter, MayMove no unused one, an answer's facts no upstream id; a clamp without effect is gone. Same behaviour.

--- a/src/control.cc
+++ b/src/control.cc
@@ -80,7 +80,7 @@
             if (r.list_age_ms >= 0) {
               list_read_at_ = clock_.Now() - Millis(r.list_age_ms);
             }
-            if (r.list) AnswerWatchers(false);
+            if (r.list) AnswerWatchers();
           }) {
   // Configurations come through the log, not through this watch.
   leader_watch_.state().config_version = std::numeric_limits<int64_t>::max();
@@ -157,7 +157,7 @@
   };
   h.on_config = [this](int64_t version, const std::string&) {
     LogEvent("config_committed", {{"version", version}});
-    AnswerWatchers(false);
+    AnswerWatchers();
   };
   h.on_change = [this] { FollowLeader(); };
   replica_ = std::make_unique<Replica>(clock_, o, store_, *std::move(st),
@@ -323,12 +323,12 @@
   f.watchers = r->watchers;
   watchers_.push_back(
       Watcher{*std::move(r), std::move(stream), clock_.Now() + kWatchHold});
-  AnswerWatchers(false);
+  AnswerWatchers();
 }
 
-// Answers each watch that has something new, or whose time is up; `all`
-// answers every one.
-void Control::AnswerWatchers(bool all) {
+// Answers each watch that has something new, or whose time is up; all of them
+// when no leader is known, so that their askers turn elsewhere.
+void Control::AnswerWatchers() {
   TimePoint now = clock_.Now();
   bool lost = !replica_ || replica_->LeaderAge() > kLeaderlessAfter;
   std::vector<Watcher> keep;
@@ -339,7 +339,7 @@
     bool fresh =
         (replica_ && replica_->config_version() > w.request.config_version) ||
         (list_.version && list_.version != w.request.list_version);
-    if (!all && !fresh && !lost && now < w.until) {
+    if (!fresh && !lost && now < w.until) {
       keep.push_back(std::move(w));
       continue;
     }
@@ -354,7 +354,6 @@
   bool follow = l && !IsLeader();
   leader_watch_.Pause(!follow);
   if (follow) leader_watch_.Pin(l->address);
-  if (!IsLeader()) serving_from_leader_ = std::max(serving_from_leader_, 0);
 }
 
 void Control::OnTick(struct ev_loop*, ev_timer* w, int) {
@@ -373,7 +372,7 @@
                                                : std::next(it);
   }
   leader_watch_.state().watchers = DirectServing();
-  AnswerWatchers(false);
+  AnswerWatchers();
   PollList(now);
   if (!waiting_.empty()) {
     std::vector<Waiting> due = std::move(waiting_);
@@ -413,7 +412,7 @@
     LogEvent("list_changed", {{"upstreams", r->upstreams.size()}});
     list_ = *std::move(r);
     leader_watch_.state().list_version = list_.version;
-    AnswerWatchers(false);
+    AnswerWatchers();
   });
 }
 
--- a/src/control.h
+++ b/src/control.h
@@ -96,7 +96,7 @@
   bool keeps_state() const { return !options_.data_dir.empty(); }
   std::optional<Member> Leader() const;
   WatchReply MakeReply(const WatchRequest& r) const;
-  void AnswerWatchers(bool all);
+  void AnswerWatchers();
   void PollList(TimePoint now);
   void FollowLeader();
   int DirectServing() const;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -54,7 +54,6 @@
   bool not_run = false;         // The upstream states that it did not run it.
   bool other_upstream = false;  // Another than was meant holds the address.
   bool signed_whole = false;    // Bears the upstream's signature.
-  std::string upstream_id;      // Which upstream answered, where it says so.
   // Its load, where it tells it.
   bool has_load = false;
   int running = 0;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -504,7 +504,7 @@
   r.exchange->Respond(r.answer.status, headers, r.held);
 }
 
-bool Gateway::MayMove(Request& r, CallEnd end, absl::string_view why) {
+bool Gateway::MayMove(Request& r, CallEnd end) {
   TimePoint now = clock_.Now();
   if (r.exchange->gone() || r.give_up_at - now < kLeastTime) return false;
   if (end == CallEnd::kNotSent) {
@@ -547,7 +547,7 @@
   } else {
     DropAttempt(r);
   }
-  if (MayMove(r, end, why)) {
+  if (MayMove(r, end)) {
     Dispatch(r);
     return;
   }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -84,7 +84,7 @@
   Endpoint CopySource(const Request& r, const UpstreamBoard& to, TimePoint now);
   // The attempt failed; moves the request on or gives it up.
   void AttemptFailed(Request& r, CallEnd end, absl::string_view why);
-  bool MayMove(Request& r, CallEnd end, absl::string_view why);
+  bool MayMove(Request& r, CallEnd end);
   void DropAttempt(Request& r);
   void ReleaseUpstream(Request& r);
   void Fail(Request& r, ErrorKind kind, absl::string_view why);
