A replica is in step only with all that is committed

Cause: a control process counted as in step with its leader as soon as it had heard one. One that came back with an empty disk and was still catching up, or any follower of a leader that had committed nothing yet, told an old configuration to entries that had just started, as their first.

Ruled out: entries taking an older one later (they never do); the watch itself (what it says of its age was believed rightly, the age was wrong).

Change: StepAge(): the leader's own commit must be of its term and applied here. Watches are answered by it. The common opening of OnAppend and OnInstall is one function.

--- a/src/control.cc
+++ b/src/control.cc
@@ -295,7 +295,7 @@
   WatchReply w;
   TimePoint now = clock_.Now();
   if (replica_) {
-    Duration age = replica_->LeaderAge();
+    Duration age = replica_->StepAge();
     w.age_ms = age == Duration::max() ? -1 : ToMs(age);
     w.config_version = replica_->config_version();
     if (w.config_version > r.config_version) w.config = replica_->config();
@@ -327,10 +327,10 @@
 }
 
 // Answers each watch that has something new, or whose time is up; all of them
-// when no leader is known, so that their askers turn elsewhere.
+// when this process is not in step, so that their askers turn elsewhere.
 void Control::AnswerWatchers() {
   TimePoint now = clock_.Now();
-  bool lost = !replica_ || replica_->LeaderAge() > kLeaderlessAfter;
+  bool lost = !replica_ || replica_->StepAge() > kLeaderlessAfter;
   std::vector<Watcher> keep;
   std::vector<Watcher> due = std::move(watchers_);
   watchers_.clear();
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -104,6 +104,12 @@
   return clock_.Now() - leader_heard_;
 }
 
+Duration Replica::StepAge() const {
+  if (role_ == ReplicaRole::kLeader) return LeaderAge();
+  if (in_step_at_ == TimePoint{}) return Duration::max();
+  return clock_.Now() - in_step_at_;
+}
+
 TimePoint Replica::QuorumContact() const {
   // The send time of the newest round that each voter has answered: the
   // quorum-th best of these is when this leader was surely in office.
@@ -441,16 +447,31 @@
   }
 }
 
-ReplicaMessage Replica::OnAppend(const ReplicaMessage& m) {
-  ReplicaMessage r = Make(ReplicaMessage::Type::kAppendReply);
-  r.round = m.round;
-  if (m.term < term_) return r;
+// Whether `m` comes from the leader of this replica's term, which it then
+// follows; `r` is its reply so far.
+bool Replica::Follow(const ReplicaMessage& m, ReplicaMessage* r) {
+  r->round = m.round;
+  if (m.term < term_) return false;
   if (m.term > term_ || role_ != ReplicaRole::kFollower) {
     StepDown(m.term, "another leader");
   }
-  r.term = term_;
-  if (m.term != term_) return r;
+  r->term = term_;
+  if (m.term != term_) return false;
   HeardLeader(m.from);
+  return true;
+}
+
+// A leader that has committed an entry of its own term knows all that was
+// ever committed; a follower that has applied as much is in step with it.
+void Replica::NoteStep(const ReplicaMessage& m) {
+  if (commit_ >= m.commit && TermAt(m.commit) == m.term) {
+    in_step_at_ = clock_.Now();
+  }
+}
+
+ReplicaMessage Replica::OnAppend(const ReplicaMessage& m) {
+  ReplicaMessage r = Make(ReplicaMessage::Type::kAppendReply);
+  if (!Follow(m, &r)) return r;
   r.index = LastIndex();
   if (m.index > LastIndex() ||
       (m.index > snapshot_.index && TermAt(m.index) != m.log_term)) {
@@ -496,19 +517,13 @@
     Apply(commit_);
     MaybeCompact();
   }
+  NoteStep(m);
   return r;
 }
 
 ReplicaMessage Replica::OnInstall(const ReplicaMessage& m) {
   ReplicaMessage r = Make(ReplicaMessage::Type::kAppendReply);
-  r.round = m.round;
-  if (m.term < term_) return r;
-  if (m.term > term_ || role_ != ReplicaRole::kFollower) {
-    StepDown(m.term, "another leader");
-  }
-  r.term = term_;
-  if (m.term != term_) return r;
-  HeardLeader(m.from);
+  if (!Follow(m, &r)) return r;
   if (!m.snapshot) {
     r.index = commit_;
     return r;
@@ -538,6 +553,7 @@
   }
   r.ok = true;
   r.index = std::max(commit_, m.snapshot->index);
+  NoteStep(m);
   return r;
 }
 
--- a/src/replica.h
+++ b/src/replica.h
@@ -166,8 +166,11 @@
   // The leader, if one was heard within the election time-out (or is self and
   // has its quorum).
   std::optional<Member> Leader() const;
-  // Time since this replica was last sure to be up to date with a leader.
+  // Time since a leader was last heard, or since this one last had its quorum.
   Duration LeaderAge() const;
+  // Time since this replica was last sure to have applied all that a leader
+  // in office had committed: what it holds may be told to those that start.
+  Duration StepAge() const;
   int64_t config_version() const { return config_version_; }
   const std::string& config() const { return config_; }
   const std::vector<Member>& members() const { return members_; }
@@ -203,6 +206,8 @@
   void Broadcast();
   void SendTo(Peer& p);
   ReplicaMessage OnVote(const ReplicaMessage& m);
+  bool Follow(const ReplicaMessage& m, ReplicaMessage* r);
+  void NoteStep(const ReplicaMessage& m);
   ReplicaMessage OnAppend(const ReplicaMessage& m);
   ReplicaMessage OnInstall(const ReplicaMessage& m);
   ReplicaMessage OnJoin(const ReplicaMessage& m);
@@ -254,6 +259,7 @@
   ReplicaRole role_ = ReplicaRole::kFollower;
   std::optional<Member> leader_;
   TimePoint leader_heard_{};
+  TimePoint in_step_at_{};
   TimePoint election_at_{};
   TimePoint disk_bad_until_{};
   bool pre_voting_ = false;
--- a/test/replica_test.cc
+++ b/test/replica_test.cc
@@ -168,6 +168,40 @@
   LONGS_EQUAL(4, g.node(g.Leader())->members().size());
 }
 
+// Symptom: an entry that was just restarted serves from a configuration that
+// was replaced long ago. Sequence: all hosts stop and start, one of them with
+// an empty disk; an entry asks while the group is just coming up. Cause: a
+// replica counted as in step as soon as it had heard a leader, though it had
+// not applied what that leader knows to be committed, or the leader itself had
+// committed nothing yet.
+TEST(replica, InStepOnlyWithAllThatIsCommitted) {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    ReplicaOptions o;
+    o.compact_entries = 8;
+    o.batch_bytes = 200;  // Catching up takes many messages.
+    Group g(3, seed, o);
+    CHECK_TRUE(g.AwaitLeader(kElection) >= 0);
+    for (int v = 1; v <= 30; ++v) CHECK_TRUE(Put(g, v));
+    for (int i = 0; i < 3; ++i) g.Kill(i);
+    int wiped = static_cast<int>(seed % 3);
+    g.Wipe(wiped);
+    for (int i = 0; i < 3; ++i) g.Start(i);
+    bool all_in_step = false;
+    for (int step = 0; step < 600; ++step) {
+      g.Run(Millis(10));
+      all_in_step = true;
+      for (int i = 0; i < 3; ++i) {
+        if (g.node(i)->StepAge() > std::chrono::seconds(1)) {
+          all_in_step = false;
+        } else {
+          LONGS_EQUAL(30, g.node(i)->config_version());
+        }
+      }
+    }
+    CHECK_TRUE(all_in_step);
+  }
+}
+
 // Differential test against a single copy that never fails. Random histories
 // of changes and reads under random faults within the tolerance of one lost
 // disk: every read that is answered shows at least what was acknowledged
