A dark upstream holds a request up for 0.25 s instead of 1.2 s

Cause: new connections to an engine that has gone dark are refused by nobody; each request waited 1.2 s (a lost first packet is sent again after 1 s), more than most latency targets, before it went elsewhere.

Ruled out: nothing was sent, so no rule and no budget stands against asking another at once; a longer time for the first tries gains nothing, as another upstream with a new first packet beats the second packet to the same one.

Change: 0.25 s for the first two connections of a request, 0.6 and 1.2 s for those after, so that a slow network does not end as a refusal.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include <algorithm>
+#include <array>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -21,8 +22,13 @@
 constexpr size_t kMostHeldAnswer = 4 << 20;
 // A caller that reads more slowly than its upstream sends holds this much.
 constexpr size_t kMostUnsent = size_t{256} * 1024;
-// Connections tried for one request beside the sendings that count.
-constexpr int kMostConnectTries = 3;
+// Connections tried for one request beside the sendings that count, and how
+// long each may take. A host that is there answers within a round trip; one
+// without power never does, and a request must not spend its latency target on
+// it. The last ones outlast a lost first packet, which the kernel sends again
+// after a second: then it is the network that is slow.
+constexpr std::array<Millis, 4> kConnectTimeouts = {Millis(250), Millis(250),
+                                                    Millis(600), Millis(1200)};
 // Load of an engine or plain service, in shares of its slots, at which it
 // gets no more; beyond its slots an upstream queues in its own order.
 constexpr double kMostEngineLoad = 1.0;
@@ -302,7 +308,7 @@
   call.on_end = [this, seq, attempt](CallEnd end, absl::string_view why) {
     if (Request* q = Find(seq, attempt)) OnEnd(*q, end, why);
   };
-  r.connection = pool_.Take(u);
+  r.connection = pool_.Take(u, kConnectTimeouts[r.connect_failures]);
   r.connection->Start(std::move(call));
 }
 
@@ -518,7 +524,7 @@
   if (end == CallEnd::kNotSent) {
     // Nothing reached that upstream: it costs neither an attempt nor budget.
     --r.sends;
-    return ++r.connect_failures <= kMostConnectTries;
+    return ++r.connect_failures < kConnectTimeouts.size();
   }
   bool not_run = r.have_head && r.answer_facts.not_run;
   if (!not_run && !r.repeatable()) return false;
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -30,9 +30,9 @@
   TimePoint give_up_at{};
   std::multimap<TimePoint, uint64_t>::iterator give_up_entry;
   bool waiting = false;
-  bool maybe_run = false;  // Some upstream may have run it.
-  int sends = 0;           // Upstreams it was sent to.
-  int connect_failures = 0;
+  bool maybe_run = false;       // Some upstream may have run it.
+  int sends = 0;                // Upstreams it was sent to.
+  size_t connect_failures = 0;  // Connections not established.
   std::vector<std::string> tried;
   // The attempt under way.
   int attempt = 0;
--- a/src/upstream_pool.cc
+++ b/src/upstream_pool.cc
@@ -7,10 +7,6 @@
 namespace medlarwalk {
 namespace {
 
-// A host that is there answers the first packet within a round trip or two;
-// one lost packet is sent again after a second.
-constexpr auto kConnectTimeout = Millis(1200);
-
 bool Usable(const Http1Client& c, TimePoint now) {
   return c.open() && c.idle() && now - c.idle_since() < c.keep_for();
 }
@@ -61,7 +57,8 @@
                       [&](const auto& k) { return Usable(*k, now); });
 }
 
-std::shared_ptr<Http1Client> UpstreamPool::Take(const UpstreamBoard& u) {
+std::shared_ptr<Http1Client> UpstreamPool::Take(const UpstreamBoard& u,
+                                                Duration connect_timeout) {
   Connections& c = connections_[u.info.id];
   ++c.taken;
   TimePoint now = clock_.Now();
@@ -72,7 +69,7 @@
     if (Usable(*k, now)) return k;
     k->Close();
   }
-  return Http1Client::Open(loop_, clock_, u.info.address, kConnectTimeout);
+  return Http1Client::Open(loop_, clock_, u.info.address, connect_timeout);
 }
 
 void UpstreamPool::Give(const std::string& upstream_id,
--- a/src/upstream_pool.h
+++ b/src/upstream_pool.h
@@ -32,8 +32,10 @@
   // The board of upstream `id`, or nullptr.
   UpstreamBoard* Find(const std::string& id);
 
-  // A connection for one call, kept or new.
-  std::shared_ptr<Http1Client> Take(const UpstreamBoard& u);
+  // A connection for one call, kept or new; a new one must be established
+  // within `connect_timeout`.
+  std::shared_ptr<Http1Client> Take(const UpstreamBoard& u,
+                                    Duration connect_timeout);
   // Whether Take would have to open one beyond `limit`.
   bool Full(const UpstreamBoard& u, int limit) const;
   // Gives a connection back after its call.
