The core sends through an upstream link, not through HTTP/1.1 itself

Cause: the gateway took its requests as encoded HTTP/1.1 text and its connections as Http1Client, so the product's own front door, whose upstreams are reached through agents over HTTP/2, could not stand on it.

Ruled out: agents that speak HTTP/1.1 as well (two protocols between our own processes); a proxy connection that translates (parses what was just encoded).

Change: UpstreamLink (one call at a time) with Http1Client as its first kind; requests pass as OutgoingRequest and are encoded where they are sent; the front door's reader sees the body and names host and path of the route.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -14,6 +14,7 @@
 #include "http1.h"
 #include "tcp.h"
 #include "types.h"
+#include "upstream_link.h"
 
 namespace medlarwalk {
 
@@ -28,7 +29,8 @@
   std::string id;                    // Of this attempt; the upstream echoes it.
   std::optional<Duration> patience;  // How long the caller will wait.
   std::string key;                   // Of the client account; may be empty.
-  std::string host;
+  std::string host;                  // With `path`: which route it asks for.
+  std::string path;
   int64_t prompt_tokens = 0;  // 0 when not said.
   int64_t most_output_tokens = 0;
   int64_t likely_output_tokens = 0;  // The caller's estimate; 0 when not said.
@@ -64,10 +66,12 @@
 // The functions of one front door. All pure and thread safe.
 struct Dialect {
   // Errors: InvalidArgument when the head cannot be understood.
-  std::function<absl::StatusOr<RequestFacts>(const MessageHead&)> read_request;
-  // The head and body for the upstream.
-  std::function<std::string(const MessageHead&, const ForwardFacts&,
-                            absl::string_view body)>
+  std::function<absl::StatusOr<RequestFacts>(const MessageHead&,
+                                             absl::string_view body)>
+      read_request;
+  // The request for the upstream; its body is a view of `body`.
+  std::function<OutgoingRequest(const MessageHead&, const ForwardFacts&,
+                                absl::string_view body)>
       write_request;
   std::function<AnswerFacts(const MessageHead&)> read_answer;
 };
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "gateway_request.h"
+#include "http1_client.h"
 #include "log.h"
 
 namespace medlarwalk {
@@ -65,6 +66,12 @@
   return "";
 }
 
+LinkOpener Http1Links(struct ev_loop* loop, const Clock& clock) {
+  return [loop, &clock](const UpstreamInfo& to, Duration connect_timeout) {
+    return Http1Client::Open(loop, clock, to.address, connect_timeout);
+  };
+}
+
 std::string ClassLabel(Tier tier) { return absl::StrCat("tier-", tier); }
 
 }  // namespace
@@ -78,7 +85,8 @@
       dialect_(std::move(dialect)),
       metrics_(metrics),
       random_(random_seed),
-      pool_(loop, clock),
+      pool_(clock,
+            options_.open_link ? options_.open_link : Http1Links(loop, clock)),
       parts_(kPartTrust, kMostParts),
       waiting_(options_.waiting),
       serving_(kAssumedServing) {}
@@ -147,15 +155,14 @@
 }
 
 absl::Status Gateway::Admit(Request& r) {
-  absl::StatusOr<RequestFacts> facts = dialect_.read_request(r.exchange->head);
+  absl::StatusOr<RequestFacts> facts =
+      dialect_.read_request(r.exchange->head, r.exchange->body);
   if (!facts.ok()) {
     return MakeError(ErrorKind::kBadRequest, facts.status().message());
   }
   r.facts = *std::move(facts);
   r.config = config_;
-  absl::string_view path = r.exchange->head.target;
-  path = path.substr(0, path.find('?'));
-  r.route = FindRoute(*config_, r.facts.host, path);
+  r.route = FindRoute(*config_, r.facts.host, r.facts.path);
   if (!r.route) return MakeError(ErrorKind::kUnknownRoute, "no route");
   r.tier = r.route->tier;
   if (!config_->accounts.empty() && !r.route->anonymous) {
@@ -297,7 +304,6 @@
   int attempt = r.attempt;
   UpstreamCall call;
   call.request = dialect_.write_request(r.exchange->head, f, r.exchange->body);
-  call.head_method = r.exchange->head.method == "HEAD";
   call.on_head = [this, seq, attempt](const MessageHead& h) {
     Request* q = Find(seq, attempt);
     return q ? OnHead(*q, h) : true;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -18,13 +18,13 @@
 #include "dialect.h"
 #include "errors.h"
 #include "event_stream.h"
-#include "http1_client.h"
 #include "metrics.h"
 #include "part_memory.h"
 #include "placement.h"
 #include "reading_gate.h"
 #include "retry_budget.h"
 #include "routing_config.h"
+#include "upstream_link.h"
 #include "upstream_pool.h"
 #include "waiting.h"
 
@@ -36,6 +36,8 @@
   PlacementPolicy placement;
   WaitingPolicy waiting;
   ReadingGatePolicy reading;
+  // How upstreams are reached; HTTP/1.1 connections when empty.
+  LinkOpener open_link;
 };
 
 // Thread safety: loop thread only.
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -37,7 +37,7 @@
   // The attempt under way.
   int attempt = 0;
   std::string upstream;  // Empty when none.
-  std::shared_ptr<Http1Client> connection;
+  std::shared_ptr<UpstreamLink> connection;
   TimePoint sent_at{};
   TimePoint progress_at{};
   MessageHead answer;
--- a/src/http1_client.cc
+++ b/src/http1_client.cc
@@ -38,6 +38,14 @@
 
 }  // namespace
 
+std::string EncodeRequest(const OutgoingRequest& r) {
+  std::string out = absl::StrCat(r.method, " ", r.target, " HTTP/1.1\r\n");
+  out.reserve(out.size() + r.body.size() + 1024);
+  for (const auto& [k, v] : r.headers) AppendHeader(&out, k, v);
+  absl::StrAppend(&out, "\r\n", r.body);
+  return out;
+}
+
 Http1Client::Http1Client(struct ev_loop*, const Clock& clock)
     : clock_(clock),
       parser_(Http1Parser::Kind::kAnswer, kAnswerHeaderLimit, kAnswerBodyLimit,
@@ -75,21 +83,23 @@
 
 void Http1Client::Start(UpstreamCall call) {
   call_ = std::move(call);
+  request_ = EncodeRequest(call_.request);
+  head_method_ = call_.request.method == "HEAD";
   busy_ = true;
   sent_ = false;
   ours_ = false;
   message_end_ = false;
   ++calls_;
   parser_.Reset();
-  if (call_.head_method) parser_.ExpectNoBody();
+  if (head_method_) parser_.ExpectNoBody();
   if (connected()) OnConnected();
 }
 
 void Http1Client::OnConnected() {
   if (!busy_ || sent_) return;
   sent_ = true;
-  tcp_->Write(call_.request);
-  call_.request.clear();
+  tcp_->Write(request_);
+  request_.clear();
 }
 
 void Http1Client::OnData(absl::string_view data) {
@@ -129,7 +139,7 @@
       return;
     }
     parser_.Reset();
-    if (call_.head_method) parser_.ExpectNoBody();
+    if (head_method_) parser_.ExpectNoBody();
     return;
   }
   // Bytes beyond the answer, or a request not read to its end, make the
--- a/src/lister.h
+++ b/src/lister.h
@@ -25,8 +25,8 @@
 // The outside source of the list.
 struct ListSource {
   Endpoint at;
-  // The encoded request for the page `token` ("" for the first).
-  std::function<std::string(absl::string_view token)> encode;
+  // The request for the page `token` ("" for the first).
+  std::function<OutgoingRequest(absl::string_view token)> encode;
   std::function<absl::StatusOr<ListPage>(absl::string_view body)> decode;
 };
 
--- a/src/upstream_pool.cc
+++ b/src/upstream_pool.cc
@@ -7,14 +7,14 @@
 namespace medlarwalk {
 namespace {
 
-bool Usable(const Http1Client& c, TimePoint now) {
+bool Usable(const UpstreamLink& c, TimePoint now) {
   return c.open() && c.idle() && now - c.idle_since() < c.keep_for();
 }
 
 }  // namespace
 
-UpstreamPool::UpstreamPool(struct ev_loop* loop, const Clock& clock)
-    : loop_(loop), clock_(clock) {}
+UpstreamPool::UpstreamPool(const Clock& clock, LinkOpener open)
+    : clock_(clock), open_(std::move(open)) {}
 
 void UpstreamPool::Update(const UpstreamList& list) {
   for (UpstreamBoard& b : boards_) b.listed = false;
@@ -57,23 +57,23 @@
                       [&](const auto& k) { return Usable(*k, now); });
 }
 
-std::shared_ptr<Http1Client> UpstreamPool::Take(const UpstreamBoard& u,
-                                                Duration connect_timeout) {
+std::shared_ptr<UpstreamLink> UpstreamPool::Take(const UpstreamBoard& u,
+                                                 Duration connect_timeout) {
   Connections& c = connections_[u.info.id];
   ++c.taken;
   TimePoint now = clock_.Now();
   // The most lately used first: the least likely to be closed meanwhile.
   while (!c.idle.empty()) {
-    std::shared_ptr<Http1Client> k = std::move(c.idle.back());
+    std::shared_ptr<UpstreamLink> k = std::move(c.idle.back());
     c.idle.pop_back();
     if (Usable(*k, now)) return k;
     k->Close();
   }
-  return Http1Client::Open(loop_, clock_, u.info.address, connect_timeout);
+  return open_(u.info, connect_timeout);
 }
 
 void UpstreamPool::Give(const std::string& upstream_id,
-                        const std::shared_ptr<Http1Client>& c) {
+                        const std::shared_ptr<UpstreamLink>& c) {
   Connections& k = connections_[upstream_id];
   --k.taken;
   if (c->open() && c->idle()) {
--- a/src/upstream_pool.h
+++ b/src/upstream_pool.h
@@ -3,8 +3,6 @@
 #ifndef MEDLARWALK_UPSTREAM_POOL_H_
 #define MEDLARWALK_UPSTREAM_POOL_H_
 
-#include <ev.h>
-
 #include <functional>
 #include <memory>
 #include <string>
@@ -12,8 +10,8 @@
 #include <vector>
 
 #include "absl/types/span.h"
-#include "http1_client.h"
 #include "placement.h"
+#include "upstream_link.h"
 #include "upstream_list.h"
 
 namespace medlarwalk {
@@ -21,7 +19,7 @@
 // Thread safety: loop thread only.
 class UpstreamPool {
  public:
-  UpstreamPool(struct ev_loop* loop, const Clock& clock);
+  UpstreamPool(const Clock& clock, LinkOpener open);
 
   // Takes over a new reading of the list. Upstreams no longer listed stay
   // until their last request has ended.
@@ -34,25 +32,25 @@
 
   // A connection for one call, kept or new; a new one must be established
   // within `connect_timeout`.
-  std::shared_ptr<Http1Client> Take(const UpstreamBoard& u,
-                                    Duration connect_timeout);
+  std::shared_ptr<UpstreamLink> Take(const UpstreamBoard& u,
+                                     Duration connect_timeout);
   // Whether Take would have to open one beyond `limit`.
   bool Full(const UpstreamBoard& u, int limit) const;
   // Gives a connection back after its call.
   void Give(const std::string& upstream_id,
-            const std::shared_ptr<Http1Client>& c);
+            const std::shared_ptr<UpstreamLink>& c);
 
   // Closes connections idle for too long and forgets upstreams that are gone.
   void Tick();
 
  private:
   struct Connections {
-    std::vector<std::shared_ptr<Http1Client>> idle;
+    std::vector<std::shared_ptr<UpstreamLink>> idle;
     int taken = 0;
   };
 
-  struct ev_loop* loop_;
   const Clock& clock_;
+  LinkOpener open_;
   std::vector<UpstreamBoard> boards_;
   std::unordered_map<std::string, size_t> index_;
   std::unordered_map<std::string, Connections> connections_;
--- a/test/control_test.cc
+++ b/test/control_test.cc
@@ -47,7 +47,7 @@
     if (i < core_) o.data_dir = DataDir(i);
     o.list.at = Endpoint{"127.0.0.1", 1};  // Nobody listens there.
     o.list.encode = [](absl::string_view) {
-      return std::string("GET / HTTP/1.1\r\n\r\n");
+      return OutgoingRequest{"GET", "/", {}, ""};
     };
     o.list.decode = [](absl::string_view) { return ListPage{}; };
     o.validate = [](absl::string_view d) -> absl::StatusOr<int64_t> {
