A cancelled stream is looked for on its own connection

Cause: streams were cancelled by their number on the newest connection. After a peer's planned stop (GOAWAY) the successor's connection counts from 1 again, so giving up an old request reset another's stream, and the old one ran on.

Ruled out: one id for the whole client as the stream number (HTTP/2 numbers are the connection's own).

Change: Submit returns a handle; the client knows which connection and number it stands for until the stream closes.

--- a/src/h2.cc
+++ b/src/h2.cc
@@ -632,15 +632,30 @@
     retiring_.push_back(std::move(connection_));
   }
   if (!connection_) Connect();
-  auto on_close = call.on_close;
+  int32_t handle = ++next_handle_;
+  auto on_close = [this, handle, f = std::move(call.on_close)](
+                      const absl::Status& status, bool never_sent) {
+    streams_.erase(handle);
+    if (f) f(status, never_sent);
+  };
+  call.on_close = on_close;
+  streams_[handle] = {connection_.get(), 0};
   int32_t id = connection_->Submit(std::move(call));
-  if (id == 0 && on_close)
+  if (id == 0) {
     on_close(absl::UnavailableError("cannot open stream"), true);
-  return id;
+    return 0;
+  }
+  auto it = streams_.find(handle);
+  if (it != streams_.end()) it->second.id = id;
+  return handle;
 }
 
-void H2Client::Cancel(int32_t id) {
-  if (connection_) connection_->Cancel(id);
+void H2Client::Cancel(int32_t handle) {
+  auto it = streams_.find(handle);
+  if (it == streams_.end()) return;
+  Placed at = it->second;
+  streams_.erase(it);
+  at.connection->Cancel(at.id);
 }
 
 bool H2Client::healthy() const {
--- a/src/h2.h
+++ b/src/h2.h
@@ -118,11 +118,11 @@
   H2Client(const H2Client&) = delete;
   H2Client& operator=(const H2Client&) = delete;
 
-  // Opens a stream for `call`; returns its id (0 when it failed at once, in
-  // which case on_close has already run).
+  // Opens a stream for `call`; returns its handle (0 when it failed at once,
+  // in which case on_close has already run).
   int32_t Submit(H2Call call);
   // Resets the stream; its on_close is not called.
-  void Cancel(int32_t id);
+  void Cancel(int32_t handle);
   // Whether a connection is up and has answered its last ping in time.
   bool healthy() const;
   // Whether new streams should be sent. After a failure the peer is suspect
@@ -149,6 +149,13 @@
   Millis ping_interval_;
   Millis ping_timeout_;
   std::unique_ptr<H2Connection> connection_;
+  // Where each open stream is: its number is its connection's own.
+  struct Placed {
+    H2Connection* connection = nullptr;
+    int32_t id = 0;
+  };
+  std::map<int32_t, Placed> streams_;
+  int32_t next_handle_ = 0;
   // Connections the peer sent GOAWAY on: no new streams, but the streams
   // they carry run to their end (a draining agent finishes its answers).
   std::vector<std::unique_ptr<H2Connection>> retiring_;
