The product's own entry stands on the same core as the platform's

Cause: entry.cc (578 lines) with scheduler, router and blackboard was a second router beside the gateway, with its own life of a request, retries and choice of upstream; what was mended in one was not in the other. Two faults stood open in it: gate releases refused in the low burst, lookups refused in the top burst.

Change: own_api puts the product's API, settings and agents in the core's terms; agent_link carries a call to an agent; entry.cc is 216 lines. What the old modules could and the core could not moved there with their tests: starvation share, refusal at arrival, stragglers, keys that stay with one agent, upstreams known to be unreachable (waiting_test, placement_test; scheduler_test and router_test are replaced by these, property by property). A request starves after half of its own time as well (AShortTargetStarvesSooner), and one place an upstream is the top tier's. Nobody waits for a place after a refusal by the last upstream left. Waiting requests like one that found no place are not tried again in the same pass.

The six path tests with real processes pass unchanged.

--- a/src/agent.cc
+++ b/src/agent.cc
@@ -18,13 +18,19 @@
 // A planned stop waits this long at most for requests in progress.
 constexpr auto kMaxDrain = std::chrono::seconds(60);
 constexpr double kDrainTickSeconds = 0.05;
+// When a caller whose request this agent turned away does well to come back.
+constexpr int kRetryAfterSeconds = 1;
 constexpr char kDoneMarker[] = "data: [DONE]";
 constexpr size_t kDoneTail = sizeof(kDoneMarker);
 
 HeaderList ErrorHeaders(ErrorKind kind, bool started) {
-  return {{"content-type", "application/json"},
-          {kH2ErrorKind, std::string(AnswerFor(kind).code)},
-          {kH2Started, started ? "1" : "0"}};
+  HeaderList h = {{"content-type", "application/json"},
+                  {kH2ErrorKind, std::string(AnswerFor(kind).code)},
+                  {kH2Started, started ? "1" : "0"}};
+  if (AnswerFor(kind).retry_after) {
+    h.emplace_back("retry-after", std::to_string(kRetryAfterSeconds));
+  }
+  return h;
 }
 
 std::string ErrorBody(ErrorKind kind, absl::string_view message) {
@@ -222,7 +228,10 @@
     if (!f->relaying) {
       f->relaying = true;
       f->event_stream = absl::StartsWith(data, "data:");
-      f->out->StartStream(f->status, {{kH2Started, "1"}});
+      f->out->StartStream(
+          f->status, {{kH2Started, "1"},
+                      {"content-type", f->event_stream ? "text/event-stream"
+                                                       : "application/json"}});
     }
     f->out->Write(data);
     if (!f->key.empty()) f->stored.append(data.data(), data.size());
--- a/src/bench.cc
+++ b/src/bench.cc
@@ -1,35 +1,47 @@
 #include "bench.h"
 
 #include <chrono>
+#include <map>
 #include <random>
+#include <set>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
-#include "errors.h"
-#include "router.h"
-#include "scheduler.h"
+#include "placement.h"
+#include "waiting.h"
 
 namespace medlarwalk {
 
 namespace {
 
-constexpr int kUpstreams = 3;
+constexpr int kUpstreams = 6;
 constexpr int kSlots = 8;
-constexpr auto kServiceTime = std::chrono::milliseconds(100);
 constexpr auto kStep = std::chrono::milliseconds(1);
-constexpr int kQueueLimit = 128;
-// Classes of the trace: tier, first-token target, share of arrivals.
+constexpr size_t kMostWaiting = 128;
+constexpr char kService[] = "engine";
+// Classes of the trace: tier, latency target, share of arrivals, tokens, and
+// how long an idle engine works on one.
 struct TraceClass {
   Tier tier;
   Millis target;
   double share;
+  int64_t prompt;
+  int64_t output;
+  Millis work;
 };
 constexpr TraceClass kClasses[] = {
-    {0, Millis(500), 0.2}, {1, Millis(800), 0.2}, {3, Millis(8000), 0.6}};
+    {0, Millis(500), 0.2, 100, 60, Millis(100)},
+    {1, Millis(800), 0.2, 1000, 50, Millis(80)},
+    {3, Millis(8000), 0.6, 4000, 80, Millis(110)}};
 constexpr int kClassCount = 3;
-// Arrivals a millisecond: 1.5 times what the slots can serve.
+// Arrivals a millisecond: 1.5 times what the slots can serve, where a request
+// takes this long beside a full batch.
+constexpr double kWorkInFullBatchMs = 190;
 constexpr double kArrivalsPerMs =
-    1.5 * kUpstreams * kSlots / static_cast<double>(kServiceTime.count());
+    1.5 * kUpstreams * kSlots / kWorkInFullBatchMs;
+// Subjects whose prompts share their leading part.
+constexpr uint64_t kSubjects = 40;
 
 // Folds one decision into the signature with a hash that is the same in
 // every run (absl::Hash is seeded per process, so it cannot sign a run).
@@ -40,129 +52,203 @@
       sig);
 }
 
+struct Arrival {
+  int klass = 0;
+  TimePoint at{};
+  uint64_t subject = 0;
+};
+
 struct Running {
   size_t upstream;
   TimePoint done;
+  int klass;
+};
+
+struct Policy {
+  PlacementPolicy placement;
+  WaitingPolicy waiting;
 };
 
-// One pass over the trace with either policy. Returns decision cost in ns.
-template <typename Admit, typename Next, typename Choose, typename Expire>
-double Pass(int requests, uint64_t seed, ManualClock& clock, Admit admit,
-            Next next, Choose choose, Expire expire, BenchReport& r,
-            bool naive) {
-  std::mt19937_64 rng(seed);
-  std::uniform_real_distribution<double> u(0, 1);
-  std::vector<UpstreamState> ups(kUpstreams);
-  for (int i = 0; i < kUpstreams; ++i) {
-    ups[i].name = "u" + std::to_string(i);
-    ups[i].models = {"m"};
-    ups[i].max_in_flight = kSlots;
+// One pass over the trace.
+class Pass {
+ public:
+  Pass(int requests, uint64_t seed, const Policy& policy)
+      : requests_(requests),
+        policy_(policy),
+        arrivals_(seed),
+        draws_(seed + 1),
+        room_(policy.waiting) {
+    for (int i = 0; i < kUpstreams; ++i) {
+      UpstreamBoard b;
+      b.info.id = absl::StrCat("u", i);
+      b.info.service = kService;
+      b.info.slots = kSlots;
+      boards_.push_back(b);
+    }
+    RankUpstreams(absl::MakeSpan(boards_));
+  }
+
+  void Run() {
+    while (static_cast<int>(trace_.size()) < requests_ || !running_.empty() ||
+           room_.size(kService) > 0) {
+      clock_.Advance(kStep);
+      EndDue();
+      auto began = std::chrono::steady_clock::now();
+      Arrive();
+      for (uint64_t seq : room_.Expired(clock_.Now())) {
+        room_.Leave(seq);
+        Refused(seq);
+      }
+      std::set<std::pair<int, uint64_t>> full;  // As the gateway does.
+      for (uint64_t seq : room_.InOrder(kService, clock_.Now())) {
+        std::pair<int, uint64_t> alike(trace_[seq].klass, trace_[seq].subject);
+        if (full.count(alike)) continue;
+        if (!TrySend(seq)) {
+          full.insert(alike);
+          continue;
+        }
+        room_.Served(seq, clock_.Now());
+        room_.NotePlace(kService, clock_.Now());
+      }
+      decide_ns_ += std::chrono::duration<double, std::nano>(
+                        std::chrono::steady_clock::now() - began)
+                        .count();
+    }
   }
-  std::vector<Running> running;
-  std::vector<QueuedRequest> meta;
-  int sent = 0;
-  uint64_t sig = 0;
-  double decide_ns = 0;
-  while (sent < requests || !running.empty()) {
-    clock.Advance(kStep);
-    TimePoint now = clock.Now();
-    for (auto it = running.begin(); it != running.end();) {
-      if (it->done <= now) {
-        --ups[it->upstream].in_flight;
-        it = running.erase(it);
-      } else {
+
+  uint64_t signature() const { return sig_; }
+  double ns_per_request() const { return decide_ns_ / requests_; }
+  int served[kClassCount] = {};
+  int refused[kClassCount] = {};
+  int top_shed = 0;
+  double longest_low_wait_s = 0;
+
+ private:
+  void EndDue() {
+    for (auto it = running_.begin(); it != running_.end();) {
+      if (it->done > clock_.Now()) {
         ++it;
+        continue;
       }
+      UpstreamBoard& u = boards_[it->upstream];
+      --u.in_flight;
+      NoteSuccess(u, clock_.Now());
+      it = running_.erase(it);
     }
-    auto t0 = std::chrono::steady_clock::now();
-    int arrivals = std::poisson_distribution<int>(kArrivalsPerMs)(rng);
-    for (int a = 0; a < arrivals && sent < requests; ++a, ++sent) {
-      double x = u(rng);
-      int k = x < kClasses[0].share                       ? 0
-              : x < kClasses[0].share + kClasses[1].share ? 1
-                                                          : 2;
-      QueuedRequest q;
-      q.id = static_cast<RequestId>(sent) + 1;
-      q.klass = k;
-      q.enqueued = now;
-      q.give_up_at = now + kClasses[k].target;
-      q.route_key = rng();
-      q.model = "m";
-      meta.push_back(q);
-      AdmitResult ar = admit(q);
-      if (!ar.status.ok() && k == 0 && naive) ++r.naive_top_tier_refused;
-      if (ar.shed && meta[*ar.shed - 1].klass == 0) ++r.top_tier_shed;
-      sig = Mix(sig, q.id, ar.status.ok(), ar.shed.value_or(0));
+  }
+
+  void Arrive() {
+    std::uniform_real_distribution<double> draw(0, 1);
+    int n = std::poisson_distribution<int>(kArrivalsPerMs)(arrivals_);
+    for (; n > 0 && static_cast<int>(trace_.size()) < requests_; --n) {
+      double x = draw(arrivals_);
+      int k = 0;
+      while (k + 1 < kClassCount && x >= kClasses[k].share) {
+        x -= kClasses[k++].share;
+      }
+      trace_.push_back({k, clock_.Now(), 1 + arrivals_() % kSubjects});
+      Enter(trace_.size() - 1);
     }
-    for (const QueuedRequest& q : expire(now)) {
-      if (q.klass == 0 && naive) ++r.naive_top_tier_refused;
-      sig = Mix(sig, q.id, ~0ULL);
+  }
+
+  void Enter(uint64_t seq) {
+    const Arrival& a = trace_[seq];
+    if (TrySend(seq)) {
+      room_.NotePlace(kService, clock_.Now());
+      return;
     }
-    for (;;) {
-      auto q = next([&](const QueuedRequest& c) {
-        for (const auto& up : ups) {
-          if (CanServe(up, c.model)) return true;
-        }
-        return false;
-      });
-      if (!q) break;
-      std::optional<size_t> i = choose(ups, *q);
-      ++ups[*i].in_flight;
-      running.push_back({*i, now + kServiceTime});
-      sig = Mix(sig, q->id, *i);
-      if (!naive) {
-        if (q->klass == 0) ++r.top_tier_served;
-        if (q->klass == kClassCount - 1) {
-          ++r.lowest_tier_served;
-          r.max_lowest_wait_s = std::max(
-              r.max_lowest_wait_s,
-              std::chrono::duration<double>(now - q->enqueued).count());
-        }
-      }
+    WaitingRequest w;
+    w.seq = seq;
+    w.tier = kClasses[a.klass].tier;
+    w.since = a.at;
+    w.until = a.at + kClasses[a.klass].target;
+    w.service = kService;
+    std::optional<uint64_t> shed;
+    absl::Status s = room_.Enter(std::move(w), &shed);
+    if (shed) {
+      top_shed += trace_[*shed].klass == 0;
+      Refused(*shed);
     }
-    decide_ns += std::chrono::duration<double, std::nano>(
-                     std::chrono::steady_clock::now() - t0)
-                     .count();
+    if (!s.ok()) Refused(seq);
   }
-  if (!naive) r.signature = sig;
-  return decide_ns / requests;
-}
+
+  bool TrySend(uint64_t seq) {
+    const Arrival& a = trace_[seq];
+    const TraceClass& c = kClasses[a.klass];
+    TimePoint now = clock_.Now();
+    PlacementAsk ask;
+    ask.service = kService;
+    ask.affinity = a.subject;
+    ask.shared_tokens = c.prompt / 2;
+    ask.shape = ShapeOf(c.prompt, c.output, policy_.placement);
+    DecodeDemand demand;
+    demand.in_flight =
+        DecodeLoad(boards_, kService, decode_engines_, now, policy_.placement);
+    decode_engines_ = DecodeEngines(demand, decode_engines_, kSlots, kUpstreams,
+                                    policy_.placement);
+    ask.decode_engines = decode_engines_;
+    std::uniform_real_distribution<double> draw(0, 1);
+    std::optional<size_t> i =
+        Place(boards_, ask, now, draw(draws_), policy_.placement);
+    if (!i) return false;
+    UpstreamBoard& u = boards_[*i];
+    // A batch slows each of its requests.
+    auto work = c.work + c.work * u.in_flight / kSlots;
+    ++u.in_flight;
+    NotePrefill(u, static_cast<double>(c.prompt), now, policy_.placement);
+    running_.push_back({*i, now + work, a.klass});
+    ++served[a.klass];
+    if (a.klass == kClassCount - 1) {
+      longest_low_wait_s = std::max(longest_low_wait_s, ToSeconds(now - a.at));
+    }
+    sig_ = Mix(sig_, seq, *i);
+    return true;
+  }
+
+  void Refused(uint64_t seq) {
+    ++refused[trace_[seq].klass];
+    sig_ = Mix(sig_, seq, ~0ULL);
+  }
+
+  int requests_;
+  Policy policy_;
+  ManualClock clock_;
+  std::mt19937_64 arrivals_;
+  std::mt19937_64 draws_;
+  WaitingRoom room_;
+  std::vector<UpstreamBoard> boards_;
+  int decode_engines_ = 0;
+  std::vector<Arrival> trace_;
+  std::vector<Running> running_;
+  uint64_t sig_ = 0;
+  double decide_ns_ = 0;
+};
 
 }  // namespace
 
 BenchReport RunBench(int requests, uint64_t seed) {
   BenchReport r;
   r.requests = requests;
-  {
-    ManualClock clock;
-    std::vector<SchedulerClass> classes;
-    for (const auto& c : kClasses) classes.push_back({c.tier, c.target});
-    SchedulerConfig config;
-    config.queue_limit = kQueueLimit;
-    Scheduler s(clock, config, classes);
-    RouterPolicy policy;
-    r.ns_per_request = Pass(
-        requests, seed, clock,
-        [&](const QueuedRequest& q) { return s.Admit(q); },
-        [&](auto f) { return s.Next(f); },
-        [&](const std::vector<UpstreamState>& ups, const QueuedRequest& q) {
-          return ChooseUpstream(ups, q.model, q.route_key, policy);
-        },
-        [&](TimePoint) { return s.Expire(); }, r, false);
-  }
-  {
-    ManualClock clock;
-    NaiveScheduler s(kQueueLimit);
-    size_t cursor = 0;
-    r.naive_ns_per_request = Pass(
-        requests, seed, clock,
-        [&](const QueuedRequest& q) { return s.Admit(q); },
-        [&](auto f) { return s.Next(f); },
-        [&](const std::vector<UpstreamState>& ups, const QueuedRequest& q) {
-          return ChooseRoundRobin(ups, q.model, &cursor);
-        },
-        [&](TimePoint now) { return s.Expire(now); }, r, true);
-  }
+  Policy ours;
+  ours.waiting.most_waiting = kMostWaiting;
+  ours.waiting.refuse_unmeetable = true;
+  ours.waiting.starvation_bound = std::chrono::seconds(4);
+  Pass pass(requests, seed, ours);
+  pass.Run();
+  r.signature = pass.signature();
+  r.top_tier_served = pass.served[0];
+  r.top_tier_shed = pass.top_shed;
+  r.lowest_tier_served = pass.served[kClassCount - 1];
+  r.max_lowest_wait_s = pass.longest_low_wait_s;
+  r.ns_per_request = pass.ns_per_request();
+  Policy naive;
+  naive.waiting.most_waiting = kMostWaiting;
+  naive.waiting.tiered = false;
+  naive.placement.blind = true;
+  Pass baseline(requests, seed, naive);
+  baseline.Run();
+  r.naive_top_tier_refused = baseline.refused[0];
+  r.naive_ns_per_request = baseline.ns_per_request();
   return r;
 }
 
--- a/src/bench.h
+++ b/src/bench.h
@@ -1,6 +1,6 @@
-// The built-in bench: a deterministic run of the entry's policy (scheduler
-// and router) and of the naive baseline over the same seeded trace, on a
-// manual clock. It prints a signature of every decision, so that any change
+// The built-in bench: a deterministic run of the decisions (waiting, placement)
+// and of the naive baseline (any free upstream, first come) over one trace, on
+// a manual clock. It prints a signature of every decision, so that any change
 // in behaviour shows in the commit that made it, and the cost per request of
 // each policy, so that speed is compared in one run.
 #ifndef MEDLARWALK_BENCH_H_
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -11,7 +11,9 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "errors.h"
 #include "http1.h"
+#include "routing_config.h"
 #include "tcp.h"
 #include "types.h"
 #include "upstream_link.h"
@@ -36,10 +38,16 @@
   int64_t likely_output_tokens = 0;  // The caller's estimate; 0 when not said.
   std::vector<PromptPart> parts;
   std::optional<int64_t> last_event;  // The caller resumes after this event.
+  // Where the request, not its route, says what it is.
+  std::optional<RequestKind> kind;
+  std::optional<bool> repeatable;
+  // Not 0: every sending of it goes to the one upstream this hash leads to.
+  uint64_t pinned = 0;
 };
 
 // What goes with a forwarded request beside what the caller sent.
 struct ForwardFacts {
+  std::string id;           // Of the request.
   std::string upstream_id;  // Any other upstream must refuse the request.
   Duration patience{};      // What is left of it.
   std::string account;      // Empty when there is none.
@@ -52,7 +60,9 @@
 
 // What an upstream's answer says of itself.
 struct AnswerFacts {
-  std::string echoed_id;
+  // The id of the request it answers; nullopt where the link itself pairs
+  // answers with requests.
+  std::optional<std::string> echoed_id;
   bool not_run = false;         // The upstream states that it did not run it.
   bool other_upstream = false;  // Another than was meant holds the address.
   bool signed_whole = false;    // Bears the upstream's signature.
@@ -63,9 +73,15 @@
   int slots = 0;
 };
 
+// A refusal or failure of our own, as the caller gets it.
+struct Refusal {
+  HeaderList headers;
+  std::string body;
+};
+
 // The functions of one front door. All pure and thread safe.
 struct Dialect {
-  // Errors: InvalidArgument when the head cannot be understood.
+  // Errors: of a kind of errors.h, else taken for a bad request.
   std::function<absl::StatusOr<RequestFacts>(const MessageHead&,
                                              absl::string_view body)>
       read_request;
@@ -74,6 +90,11 @@
                                 absl::string_view body)>
       write_request;
   std::function<AnswerFacts(const MessageHead&)> read_answer;
+  // Whether the header `name` of an answer is for the caller; all when empty.
+  std::function<bool(absl::string_view name)> passes_on;
+  // `retry_after`: when the caller does well to come back.
+  std::function<Refusal(ErrorKind, absl::string_view why, Duration retry_after)>
+      write_refusal;
 };
 
 }  // namespace medlarwalk
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_format.h"
 #include "gateway_request.h"
 #include "http1_client.h"
 #include "log.h"
@@ -16,9 +16,6 @@
 // Assumed until the control processes have said how many entries there are:
 // too many is safe for the shared limits.
 constexpr int kAssumedServing = 8;
-// Part of an upstream's connections that the entries use together; the rest
-// covers entries that are not known yet or any more.
-constexpr double kConnectionShare = 0.8;
 // Answers that are not streams are held until whole, up to this.
 constexpr size_t kMostHeldAnswer = 4 << 20;
 // A caller that reads more slowly than its upstream sends holds this much.
@@ -30,10 +27,6 @@
 // after a second: then it is the network that is slow.
 constexpr std::array<Millis, 4> kConnectTimeouts = {Millis(250), Millis(250),
                                                     Millis(600), Millis(1200)};
-// Load of an engine or plain service, in shares of its slots, at which it
-// gets no more; beyond its slots an upstream queues in its own order.
-constexpr double kMostEngineLoad = 1.0;
-constexpr double kMostPlainLoad = 2.0;
 // Less time than this left is not worth another sending.
 constexpr auto kLeastTime = Millis(20);
 // The first come-back time told, before any load is known, and its spread:
@@ -72,8 +65,6 @@
   };
 }
 
-std::string ClassLabel(Tier tier) { return absl::StrCat("tier-", tier); }
-
 }  // namespace
 
 Gateway::Gateway(struct ev_loop* loop, const Clock& clock,
@@ -110,6 +101,19 @@
 
 void Gateway::SetServing(int serving) { serving_ = std::max(1, serving); }
 
+void Gateway::NoteLoad(const std::string& upstream, int running, int waiting) {
+  UpstreamBoard* u = pool_.Find(upstream);
+  if (u) NoteReport(*u, running, waiting, clock_.Now());
+}
+
+void Gateway::SetReachable(const std::string& upstream, bool reachable) {
+  UpstreamBoard* u = pool_.Find(upstream);
+  if (!u || u->reachable == reachable) return;
+  u->reachable = reachable;
+  LogEvent("upstream_reachable",
+           {{"upstream", upstream}, {"reachable", reachable ? 1 : 0}});
+}
+
 RetryBudget& Gateway::BudgetFor(const std::string& service) {
   return budgets_.try_emplace(service, clock_.Now()).first->second;
 }
@@ -118,6 +122,11 @@
   return reading_.try_emplace(service, options_.reading).first->second;
 }
 
+std::string Gateway::LabelOf(const Request& r) {
+  return r.route && !r.route->label.empty() ? r.route->label
+                                            : absl::StrCat("tier-", r.tier);
+}
+
 Gateway::Request* Gateway::Find(uint64_t seq, int attempt) {
   auto it = requests_.find(seq);
   if (it == requests_.end() || it->second->attempt != attempt) return nullptr;
@@ -158,7 +167,10 @@
   absl::StatusOr<RequestFacts> facts =
       dialect_.read_request(r.exchange->head, r.exchange->body);
   if (!facts.ok()) {
-    return MakeError(ErrorKind::kBadRequest, facts.status().message());
+    ErrorKind kind = KindOf(facts.status());
+    return MakeError(
+        kind == ErrorKind::kInternal ? ErrorKind::kBadRequest : kind,
+        facts.status().message());
   }
   r.facts = *std::move(facts);
   r.config = config_;
@@ -200,7 +212,10 @@
 }
 
 void Gateway::Dispatch(Request& r) {
-  if (TrySend(r)) return;
+  if (TrySend(r)) {
+    waiting_.NotePlace(r.service->name, clock_.Now());
+    return;
+  }
   WaitingRequest w;
   w.seq = r.seq;
   w.tier = r.rank;
@@ -210,14 +225,30 @@
                                            r.route->latency_target *
                                            options_.waiting.most_target_share));
   w.service = r.service->name;
+  r.starves_at = StarvesAt(w, options_.waiting);
   std::optional<uint64_t> shed;
-  r.waiting = waiting_.Enter(std::move(w), &shed);
+  absl::Status entered = waiting_.Enter(std::move(w), &shed);
+  r.waiting = entered.ok();
   if (shed) {
     Request* other = requests_.at(*shed).get();
     other->waiting = false;
     Fail(*other, ErrorKind::kShed, "room needed for a higher tier");
   }
-  if (!r.waiting) Fail(r, ErrorKind::kOverloaded, "waiting room full");
+  if (!r.waiting) Fail(r, KindOf(entered), entered.message());
+}
+
+PlacementAsk Gateway::AskFor(const Request& r) const {
+  PlacementAsk ask;
+  ask.service = r.service->name;
+  ask.affinity = r.affinity;
+  ask.shared_tokens = r.shared_tokens;
+  ask.data_centre = options_.data_centre;
+  ask.avoid = r.tried;
+  ask.shape = r.shape;
+  ask.pinned = r.facts.pinned;
+  ask.most_load = r.service->engine ? options_.placement.most_engine_load
+                                    : options_.placement.most_plain_load;
+  return ask;
 }
 
 bool Gateway::TrySend(Request& r) {
@@ -226,8 +257,14 @@
     return false;
   }
   bool engine = r.service->engine.has_value();
-  int limit = std::max(2, static_cast<int>(r.service->max_connections *
-                                           kConnectionShare / serving_));
+  int limit =
+      std::max(2, static_cast<int>(r.service->max_connections *
+                                   options_.connection_share / serving_));
+  bool starves = r.waiting && clock_.Now() >= r.starves_at;
+  if (r.tier > 0 && !starves) {
+    limit -=
+        static_cast<int>(std::ceil(limit * options_.placement.reserved_share));
+  }
   for (UpstreamBoard& b : pool_.boards()) {
     // Each own request there holds a connection: below the limit none can be
     // in the way, and the look through the kept ones is saved.
@@ -235,13 +272,7 @@
       b.full = b.in_flight >= limit && pool_.Full(b, limit);
     }
   }
-  PlacementAsk ask;
-  ask.service = r.service->name;
-  ask.affinity = r.affinity;
-  ask.shared_tokens = r.shared_tokens;
-  ask.data_centre = options_.data_centre;
-  ask.avoid = r.tried;
-  ask.shape = r.shape;
+  PlacementAsk ask = AskFor(r);
   if (engine) {
     int engines = 1;
     for (const UpstreamBoard& b : pool_.boards()) {
@@ -253,7 +284,6 @@
     ask.decode_engines = kept;
   }
   r.decode_engines = ask.decode_engines;
-  ask.most_load = engine ? kMostEngineLoad : kMostPlainLoad;
   std::uniform_real_distribution<double> draw(0, 1);
   std::optional<size_t> i = Place(pool_.boards(), ask, clock_.Now(),
                                   draw(random_), options_.placement);
@@ -282,6 +312,7 @@
   NotePrefill(u, static_cast<double>(r.facts.prompt_tokens), now,
               options_.placement);
   ForwardFacts f;
+  f.id = r.facts.id;
   f.upstream_id = u.info.id;
   f.patience = r.give_up_at - now;
   f.account = r.account;
@@ -366,10 +397,11 @@
   AnswerFacts f = dialect_.read_answer(head);
   TimePoint now = clock_.Now();
   bool success = head.status / 100 == 2;
-  if (f.echoed_id != r.facts.id && (!f.echoed_id.empty() || success)) {
+  if (f.echoed_id && *f.echoed_id != r.facts.id &&
+      (!f.echoed_id->empty() || success)) {
     LogEvent("answer_skipped", {{"request", r.facts.id},
                                 {"upstream", r.upstream},
-                                {"bears", f.echoed_id}});
+                                {"bears", *f.echoed_id}});
     return false;
   }
   r.progress_at = now;
@@ -442,15 +474,12 @@
     parts_.Note(r.facts.parts, r.upstream, clock_.Now());
   }
   if (!r.stream_started) {
-    HeaderList headers;
-    for (const auto& h : r.answer.headers) {
-      if (!IsHopByHop(h.first)) headers.push_back(h);
-    }
-    r.exchange->StartAnswer(r.answer.status, r.answer.reason, headers);
+    r.exchange->StartAnswer(r.answer.status, r.answer.reason,
+                            HeadersOf(r.answer));
     r.stream_started = true;
     r.first_event_at = clock_.Now();
     metrics_.ObserveFirstToken(
-        ClassLabel(r.tier), ToSeconds(r.first_event_at - r.exchange->arrived));
+        LabelOf(r), ToSeconds(r.first_event_at - r.exchange->arrived));
   }
   TimePoint now = clock_.Now();
   if (r.events > 0) NotePauseOf(r, now);
@@ -469,6 +498,9 @@
     r.longest_pause_at = r.upstream;
   }
   bool same_upstream = r.last_event_at > r.sent_at;
+  if (UpstreamBoard* u = pool_.Find(r.upstream); u && same_upstream) {
+    NoteEventGap(*u, pause);
+  }
   if (r.shape != WorkShape::kDecode || !same_upstream) return;
   NotePause(ToSeconds(pause) / ToSeconds(r.route->pause_target), now,
             options_.placement, &demand_[r.service->name]);
@@ -517,11 +549,17 @@
 }
 
 void Gateway::AnswerWhole(Request& r) {
-  HeaderList headers;
-  for (const auto& h : r.answer.headers) {
-    if (!IsHopByHop(h.first)) headers.push_back(h);
+  r.exchange->Respond(r.answer.status, HeadersOf(r.answer), r.held);
+}
+
+HeaderList Gateway::HeadersOf(const MessageHead& answer) const {
+  HeaderList out;
+  for (const auto& h : answer.headers) {
+    if (IsHopByHop(h.first)) continue;
+    if (dialect_.passes_on && !dialect_.passes_on(h.first)) continue;
+    out.push_back(h);
   }
-  r.exchange->Respond(r.answer.status, headers, r.held);
+  return out;
 }
 
 bool Gateway::MayMove(Request& r, CallEnd end) {
@@ -567,7 +605,8 @@
   } else {
     DropAttempt(r);
   }
-  if (MayMove(r, end)) {
+  // Waiting for a place helps only where an upstream is left to try.
+  if (MayMove(r, end) && AnyLeft(pool_.boards(), AskFor(r))) {
     Dispatch(r);
     return;
   }
@@ -609,12 +648,8 @@
     return;
   }
   metrics_.CountRefusal(a.code);
-  HeaderList headers;
-  if (a.retry_after && a.not_run) {
-    headers.emplace_back(
-        "Retry-After", absl::StrFormat("%.3f", ToSeconds(RetryAfter(r, kind))));
-  }
-  r.exchange->Respond(a.http_status, headers, "");
+  Refusal refusal = dialect_.write_refusal(kind, why, RetryAfter(r, kind));
+  r.exchange->Respond(a.http_status, refusal.headers, refusal.body);
   Finish(r, a.code, why);
 }
 
@@ -640,8 +675,8 @@
        {"events", r.events},
        {"pause_ms", ToMs(r.longest_pause)},
        {"pause_at", r.longest_pause_at}});
-  metrics_.CountFinished(ClassLabel(r.tier), outcome);
-  metrics_.ObserveDuration(ClassLabel(r.tier), ToSeconds(took));
+  metrics_.CountFinished(LabelOf(r), outcome);
+  metrics_.ObserveDuration(LabelOf(r), ToSeconds(took));
   r.exchange->set_on_gone(nullptr);
   r.exchange->set_on_drained(nullptr);
   give_up_.erase(r.give_up_entry);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -36,6 +36,9 @@
   PlacementPolicy placement;
   WaitingPolicy waiting;
   ReadingGatePolicy reading;
+  // Part of an upstream's connections that the entries use together; the rest
+  // covers entries that are not known yet or any more.
+  double connection_share = 0.8;
   // How upstreams are reached; HTTP/1.1 connections when empty.
   LinkOpener open_link;
 };
@@ -56,6 +59,9 @@
   void SetUpstreams(const UpstreamList& list);
   // How many entry processes share upstreams and allowances.
   void SetServing(int serving);
+  // What is known of an upstream from elsewhere than its answers.
+  void NoteLoad(const std::string& upstream, int running, int waiting);
+  void SetReachable(const std::string& upstream, bool reachable);
   // Drives time-outs; called every few tens of milliseconds.
   void Tick();
   int open_requests() const { return static_cast<int>(requests_.size()); }
@@ -75,6 +81,7 @@
   void Begin(Request& r);
   absl::Status Admit(Request& r);
   void Dispatch(Request& r);
+  PlacementAsk AskFor(const Request& r) const;
   bool TrySend(Request& r);
   void Send(Request& r, size_t upstream);
   bool OnHead(Request& r, const MessageHead& head);
@@ -90,11 +97,13 @@
   bool MayMove(Request& r, CallEnd end);
   void DropAttempt(Request& r);
   void ReleaseUpstream(Request& r);
+  HeaderList HeadersOf(const MessageHead& answer) const;
   void Fail(Request& r, ErrorKind kind, absl::string_view why);
   void Finish(Request& r, absl::string_view outcome, absl::string_view why);
   void CallerLeft(uint64_t seq);
   void CheckStall(Request& r, TimePoint now);
   void ServeWaiting();
+  static std::string LabelOf(const Request& r);
   Request* Find(uint64_t seq, int attempt);
   void NoteDemand(TimePoint now);
   Duration RetryAfter(const Request& r, ErrorKind kind);
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -30,6 +30,7 @@
   TimePoint give_up_at{};
   std::multimap<TimePoint, uint64_t>::iterator give_up_entry;
   bool waiting = false;
+  TimePoint starves_at{};       // While waiting.
   bool maybe_run = false;       // Some upstream may have run it.
   int sends = 0;                // Upstreams it was sent to.
   size_t connect_failures = 0;  // Connections not established.
@@ -56,11 +57,12 @@
   Duration longest_pause{};
   std::string longest_pause_at;  // The upstream it came from.
 
+  RequestKind kind() const { return facts.kind.value_or(route->kind); }
+  bool stream() const { return kind() == RequestKind::kStream; }
   bool repeatable() const {
-    return route->kind == RequestKind::kRepeatable ||
-           (route->kind == RequestKind::kStream && route->resumable);
+    if (facts.repeatable) return *facts.repeatable && !stream_started;
+    return kind() == RequestKind::kRepeatable || (stream() && route->resumable);
   }
-  bool stream() const { return route->kind == RequestKind::kStream; }
 };
 
 }  // namespace medlarwalk
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -1,6 +1,8 @@
 // The gateway's part that is driven by time: waiting requests, time-outs,
 // upstreams that have fallen silent, the end of a planned stop.
 #include <algorithm>
+#include <set>
+#include <utility>
 
 #include "gateway.h"
 #include "gateway_request.h"
@@ -30,11 +32,21 @@
   serving_waiting_ = true;
   for (const std::string& service : waiting_.Services()) {
     // Those whose own place is not free do not hold up the ones behind them.
-    for (uint64_t seq : waiting_.InOrder(service)) {
+    TimePoint now = clock_.Now();
+    // Shapes and prompt parts that found no place this time: others like them
+    // will find none either, and are not looked at.
+    std::set<std::pair<WorkShape, uint64_t>> full;
+    for (uint64_t seq : waiting_.InOrder(service, now)) {
       Request& r = *requests_.at(seq);
-      if (!TrySend(r)) continue;
+      bool alike = r.tried.empty() && r.facts.pinned == 0;
+      if (alike && full.count({r.shape, r.affinity})) continue;
+      if (!TrySend(r)) {
+        if (alike) full.emplace(r.shape, r.affinity);
+        continue;
+      }
       r.waiting = false;
-      waiting_.Leave(seq);
+      waiting_.Served(seq, now);
+      waiting_.NotePlace(service, now);
     }
   }
   serving_waiting_ = false;
@@ -109,6 +121,9 @@
     if (it != requests_.end()) CheckStall(*it->second, now);
   }
   pool_.Tick();
+  if (options_.placement.straggler_factor > 0) {
+    MarkStragglers(absl::MakeSpan(pool_.boards()), options_.placement);
+  }
   ServeWaiting();
 }
 
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -14,6 +14,10 @@
 constexpr double kFailureSmoothing = 0.15;
 // Answers before an upstream's failure share says anything.
 constexpr int kFailureSamples = 4;
+// Above any difference in load.
+constexpr double kStragglerCost = 10;
+// Weight of the newest gap in the smoothed one.
+constexpr double kGapSmoothing = 0.2;
 // The most a pause counts: an upstream that broke off says nothing of others.
 constexpr double kMostPause = 1.2;
 
@@ -54,13 +58,14 @@
   Scored s{index, 0, false, false};
   s.score = EstimatedLoad(u, now, policy) / std::max(1, u.info.slots);
   s.busy = s.score >= ask.most_load;
-  if (ask.shape == WorkShape::kPrefill &&
+  if (!policy.blind && ask.shape == WorkShape::kPrefill &&
       u.reading >= std::max(1, static_cast<int>(u.reading_limit))) {
     s.busy = true;
   }
   if (ask.shape != WorkShape::kPlain) {
     bool kept_for_decode = u.rank < ask.decode_engines;
-    s.wrong_shape = kept_for_decode != (ask.shape == WorkShape::kDecode);
+    s.wrong_shape = ask.decode_engines > 0 &&
+                    kept_for_decode != (ask.shape == WorkShape::kDecode);
     if (s.wrong_shape) s.score += policy.wrong_shape_cost;
     s.score += policy.prefill_weight * PrefillLeft(u, now, policy) /
                policy.prefill_rate / 1000.0;
@@ -69,10 +74,30 @@
     s.score +=
         policy.failure_weight * std::max(0.0, u.failure_share - usual_share);
   }
+  if (u.straggler) s.score += kStragglerCost;
   if (u.info.data_centre != ask.data_centre) s.score += policy.remote_cost;
   return s;
 }
 
+std::optional<size_t> PlacePinned(absl::Span<const UpstreamBoard> boards,
+                                  const PlacementAsk& ask, TimePoint now,
+                                  const PlacementPolicy& policy) {
+  std::optional<size_t> home;
+  uint64_t best = 0;
+  for (size_t i = 0; i < boards.size(); ++i) {
+    const UpstreamBoard& u = boards[i];
+    if (u.info.service != ask.service || !u.listed) continue;
+    uint64_t h = StableHash(u.info.id, ask.pinned);
+    if (home && h <= best) continue;
+    home = i;
+    best = h;
+  }
+  if (!home || Contains(ask.avoid, boards[*home].info.id)) return std::nullopt;
+  Scored s = ScoreOf(boards[*home], *home, ask, now, 0, policy);
+  if (s.busy || !Usable(boards[*home], now, policy)) return std::nullopt;
+  return home;
+}
+
 size_t HomesFor(absl::Span<const Scored> usable,
                 const PlacementPolicy& policy) {
   int right = 0;
@@ -118,9 +143,17 @@
   return w * told + (1 - w) * own;
 }
 
+bool AnyLeft(absl::Span<const UpstreamBoard> boards, const PlacementAsk& ask) {
+  return std::any_of(boards.begin(), boards.end(), [&](const auto& u) {
+    return u.info.service == ask.service && u.listed && !u.info.leaving &&
+           !u.ended && !Contains(ask.avoid, u.info.id);
+  });
+}
+
 bool Usable(const UpstreamBoard& u, TimePoint now,
             const PlacementPolicy& policy) {
   if (!u.listed || u.info.leaving || u.full || u.ended) return false;
+  if (!u.reachable) return false;
   if (now < u.aside_until) return false;
   return !(u.in_flight > 0 && u.quiet_since != TimePoint{} &&
            now - u.quiet_since > policy.quiet_limit);
@@ -129,6 +162,7 @@
 std::optional<size_t> Place(absl::Span<const UpstreamBoard> boards,
                             const PlacementAsk& ask, TimePoint now, double draw,
                             const PlacementPolicy& policy) {
+  if (ask.pinned != 0) return PlacePinned(boards, ask, now, policy);
   double usual_share = UsualFailureShare(boards, ask.service);
   std::vector<Scored> usable;
   std::optional<size_t> fallback;
@@ -136,6 +170,7 @@
     const UpstreamBoard& u = boards[i];
     if (u.info.service != ask.service || !u.listed || u.info.leaving) continue;
     if (Contains(ask.avoid, u.info.id) || u.full || u.ended) continue;
+    if (!u.reachable) continue;
     if (!Usable(u, now, policy)) {
       if (!fallback || u.aside_until < boards[*fallback].aside_until) {
         fallback = i;
@@ -158,6 +193,7 @@
   const Scored* best = nullptr;
   for (size_t k = 0; k < n; ++k) {
     const Scored& s = usable[(start + k) % n];
+    if (policy.blind && !s.busy) return s.index;
     if (!s.busy && (!best || s.score < best->score)) best = &s;
   }
   // Busy is no reason to try one that does not work.
@@ -216,6 +252,7 @@
 
 int DecodeEngines(const DecodeDemand& demand, int current, int slots,
                   int engines, const PlacementPolicy& policy) {
+  if (engines < policy.split_from) return 0;
   double fill =
       policy.decode_fill_calm +
       demand.pressure * (policy.decode_fill_pressed - policy.decode_fill_calm);
@@ -259,6 +296,30 @@
   }
 }
 
+void NoteEventGap(UpstreamBoard& u, Duration gap) {
+  double s = ToSeconds(gap);
+  u.event_gap_s += u.event_gaps == 0 ? s : kGapSmoothing * (s - u.event_gap_s);
+  ++u.event_gaps;
+}
+
+void MarkStragglers(absl::Span<UpstreamBoard> boards,
+                    const PlacementPolicy& policy) {
+  std::map<absl::string_view, std::vector<double>> gaps;
+  for (UpstreamBoard& u : boards) {
+    u.straggler = false;
+    if (u.listed && u.event_gaps >= policy.straggler_samples) {
+      gaps[u.info.service].push_back(u.event_gap_s);
+    }
+  }
+  for (UpstreamBoard& u : boards) {
+    std::vector<double>& g = gaps[u.info.service];
+    if (g.size() < 2 || u.event_gaps < policy.straggler_samples) continue;
+    auto middle = g.begin() + static_cast<std::ptrdiff_t>(g.size() / 2);
+    std::nth_element(g.begin(), middle, g.end());
+    u.straggler = u.event_gap_s > policy.straggler_factor * *middle;
+  }
+}
+
 void NoteSuccess(UpstreamBoard& u, TimePoint now) {
   u.failures = 0;
   u.aside_until = std::min(u.aside_until, now);
--- a/src/placement.h
+++ b/src/placement.h
@@ -39,7 +39,12 @@
   int answers = 0;
   // Nothing has come from it since this moment though it works for us.
   TimePoint quiet_since{};
-  bool full = false;  // No connection may be added to those in use.
+  bool full = false;      // No connection may be added to those in use.
+  bool reachable = true;  // The way to it is not known to be down.
+  // Smoothed seconds between events of streams there, and how many were seen.
+  double event_gap_s = 0;
+  int event_gaps = 0;
+  bool straggler = false;  // Far slower than the others of its service.
   // Long prompts sent there whose first event has not come, and how many of
   // these this process allows itself.
   int reading = 0;
@@ -120,6 +125,22 @@
   Duration aside_first = Millis(500);
   Duration aside_most = Millis(4000);
   int failures_to_aside = 2;
+  // Fewer engines than this are not divided between shapes of work.
+  int split_from = 2;
+  // Load, in shares of its slots, at which an upstream gets no more: beyond
+  // them it queues in its own order.
+  double most_engine_load = 1.0;
+  double most_plain_load = 2.0;
+  // Part of what this process may send to one upstream at once that only the
+  // top tier takes: where long work of lower tiers fills every place, none
+  // comes free for seconds.
+  double reserved_share = 0;
+  // The first one found, whatever its load (the baseline of comparisons).
+  bool blind = false;
+  // An upstream whose events come this many times as far apart as at the
+  // median one gets work only when no other can take it; 0: not looked at.
+  double straggler_factor = 0;
+  int straggler_samples = 8;
   // Prompt reading rate assumed for an engine, tokens a millisecond.
   double prefill_rate = 30;
   // Weight of queued prompt reading: shares of slots for each second of it.
@@ -134,6 +155,9 @@
   absl::string_view data_centre;
   absl::Span<const std::string> avoid;  // Ids already tried.
   double most_load = 1.0;  // Estimated load over slots; busier ones are full.
+  // Not 0: only the one upstream that this hash leads to will do, as it keeps
+  // what is known of earlier sendings.
+  uint64_t pinned = 0;
   WorkShape shape = WorkShape::kPlain;
   // The engines of the lowest ranks that are kept for long generations.
   int decode_engines = 0;
@@ -194,6 +218,15 @@
                                 int decode_engines, TimePoint now,
                                 const PlacementPolicy& policy);
 
+// Whether any upstream of `ask.service` that stays is not among those to avoid.
+bool AnyLeft(absl::Span<const UpstreamBoard> boards, const PlacementAsk& ask);
+
+// Notes that two events of a stream at `u` were `gap` apart.
+void NoteEventGap(UpstreamBoard& u, Duration gap);
+// Marks the stragglers of each service.
+void MarkStragglers(absl::Span<UpstreamBoard> boards,
+                    const PlacementPolicy& policy);
+
 // Notes how a request at `u` went.
 void NoteSuccess(UpstreamBoard& u, TimePoint now);
 void NoteFailure(UpstreamBoard& u, TimePoint now, bool connection,
--- a/src/routing_config.h
+++ b/src/routing_config.h
@@ -41,6 +41,7 @@
   int max_attempts = 1;  // Upstreams that one caller attempt may be sent to.
   bool anonymous = false;
   bool resumable = false;  // A stream may go on elsewhere.
+  std::string label;       // In the metrics; empty: the request's tier.
 };
 
 // Limits of a model engine.
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -233,3 +233,83 @@
   NotePause(0.2, kNow + std::chrono::seconds(9), kPolicy, &d);
   LONGS_EQUAL(2, DecodeEngines(d, 3, 64, 9, kPolicy));
 }
+
+// Symptom: new work keeps reaching an engine that is being taken out or whose
+// agent does not answer. Cause: placement ignores what is known of it.
+TEST(placement, LeavingOrUnreachableUpstreamsGetNoWork) {
+  std::vector<UpstreamBoard> boards = Engines(3);
+  boards[0].info.leaving = true;
+  boards[1].reachable = false;
+  for (int i = 0; i < 200; ++i) {
+    CHECK_EQUAL(2u, *Place(boards, Ask(WorkShape::kPlain, i), kNow, i / 200.0,
+                           kPolicy));
+  }
+  boards[2].info.leaving = true;
+  CHECK_FALSE(
+      Place(boards, Ask(WorkShape::kPlain), kNow, 0, kPolicy).has_value());
+}
+
+// Symptom: one engine swamped while its report still says idle. Sequence: a
+// burst lands within one report's lag. Cause: trusting the report; what this
+// process has sent is exact and wins.
+TEST(placement, OwnRequestsCorrectALaggingReport) {
+  std::vector<UpstreamBoard> boards = Engines(3);
+  for (UpstreamBoard& b : boards) b.reported_at = kNow - Millis(100);
+  boards[0].in_flight = 9;  // Its report still says 0.
+  boards[1].reported = 2;
+  boards[2].reported = 2;
+  for (int i = 0; i < 100; ++i) {
+    CHECK(*Place(boards, Ask(WorkShape::kPlain), kNow, i / 100.0, kPolicy) !=
+          0u);
+  }
+}
+
+// Symptom: one slow engine drags down every class's pauses. Sequence: it
+// straggles; its events come further apart. Cause: no detection. It is marked
+// and avoided while others can serve.
+TEST(placement, AStragglerIsMarkedAndAvoided) {
+  PlacementPolicy policy;
+  policy.straggler_factor = 2;
+  std::vector<UpstreamBoard> boards = Engines(3);
+  for (int i = 0; i < 20; ++i) {
+    NoteEventGap(boards[0], Millis(10));
+    NoteEventGap(boards[1], Millis(11));
+    NoteEventGap(boards[2], Millis(80));
+  }
+  MarkStragglers(absl::MakeSpan(boards), policy);
+  CHECK_TRUE(boards[2].straggler);
+  CHECK_FALSE(boards[0].straggler);
+  for (int i = 0; i < 100; ++i) {
+    CHECK(*Place(boards, Ask(WorkShape::kPlain), kNow, i / 100.0, policy) !=
+          2u);
+  }
+  boards[0].info.leaving = boards[1].info.leaving = true;
+  CHECK_EQUAL(2u, *Place(boards, Ask(WorkShape::kPlain), kNow, 0, policy));
+}
+
+TEST(placement, FullUpstreamsAreSkipped) {
+  std::vector<UpstreamBoard> boards = Engines(3);
+  boards[0].in_flight = boards[1].in_flight = 64;
+  PlacementAsk ask = Ask(WorkShape::kPlain);
+  CHECK_EQUAL(2u, *Place(boards, ask, kNow, 0.1, kPolicy));
+  ask.service = "another";
+  CHECK_FALSE(Place(boards, ask, kNow, 0.1, kPolicy).has_value());
+}
+
+// Symptom: a request sent again with its key runs a second time. Sequence: the
+// upstream that ran it is busy when it comes again. Cause: it went to another
+// one, which knows nothing of the key. It waits for its own instead.
+TEST(placement, APinnedRequestGoesNowhereElse) {
+  std::vector<UpstreamBoard> boards = Engines(3);
+  PlacementAsk ask = Ask(WorkShape::kPlain);
+  ask.pinned = 77;
+  size_t home = *Place(boards, ask, kNow, 0.3, kPolicy);
+  for (int i = 0; i < 50; ++i) {
+    CHECK_EQUAL(home, *Place(boards, ask, kNow, i / 50.0, kPolicy));
+  }
+  boards[home].in_flight = 64;
+  CHECK_FALSE(Place(boards, ask, kNow, 0.3, kPolicy).has_value());
+  boards[home].in_flight = 0;
+  boards[home].reachable = false;
+  CHECK_FALSE(Place(boards, ask, kNow, 0.3, kPolicy).has_value());
+}
