An entry that starts is told only what the leader confirms

Cause: a follower counts as in step for 0.8 s after it last heard its leader. A leader that acknowledges a change and is killed before the next message leaves followers with the older configuration, in step; an entry that starts in that moment obeyed it (found by AChangeReachesEveryEntryAndStays with real processes: a route taken away was served again).

Ruled out: a shorter age for the first configuration (0.25 s: still a window); a barrier for every watch (costs each change a round trip).

Change: who holds no configuration yet is told one only after the leader has confirmed, since the question came, which is the newest; one question for all who wait at a control process. SubmitAnywhere, ReadAnywhere and ConfirmAnywhere wait for a leader in one function.

--- a/src/control.cc
+++ b/src/control.cc
@@ -4,6 +4,7 @@
 #include <limits>
 #include <random>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "log.h"
 #include "replica_codec.h"
@@ -217,6 +218,12 @@
     });
     return;
   }
+  if (req.path == kConfirmPath) {
+    ConfirmHere([stream](absl::StatusOr<int64_t> v) {
+      stream->Respond(StatusOf(v.status()), {}, v.ok() ? absl::StrCat(*v) : "");
+    });
+    return;
+  }
   if (req.path == kReadPath) {
     ReadHere([stream](absl::StatusOr<std::string> r) {
       stream->Respond(StatusOf(r.status()), {}, r.ok() ? *r : "");
@@ -321,11 +328,23 @@
   f.seen = clock_.Now();
   f.serves_callers = r->serves_callers;
   f.watchers = r->watchers;
+  TimePoint now = clock_.Now();
   watchers_.push_back(
-      Watcher{*std::move(r), std::move(stream), clock_.Now() + kWatchHold});
+      Watcher{*std::move(r), std::move(stream), now, now + kWatchHold});
+  ConfirmForNew();
   AnswerWatchers();
 }
 
+// Whether what this process holds may be told to `w`. One that holds nothing
+// yet would obey the first configuration it is told, for as long as it takes
+// to hear of a newer one: it is told only what the leader has confirmed since
+// it asked.
+bool Control::MayTell(const Watcher& w) const {
+  if (w.request.config_version > 0) return true;
+  return confirmed_from_ >= w.since && replica_ &&
+         replica_->config_version() >= confirmed_version_;
+}
+
 // Answers each watch that has something new, or whose time is up; all of them
 // when this process is not in step, so that their askers turn elsewhere.
 void Control::AnswerWatchers() {
@@ -336,19 +355,82 @@
   watchers_.clear();
   for (Watcher& w : due) {
     if (w.stream->closed()) continue;
+    bool told = MayTell(w);
     bool fresh =
-        (replica_ && replica_->config_version() > w.request.config_version) ||
-        (list_.version && list_.version != w.request.list_version);
+        told &&
+        ((replica_ && replica_->config_version() > w.request.config_version) ||
+         (list_.version && list_.version != w.request.list_version));
     if (!fresh && !lost && now < w.until) {
       keep.push_back(std::move(w));
       continue;
     }
-    w.stream->Respond(200, {}, EncodeWatchReply(MakeReply(w.request)));
+    WatchReply reply = MakeReply(w.request);
+    if (!told) {
+      reply.age_ms = -1;
+      reply.config.reset();
+    }
+    w.stream->Respond(200, {}, EncodeWatchReply(reply));
   }
   // Answering may have let new watches in.
   for (Watcher& w : keep) watchers_.push_back(std::move(w));
 }
 
+// Has the leader confirm the newest version while anyone who holds nothing yet
+// waits for it; one question for all of them.
+void Control::ConfirmForNew() {
+  if (confirming_ || !replica_) return;
+  bool needed =
+      std::any_of(watchers_.begin(), watchers_.end(), [&](const Watcher& w) {
+        return w.request.config_version == 0 && confirmed_from_ < w.since;
+      });
+  if (!needed) return;
+  confirming_ = true;
+  TimePoint from = clock_.Now();
+  ConfirmAnywhere(from + kLeaderWait, [this, from](absl::StatusOr<int64_t> v) {
+    confirming_ = false;
+    if (!v.ok()) return;
+    confirmed_from_ = from;
+    confirmed_version_ = *v;
+    AnswerWatchers();
+  });
+}
+
+void Control::ConfirmHere(ConfirmDone done) {
+  if (!replica_) {
+    done(absl::UnavailableError("no store"));
+    return;
+  }
+  replica_->ReadBarrier([this, done = std::move(done)](const absl::Status& s) {
+    if (s.ok()) {
+      done(replica_->config_version());
+    } else {
+      done(s);
+    }
+  });
+}
+
+void Control::ConfirmAnywhere(TimePoint until, ConfirmDone done) {
+  if (IsLeader()) {
+    ConfirmHere(std::move(done));
+    return;
+  }
+  if (!Leader()) {
+    AwaitLeader(
+        until, [this, until, done] { ConfirmAnywhere(until, done); },
+        [done] { done(absl::UnavailableError("no leader")); });
+    return;
+  }
+  links_.Post(Leader()->address, kConfirmPath, "",
+              [done](int status, const std::string& body) {
+                int64_t version;
+                if (status == 200 && absl::SimpleAtoi(body, &version)) {
+                  done(version);
+                } else {
+                  done(absl::UnavailableError("leader cannot tell"));
+                }
+              });
+}
+
 void Control::FollowLeader() {
   std::optional<Member> l = Leader();
   bool follow = l && !IsLeader();
@@ -372,20 +454,24 @@
                                                : std::next(it);
   }
   leader_watch_.state().watchers = DirectServing();
+  ConfirmForNew();
   AnswerWatchers();
   PollList(now);
-  if (!waiting_.empty()) {
-    std::vector<Waiting> due = std::move(waiting_);
-    waiting_.clear();
-    bool known = Leader().has_value();
-    for (Waiting& w : due) {
-      if (known) {
-        w.retry();
-      } else if (now >= w.until) {
-        w.give_up();
-      } else {
-        waiting_.push_back(std::move(w));
-      }
+  ServeWaiting(now);
+}
+
+// Calls that waited for a leader.
+void Control::ServeWaiting(TimePoint now) {
+  std::vector<Waiting> due = std::move(waiting_);
+  waiting_.clear();
+  bool known = Leader().has_value();
+  for (Waiting& w : due) {
+    if (known) {
+      w.retry();
+    } else if (now >= w.until) {
+      w.give_up();
+    } else {
+      waiting_.push_back(std::move(w));
     }
   }
 }
@@ -416,6 +502,16 @@
   });
 }
 
+// Calls `retry` once a leader is known, or `give_up` at `until`.
+void Control::AwaitLeader(TimePoint until, std::function<void()> retry,
+                          std::function<void()> give_up) {
+  if (clock_.Now() >= until) {
+    give_up();
+    return;
+  }
+  waiting_.push_back(Waiting{std::move(retry), std::move(give_up), until});
+}
+
 void Control::SubmitHere(std::string document, int64_t version,
                          SubmitDone done) {
   if (!replica_) {
@@ -456,15 +552,12 @@
     return;
   }
   if (!Leader()) {
-    if (clock_.Now() >= until) {
-      done(absl::UnavailableError("no leader"));
-      return;
-    }
-    waiting_.push_back(
-        Waiting{[this, document, version, until, done] {
-                  SubmitAnywhere(document, version, until, done);
-                },
-                [done] { done(absl::UnavailableError("no leader")); }, until});
+    AwaitLeader(
+        until,
+        [this, document, version, until, done] {
+          SubmitAnywhere(document, version, until, done);
+        },
+        [done] { done(absl::UnavailableError("no leader")); });
     return;
   }
   links_.Post(
@@ -506,13 +599,9 @@
     return;
   }
   if (!Leader()) {
-    if (clock_.Now() >= until) {
-      done(absl::UnavailableError("no leader"));
-      return;
-    }
-    waiting_.push_back(
-        Waiting{[this, until, done] { ReadAnywhere(until, done); },
-                [done] { done(absl::UnavailableError("no leader")); }, until});
+    AwaitLeader(
+        until, [this, until, done] { ReadAnywhere(until, done); },
+        [done] { done(absl::UnavailableError("no leader")); });
     return;
   }
   links_.Post(Leader()->address, kReadPath, "",
--- a/src/control.h
+++ b/src/control.h
@@ -64,6 +64,7 @@
   struct Watcher {
     WatchRequest request;
     std::shared_ptr<H2Stream> stream;
+    TimePoint since{};
     TimePoint until{};
   };
   struct Follower {
@@ -92,11 +93,19 @@
                       TimePoint until, SubmitDone done);
   void ReadHere(ReadDone done);
   void ReadAnywhere(TimePoint until, ReadDone done);
+  void AwaitLeader(TimePoint until, std::function<void()> retry,
+                   std::function<void()> give_up);
+  void ServeWaiting(TimePoint now);
   bool IsLeader() const;
   bool keeps_state() const { return !options_.data_dir.empty(); }
   std::optional<Member> Leader() const;
   WatchReply MakeReply(const WatchRequest& r) const;
+  bool MayTell(const Watcher& w) const;
   void AnswerWatchers();
+  using ConfirmDone = std::function<void(absl::StatusOr<int64_t>)>;
+  void ConfirmHere(ConfirmDone done);
+  void ConfirmAnywhere(TimePoint until, ConfirmDone done);
+  void ConfirmForNew();
   void PollList(TimePoint now);
   void FollowLeader();
   int DirectServing() const;
@@ -125,6 +134,11 @@
   TimePoint store_tried_at_{};
   TimePoint hello_at_{};
   bool list_lost_ = false;
+  // The last confirmation of the newest version by the leader: when it was
+  // asked for and what it said.
+  bool confirming_ = false;
+  TimePoint confirmed_from_{};
+  int64_t confirmed_version_ = 0;
   ev_timer tick_{};
 };
 
--- a/src/control_wire.h
+++ b/src/control_wire.h
@@ -20,6 +20,7 @@
 inline constexpr char kSubmitPath[] = "/submit";    // A configuration.
 inline constexpr char kReadPath[] = "/read";        // Read of the newest one.
 inline constexpr char kHelloPath[] = "/hello";      // Where the group is.
+inline constexpr char kConfirmPath[] = "/confirm";  // The newest version.
 
 // Asks for what is newer than the asker holds. Held back for a while when
 // there is nothing.
