Control processes have metrics and log votes

Cause: a control process exposed nothing and a vain election left no line: that two replicas had split the votes for a second could only be guessed from the followers' "out of step".

Ruled out: metrics on the operators' address (others than operators read them).

--- a/src/control.cc
+++ b/src/control.cc
@@ -42,6 +42,11 @@
   return (static_cast<uint64_t>(rd()) << 32) | rd();
 }
 
+absl::string_view OutcomeOf(const absl::Status& s) {
+  if (s.ok()) return "ok";
+  return absl::IsInvalidArgument(s) ? "invalid" : "unavailable";
+}
+
 int StatusOf(const absl::Status& s) {
   if (s.ok()) return 200;
   return absl::IsInvalidArgument(s) ? 400 : 503;
@@ -269,6 +274,24 @@
 }
 
 // Tells seeds that are no members where the group is.
+std::string Control::Metrics() {
+  ControlMetrics::State s;
+  TimePoint now = clock_.Now();
+  s.leader = IsLeader();
+  s.followers = followers_.size();
+  if (replica_) {
+    s.term = replica_->term();
+    s.config_version = replica_->config_version();
+    s.voters = replica_->members().size();
+    Duration age = replica_->StepAge();
+    if (age != Duration::max()) s.step_age_s = ToSeconds(age);
+  }
+  if (list_read_at_ != TimePoint{})
+    s.list_age_s = ToSeconds(now - list_read_at_);
+  metrics_.Set(s);
+  return metrics_.Render();
+}
+
 void Control::SayHello(TimePoint now) {
   if (!replica_ || now - hello_at_ < kHelloInterval) return;
   hello_at_ = now;
@@ -369,6 +392,9 @@
       reply.age_ms = -1;
       reply.config.reset();
     }
+    metrics_.CountWatch(reply.config ? "config"
+                        : reply.list ? "list"
+                                     : "nothing");
     w.stream->Respond(200, {}, EncodeWatchReply(reply));
   }
   // Answering may have let new watches in.
@@ -531,15 +557,19 @@
   absl::StatusOr<int64_t> version = options_.validate(document);
   if (!version.ok()) {
     LogEvent("config_refused", {{"why", version.status().message()}});
+    metrics_.ObserveCall("submit", OutcomeOf(version.status()), 0);
     done(version.status());
     return;
   }
   int64_t v = *version;
+  TimePoint from = clock_.Now();
   SubmitAnywhere(
-      std::make_shared<std::string>(std::move(document)), v,
-      clock_.Now() + kLeaderWait, [v, done = std::move(done)](absl::Status s) {
+      std::make_shared<std::string>(std::move(document)), v, from + kLeaderWait,
+      [this, v, from, done = std::move(done)](absl::Status s) {
         LogEvent("config_submitted",
                  {{"version", v}, {"outcome", s.ok() ? "ok" : s.message()}});
+        metrics_.ObserveCall("submit", OutcomeOf(s),
+                             ToSeconds(clock_.Now() - from));
         done(s);
       });
 }
@@ -590,7 +620,13 @@
 }
 
 void Control::Read(ReadDone done) {
-  ReadAnywhere(clock_.Now() + kLeaderWait, std::move(done));
+  TimePoint from = clock_.Now();
+  ReadAnywhere(from + kLeaderWait, [this, from, done = std::move(done)](
+                                       const absl::StatusOr<std::string>& r) {
+    metrics_.ObserveCall("read", OutcomeOf(r.status()),
+                         ToSeconds(clock_.Now() - from));
+    done(r);
+  });
 }
 
 void Control::ReadAnywhere(TimePoint until, ReadDone done) {
--- a/src/control.h
+++ b/src/control.h
@@ -19,6 +19,7 @@
 #include "h2.h"
 #include "link_pool.h"
 #include "lister.h"
+#include "metrics.h"
 #include "replica.h"
 #include "replica_store.h"
 #include "watch_client.h"
@@ -59,6 +60,8 @@
   using ReadDone = std::function<void(absl::StatusOr<std::string>)>;
   // The newest committed document. Unavailable when that cannot be told.
   void Read(ReadDone done);
+  // Prometheus text.
+  std::string Metrics();
 
  private:
   struct Watcher {
@@ -117,6 +120,7 @@
   FileReplicaStore store_;
   std::unique_ptr<Replica> replica_;
   H2Server server_;
+  ControlMetrics metrics_;
   LinkPool links_;
   Lister lister_;
   WatchClient leader_watch_;
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -1,5 +1,7 @@
 #include "metrics.h"
 
+#include "absl/strings/str_cat.h"
+#include "log.h"
 #include "prometheus/text_serializer.h"
 
 namespace medlarwalk {
@@ -71,9 +73,59 @@
   queued_->Add({{"class", std::string(klass)}}).Set(n);
 }
 
-std::string Metrics::Render() const {
+std::string Metrics::Render() const { return RenderRegistry(*registry_); }
+
+ControlMetrics::ControlMetrics()
+    : registry_(std::make_shared<prometheus::Registry>()) {
+  calls_ = &prometheus::BuildHistogram()
+                .Name("medlarwalk_control_call_seconds")
+                .Help("Operators' calls, by call and outcome")
+                .Register(*registry_);
+  watches_ = &prometheus::BuildCounter()
+                  .Name("medlarwalk_control_watches_total")
+                  .Help("Watches answered, by what they told")
+                  .Register(*registry_);
+  state_ = &prometheus::BuildGauge()
+                .Name("medlarwalk_control_state")
+                .Help("What the process holds and believes")
+                .Register(*registry_);
+}
+
+void ControlMetrics::ObserveCall(absl::string_view call,
+                                 absl::string_view outcome, double seconds) {
+  calls_
+      ->Add({{"call", std::string(call)}, {"outcome", std::string(outcome)}},
+            LatencyBuckets())
+      .Observe(seconds);
+}
+
+void ControlMetrics::CountWatch(absl::string_view what) {
+  watches_->Add({{"told", std::string(what)}}).Increment();
+}
+
+void ControlMetrics::Set(const State& s) {
+  auto set = [this](const char* what, double value) {
+    state_->Add({{"what", what}}).Set(value);
+  };
+  set("leader", s.leader ? 1 : 0);
+  set("term", static_cast<double>(s.term));
+  set("config_version", static_cast<double>(s.config_version));
+  set("voters", static_cast<double>(s.voters));
+  set("followers", static_cast<double>(s.followers));
+  set("step_age_seconds", s.step_age_s);
+  set("list_age_seconds", s.list_age_s);
+}
+
+std::string ControlMetrics::Render() const {
+  return RenderRegistry(*registry_);
+}
+
+std::string RenderRegistry(const prometheus::Registry& registry) {
   prometheus::TextSerializer serializer;
-  return serializer.Serialize(registry_->Collect());
+  return absl::StrCat(serializer.Serialize(registry.Collect()),
+                      "# TYPE medlarwalk_log_lines_dropped_total counter\n"
+                      "medlarwalk_log_lines_dropped_total ",
+                      LogLinesDropped(), "\n");
 }
 
 }  // namespace medlarwalk
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -38,8 +38,6 @@
   // The registry in the Prometheus text format.
   std::string Render() const;
 
-  prometheus::Registry& registry() { return *registry_; }
-
  private:
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>* refusals_;
@@ -50,6 +48,38 @@
   prometheus::Family<prometheus::Gauge>* queued_;
 };
 
+// The metrics of a control process. Thread safety: loop thread only.
+class ControlMetrics {
+ public:
+  // What the process holds and believes now.
+  struct State {
+    bool leader = false;
+    uint64_t term = 0;
+    int64_t config_version = 0;
+    size_t voters = 0;
+    size_t followers = 0;
+    double step_age_s = -1;  // Since it was last in step; negative: never.
+    double list_age_s = -1;  // Since the list was read; negative: never.
+  };
+  ControlMetrics();
+  // Counts one operator's call by what it came to, and its time in seconds.
+  void ObserveCall(absl::string_view call, absl::string_view outcome,
+                   double seconds);
+  // Counts one watch answered: with a configuration, a list or nothing new.
+  void CountWatch(absl::string_view what);
+  void Set(const State& s);
+  std::string Render() const;
+
+ private:
+  std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Family<prometheus::Histogram>* calls_;
+  prometheus::Family<prometheus::Counter>* watches_;
+  prometheus::Family<prometheus::Gauge>* state_;
+};
+
+// `registry` in the Prometheus text format, with the log lines dropped.
+std::string RenderRegistry(const prometheus::Registry& registry);
+
 }  // namespace medlarwalk
 
 #endif  // MEDLARWALK_METRICS_H_
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -197,6 +197,11 @@
   ResetElectionTimer(first_wait_);
   first_wait_ = std::min(2 * first_wait_, options_.election_min);
   if (!pre_vote && !SetTerm(term_ + 1, self_.id)) return;
+  if (!pre_vote) {
+    LogEvent(
+        "votes_asked",
+        {{"term", term_}, {"index", LastIndex()}, {"voters", members_.size()}});
+  }
   role_ = ReplicaRole::kCandidate;
   if (pre_vote) asked_at_ = clock_.Now();
   pre_voting_ = pre_vote;
@@ -433,6 +438,7 @@
   if (role_ == ReplicaRole::kLeader) return r;
   if (voted_for_ != m.from.id && !SetTerm(term_, m.from.id)) return r;
   r.ok = true;
+  LogEvent("vote_given", {{"term", term_}, {"to", m.from.address}});
   ResetElectionTimer();
   return r;
 }
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -45,16 +45,11 @@
                    bool ours = ex->head.target == options_.readiness_path;
                    ex->Respond(ours ? (ready() ? 200 : 503) : 404, {}, "");
                  }),
-      metrics_server_(
-          loop, clock,
-          [this](std::shared_ptr<CallerExchange> ex) {
-            ex->Respond(
-                200, {{"Content-Type", "text/plain"}},
-                absl::StrCat(metrics_.Render(),
-                             "# TYPE medlarwalk_log_lines_dropped_total "
-                             "counter\nmedlarwalk_log_lines_dropped_total ",
-                             LogLinesDropped(), "\n"));
-          }),
+      metrics_server_(loop, clock,
+                      [this](std::shared_ptr<CallerExchange> ex) {
+                        ex->Respond(200, {{"Content-Type", "text/plain"}},
+                                    metrics_.Render());
+                      }),
       watch_(
           loop, clock,
           [&] {
