--- a/tools/make-days.py
+++ b/tools/make-days.py
@@ -77,14 +77,38 @@
     ("big_config", [""], {"count": 350}),
     ("revoke", ["", "last"], {"count": 2, "gap_s": 1.0}),
 ]
+# Variants added later, in days of their own so that the earlier days stay as
+# they are.
+MORE = [
+    ("srv_crash", ["domain", "joined", "rack", "dark all"], {"for_s": 4.0, "share": 0.2}),
+    ("scale_in", ["reclaim dry"], {"share": 0.15}),
+    ("give_up", ["prompt"], {"for_s": 5.0, "share": 0.25}),
+    ("shift", [""], {"for_s": 6.0, "share": 0.5}),
+    ("srv_cut", ["some lossy"], {"for_s": 4.0, "share": 0.2}),
+    ("replace_with_reuse", ["side"], {"share": 0.2}),
+    ("node_kill", ["turn", "giver", "renewed", "leader hard", "seed race drain hard",
+                   "power wipe", "follower meet"],
+     {"for_s": 3.0, "count": 1, "on": "core"}),
+    ("node_freeze", ["renewed", "giver", "follower", "seed meet"],
+     {"for_s": 3.0, "count": 1, "on": "core"}),
+    ("herd_kill", ["taken", "taken all"], {"for_s": 2.0, "on": "core"}),
+    ("roll_term", ["starter", "leader busy"], {"share": 0.5, "x": 1.0, "gap_s": 1.2}),
+    ("core_cut", ["reset", "refuse", "all refuse", "seeds reset"],
+     {"for_s": 4.0, "count": 1}),
+    ("node_cut", ["reset", "refuse"], {"for_s": 4.0, "share": 0.2}),
+    ("after_ack_kill", ["taken", "taken gone"], {"for_s": 2.0}),
+    ("config_change", ["quota down", "topup"], {}),
+    ("bad_config", ["stale_match"], {"count": 2, "gap_s": 0.6}),
+]
 PLANNED = {"release", "scale_out", "scale_in", "add_nodes", "roll_term", "hup",
            "seed_turnover", "replace_core", "config_change", "config_storm",
            "config_race", "bad_config", "big_config", "revoke"}
 CLOSINGS = ["power_off_all", "wipe_after_ack", "kill_all"]
+CLOSING_HOWS = ["", "timed", "taken", "oldest"]
 
 
-def variants():
-    for group in (SERVERS, CALLERS, HOSTS, STOPS, CORE, CONFIGS):
+def variants(*groups):
+    for group in groups:
         for kind, hows, fields in group:
             for how in hows:
                 yield kind, how, fields
@@ -99,12 +123,13 @@
     return "{ " + ", ".join(parts) + " }"
 
 
-def write_day(folder, name, seed, entries, closing):
+def write_day(folder, name, seed, entries, closing, closing_how=""):
     plan = [e for k, e in entries if k in PLANNED]
     faults = [e for k, e in entries if k not in PLANNED]
     lines = [f'name = "{name}"', 'slot = "trouble"', f"seed = {seed}"]
     if closing:
-        lines.append(f'closing = {{ kind = "{closing}", down_s = 1.5 }}')
+        how = f'how = "{closing_how}", ' if closing_how else ""
+        lines.append(f'closing = {{ kind = "{closing}", {how}down_s = 1.5 }}')
     for title, items in (("plan", plan), ("faults", faults)):
         lines.append(f"{title} = [")
         lines += [f"  {e}," for e in items]
@@ -116,7 +141,7 @@
     folder = pathlib.Path(sys.argv[1] if len(sys.argv) > 1 else "deploy/days")
     folder.mkdir(parents=True, exist_ok=True)
     rnd = random.Random(20261202)
-    every = list(variants())
+    every = list(variants(SERVERS, CALLERS, HOSTS, STOPS, CORE, CONFIGS))
     # Apart: four to a day, eight seconds from one to the next.
     for n in range(0, len(every), 4):
         entries = [(k, entry(k, h, f, 2.0 + 8.0 * i))
@@ -133,6 +158,29 @@
             closing = rnd.choice(CLOSINGS + [None])
             write_day(folder, f"together-{round_}-{n // 8:02d}",
                       5000 + 100 * round_ + n, entries, closing)
+    write_more(folder)
+
+
+def write_more(folder):
+    """The variants of MORE: apart once, beside each other twice; and each
+    closing fault in each of its variants."""
+    rnd = random.Random(20261203)
+    more = list(variants(MORE))
+    closings = [(c, h) for c in CLOSINGS for h in CLOSING_HOWS]
+    day = 0
+    for round_ in range(3):
+        order = more[:]
+        rnd.shuffle(order)
+        step = 4 if round_ == 0 else 7
+        for n in range(0, len(order), step):
+            entries = []
+            for i, (k, h, f) in enumerate(order[n:n + step]):
+                at = 2.0 + 8.0 * i if round_ == 0 else rnd.uniform(0.5, 28.0)
+                entries.append((k, entry(k, h, f, at)))
+            closing, how = closings[day % len(closings)]
+            write_day(folder, f"more-{round_}-{n // step:02d}", 9000 + day,
+                      entries, closing, how)
+            day += 1
 
 
 main()
--- a/tools/play-days.sh
+++ b/tools/play-days.sh
@@ -15,6 +15,11 @@
     "$bench" "$site" "$out"
 bad=0
 for f in "$out"/*.txt; do
+  if ! grep -qE "^worth " "$f"; then
+    bad=$((bad + 1))
+    echo "$(basename "$f" .txt): not played: $(tail -1 "$f")"
+    continue
+  fi
   if grep -qE "BROKEN|rules broken: [A-Z]|FAULT|fault:" "$f"; then
     bad=$((bad + 1))
     echo "$(basename "$f" .txt): $(grep -E "rules broken|BROKEN|FAULT" "$f" | head -2 | tr '\n' ' ')"
