The product's retry budget is what its setting says

Cause: the core uses 0.6 of an allowance that processes share without talking; the product's own entry shares its allowance with none, so 10% of the setting were 6%.

Change: the entry sets its allowance so that all of the setting is used.

--- a/src/entry.cc
+++ b/src/entry.cc
@@ -32,8 +32,9 @@
                           EntryPolicyKind policy) {
   GatewayOptions o;
   o.data_centre = host.data_centre;
-  o.retry.ratio = s.entry.retry_budget_percent / 100.0;
-  o.retry.slack = kRetryFloor;
+  // All of the setting is this entry's, which shares its allowance with none.
+  o.retry.ratio = s.entry.retry_budget_percent / 100.0 / kBudgetUse;
+  o.retry.slack = kRetryFloor / kBudgetUse;
   o.connection_share = 1.0;
   o.placement.split_from = kSplitFrom;
   o.placement.most_plain_load = 1.0;
