A stream that cannot be resumed ends visibly cut

Cause: an upstream that answers a resumed request with a 4xx had its answer dropped, as the stream's head was out, and nothing ended the caller's answer: it waited until it gave up.

Ruled out: ending the answer as whole (it would look complete); another upstream (a 4xx is an answer, not a failure).

Change: such an answer ends the caller's stream by closing its connection. Test first: AResumedStreamThatIsRefusedIsCut (the connection stayed open before).

--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -154,17 +154,18 @@
   if (u) NoteSuccess(*u, now);
   served_at_[r.service->name] = now;
   ReleaseUpstream(r);
-  if (!r.relaying) {
-    AnswerWhole(r);
-    Finish(r, "answered", absl::StrCat(r.answer.status));
+  if (r.stream_started && !r.relaying) {
+    // The stream's head is out: another answer cannot follow it.
+    Fail(r, ErrorKind::kOutcomeUnknown,
+         absl::StrCat("status ", r.answer.status, " on resuming"));
     ServeWaiting();
     return;
   }
-  if (!r.stream_started) {
-    // A stream without events is whole as it is.
-    AnswerWhole(r);
-  } else {
+  if (r.stream_started) {
     r.exchange->Finish();
+  } else {
+    // Also a stream without events: whole as it is.
+    AnswerWhole(r);
   }
   Finish(r, "answered", absl::StrCat(r.answer.status));
   ServeWaiting();
