A repeat that cannot be sent takes nothing from the budget

Cause: whether an upstream is left was asked after the repeat had been taken from the budget, so refusals by a service's last upstream used it up.

Ruled out: giving the repeat back afterwards (two places that know the budget).

Change: MayMove asks before it takes. Test first: ARepeatThatCannotBeSentCostsNoBudget (503 instead of the second upstream's answer before).

--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -39,14 +39,16 @@
 bool Gateway::MayMove(Request& r, CallEnd end) {
   TimePoint now = clock_.Now();
   if (r.exchange->gone() || r.give_up_at - now < kLeastTime) return false;
+  // Waiting for a place helps only where an upstream is left to try.
+  bool anyone_left = AnyLeft(pool_.boards(), AskFor(r));
   if (end == CallEnd::kNotSent) {
     // Nothing reached that upstream: it costs neither an attempt nor budget.
     --r.sends;
-    return ++r.connect_failures < kConnectTimeouts.size();
+    return ++r.connect_failures < kConnectTimeouts.size() && anyone_left;
   }
   bool not_run = r.have_head && r.answer_facts.not_run;
   if (!not_run && !r.repeatable()) return false;
-  if (r.sends >= r.route->max_attempts) return false;
+  if (r.sends >= r.route->max_attempts || !anyone_left) return false;
   if (!BudgetFor(r.service->name).Take(options_.retry, serving_, now)) {
     metrics_.CountRetry("budget_spent");
     return false;
@@ -80,8 +82,7 @@
   } else {
     DropAttempt(r);
   }
-  // Waiting for a place helps only where an upstream is left to try.
-  if (MayMove(r, end) && AnyLeft(pool_.boards(), AskFor(r))) {
+  if (MayMove(r, end)) {
     Dispatch(r);
     return;
   }
