Waiting requests are passed over only with others quite like them

Cause: a request that found no place kept back all that wait with its shape and prompt part in the same pass. One that starves is looked at first; where only its tier was full, the top tier was passed over with it, pass after pass.

Change: likeness includes the rank and whether the request starves, which is all else that decides. Test first: AStarvingRequestInVainKeepsNobodyBack (the top tier's request did not come in a second before).

--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -2,6 +2,7 @@
 // upstreams that have fallen silent, the end of a planned stop.
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "gateway.h"
@@ -33,15 +34,17 @@
   for (const std::string& service : waiting_.Services()) {
     // Those whose own place is not free do not hold up the ones behind them.
     TimePoint now = clock_.Now();
-    // Shapes and prompt parts that found no place this time: others like them
-    // will find none either, and are not looked at.
-    std::set<std::pair<WorkShape, uint64_t>> full;
+    // Requests that found no place this time, by all that decides it: others
+    // like them will find none either, and are not looked at.
+    std::set<std::tuple<Tier, bool, WorkShape, uint64_t>> full;
     for (uint64_t seq : waiting_.InOrder(service, now)) {
       Request& r = *requests_.at(seq);
+      auto likeness =
+          std::make_tuple(r.rank, now >= r.starves_at, r.shape, r.affinity);
       bool alike = r.tried.empty() && r.facts.pinned == 0;
-      if (alike && full.count({r.shape, r.affinity})) continue;
+      if (alike && full.count(likeness)) continue;
       if (!TrySend(r)) {
-        if (alike) full.emplace(r.shape, r.affinity);
+        if (alike) full.insert(likeness);
         continue;
       }
       r.waiting = false;
