The metric of waiting requests is there again

Cause: the operator page names medlarwalk_entry_queued, and the entry on the one core no longer set it.

Ruled out: dropping it from the page; counting at each request's way in and out (seven places).

Change: the gateway counts those that wait at each tick and tells the metrics what has changed, on both front doors.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -106,6 +106,7 @@
   static std::string LabelOf(const Request& r);
   Request* Find(uint64_t seq, int attempt);
   void NoteDemand(TimePoint now);
+  void CountWaiting();
   Duration RetryAfter(const Request& r, ErrorKind kind);
   ReadingGate& GateFor(const std::string& service);
   RetryBudget& BudgetFor(const std::string& service);
@@ -132,6 +133,7 @@
   std::map<std::string, DecodeDemand> demand_;
   std::map<std::string, int> decode_engines_;
   std::map<std::string, ReadingGate> reading_;  // By service.
+  std::map<std::string, int> waiting_told_;     // To the metrics, by label.
   TimePoint ticked_at_{};
   uint64_t next_seq_ = 1;
   bool serving_waiting_ = false;
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -90,6 +90,21 @@
   }
 }
 
+// Tells the metrics of labels whose number of waiting requests has changed.
+void Gateway::CountWaiting() {
+  std::map<std::string, int> waiting;
+  for (const auto& [label, n] : waiting_told_) waiting[label] = 0;
+  for (const auto& [seq, r] : requests_) {
+    if (r->waiting) ++waiting[LabelOf(*r)];
+  }
+  for (const auto& [label, n] : waiting) {
+    auto [it, fresh] = waiting_told_.try_emplace(label, 0);
+    if (!fresh && it->second == n) continue;
+    it->second = n;
+    metrics_.SetQueued(label, n);
+  }
+}
+
 void Gateway::Tick() {
   TimePoint now = clock_.Now();
   NoteDemand(now);
@@ -128,6 +143,7 @@
     MarkStragglers(absl::MakeSpan(pool_.boards()), options_.placement);
   }
   ServeWaiting();
+  CountWaiting();
 }
 
 void Gateway::EndAll() {
