A leaving engine does not hide how many stay

Cause: the number of engines of a service was read from its board looked at last; one that is leaving stands in no order and says 0. While the last one listed left, an entry kept no engines for long generations.

Ruled out: counting boards that are listed (those that leave are listed too).

Change: RankedUpstreams, the most that any board of the service says. Test first: ALeavingEngineLeavesTheOthersInOrder (0 instead of 8 before).

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -227,20 +227,18 @@
     limit -=
         static_cast<int>(std::ceil(limit * options_.placement.reserved_share));
   }
-  int upstreams = 1;
   for (UpstreamBoard& b : pool_.boards()) {
     if (b.info.service != r.service->name) continue;
     // Each own request there holds a connection: below the limit none can be
     // in the way, and the look through the kept ones is saved.
     b.full = b.in_flight >= limit && pool_.Full(b, limit);
-    upstreams = b.ranks;
   }
   PlacementAsk ask = AskFor(r);
   if (r.service->engine) {
     int& kept = decode_engines_[r.service->name];
-    kept =
-        DecodeEngines(demand_[r.service->name], kept, r.service->engine->slots,
-                      upstreams, options_.placement);
+    kept = DecodeEngines(
+        demand_[r.service->name], kept, r.service->engine->slots,
+        RankedUpstreams(pool_.boards(), r.service->name), options_.placement);
     ask.decode_engines = kept;
   }
   r.decode_engines = ask.decode_engines;
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -294,6 +294,15 @@
   }
 }
 
+int RankedUpstreams(absl::Span<const UpstreamBoard> boards,
+                    absl::string_view service) {
+  int n = 0;
+  for (const UpstreamBoard& u : boards) {
+    if (u.info.service == service) n = std::max(n, u.ranks);
+  }
+  return n;
+}
+
 void NoteEventGap(UpstreamBoard& u, Duration gap) {
   double s = ToSeconds(gap);
   u.event_gap_s += u.event_gaps == 0 ? s : kGapSmoothing * (s - u.event_gap_s);
--- a/src/placement.h
+++ b/src/placement.h
@@ -197,6 +197,10 @@
 // Ranks the upstreams of each service, the same way in every process.
 void RankUpstreams(absl::Span<UpstreamBoard> boards);
 
+// How many upstreams of `service` stand in that order.
+int RankedUpstreams(absl::Span<const UpstreamBoard> boards,
+                    absl::string_view service);
+
 // Requests running or waiting at `u`, as well as it can be told.
 double EstimatedLoad(const UpstreamBoard& u, TimePoint now,
                      const PlacementPolicy& policy);
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -334,3 +334,16 @@
                                    boards[first].info.id, kNow, kPolicy));
   }
 }
+
+// Symptom: while an engine is replaced, long prompts and long generations mix
+// on all engines. Sequence: the engine listed last begins to leave. Cause: the
+// number of engines was read from the board looked at last, and a leaving one
+// stands in no order: 0. It is how many stay.
+TEST(placement, ALeavingEngineLeavesTheOthersInOrder) {
+  std::vector<UpstreamBoard> boards = Engines(9);
+  LONGS_EQUAL(9, RankedUpstreams(boards, "engine"));
+  boards.back().info.leaving = true;
+  RankUpstreams(absl::MakeSpan(boards));
+  LONGS_EQUAL(8, RankedUpstreams(boards, "engine"));
+  LONGS_EQUAL(0, RankedUpstreams(boards, "another"));
+}
