--- a/src/tcp.cc
+++ b/src/tcp.cc
@@ -142,6 +142,14 @@
   events_ = {};
 }
 
+void TcpConnection::Reset() {
+  linger at_once{1, 0};
+  if (fd_ >= 0) {
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  }
+  Close();
+}
+
 void TcpConnection::PauseRead(bool paused) {
   if (paused_ == paused) return;
   paused_ = paused;
--- a/src/tcp.h
+++ b/src/tcp.h
@@ -66,6 +66,9 @@
   void CloseAfterWrites();
   // Closes now. No callback follows.
   void Close();
+  // Closes now with a reset, so that the peer cannot take it for an orderly
+  // end. No callback follows.
+  void Reset();
   // Stops or resumes reading (backpressure).
   void PauseRead(bool paused);
   bool open() const { return fd_ >= 0; }
