--- a/src/agent_link.cc
+++ b/src/agent_link.cc
@@ -42,7 +42,7 @@
 
 void AgentLink::OnClose(const absl::Status& status, bool never_sent) {
   if (status.ok() && have_head_) {
-    End(CallEnd::kWhole, "");
+    End(CallEnd::kWhole, EndName(EndKnownBy::kStreamEnd));
   } else if (never_sent) {
     End(CallEnd::kNotSent, status.message());
   } else {
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -373,6 +373,8 @@
        {"first_ms",
         r.stream_started ? ToMs(r.first_event_at - r.exchange->arrived) : -1},
        {"events", r.events},
+       {"last_event", r.last_event.value_or(-1)},
+       {"end", r.end_known_by},
        {"pause_ms", ToMs(r.longest_pause)},
        {"pause_at", r.longest_pause_at}});
   metrics_.CountFinished(LabelOf(r), outcome);
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -134,6 +134,7 @@
     AttemptFailed(r, end, why);
     return;
   }
+  r.end_known_by = std::string(why);
   UpstreamBoard* u = pool_.Find(r.upstream);
   bool success = r.answer.status / 100 == 2;
   if (success && !r.answer_facts.signed_whole) {
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -60,6 +60,7 @@
   bool stream_started = false;  // The caller has the head.
   EventSplitter splitter;
   std::optional<int64_t> last_event;
+  std::string end_known_by;  // Of a whole answer; for the log.
   int events = 0;
   TimePoint first_event_at{};
   TimePoint last_event_at{};
--- a/src/http1.cc
+++ b/src/http1.cc
@@ -77,6 +77,20 @@
 
 }  // namespace
 
+absl::string_view EndName(EndKnownBy by) {
+  switch (by) {
+    case EndKnownBy::kLength:
+      return "length";
+    case EndKnownBy::kLastChunk:
+      return "last_chunk";
+    case EndKnownBy::kClose:
+      return "close";
+    case EndKnownBy::kStreamEnd:
+      return "stream_end";
+  }
+  return "";
+}
+
 const std::string* MessageHead::Find(absl::string_view name) const {
   for (const auto& [k, v] : headers) {
     if (absl::EqualsIgnoreCase(k, name)) return &v;
@@ -174,6 +188,13 @@
   return impl_->With([](auto& p) { return p.need_eof(); });
 }
 
+EndKnownBy Http1Parser::end_known_by() const {
+  return impl_->With([](auto& p) {
+    if (p.chunked()) return EndKnownBy::kLastChunk;
+    return p.need_eof() ? EndKnownBy::kClose : EndKnownBy::kLength;
+  });
+}
+
 void Http1Parser::Reset() { Make(); }
 
 void Http1Parser::ExpectNoBody() {
--- a/src/http1.h
+++ b/src/http1.h
@@ -36,6 +36,18 @@
   int Count(absl::string_view name) const;
 };
 
+// How the end of a message was known. Only the first two are said by the
+// message itself; the others rest on how its carrier ended.
+enum class EndKnownBy {
+  kLength,     // Its head says how long it is, or that it has no body.
+  kLastChunk,  // The chunk that ends a chunked body came.
+  kClose,      // Its connection was closed in order.
+  kStreamEnd,  // Its stream of several on one connection was ended.
+};
+
+// The name of `by`, for the log.
+absl::string_view EndName(EndKnownBy by);
+
 // Receives one message. Callbacks must not destroy the parser.
 struct MessageSink {
   std::function<void(MessageHead)> on_head;
@@ -71,6 +83,8 @@
   bool done() const;
   // Whether the message ends with its connection.
   bool ends_with_connection() const;
+  // Precondition: done().
+  EndKnownBy end_known_by() const;
   // Begins the next message. Precondition: done() or not started().
   void Reset();
   // The next answer has no body (it answers a HEAD request).
--- a/src/http1_client.cc
+++ b/src/http1_client.cc
@@ -144,7 +144,7 @@
   // connection useless: what follows could be taken for another answer, and
   // the rest of the body for another request.
   if (!in_.empty() || !reusable_ || (tcp_ && tcp_->unsent() > 0)) Close();
-  End(CallEnd::kWhole, "");
+  End(CallEnd::kWhole, EndName(parser_.end_known_by()));
 }
 
 void Http1Client::OnClosed(const absl::Status& status) {
@@ -160,7 +160,7 @@
   if (status.ok() && ours_ && parser_.ends_with_connection() &&
       parser_.FeedEnd().ok()) {
     message_end_ = false;
-    End(CallEnd::kWhole, "");
+    End(CallEnd::kWhole, EndName(EndKnownBy::kClose));
     return;
   }
   End(ours_ ? CallEnd::kBrokenOff : CallEnd::kNoAnswer, why);
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -40,7 +40,8 @@
   // that answer is skipped and the next one awaited.
   std::function<bool(const MessageHead&)> on_head;
   std::function<void(absl::string_view)> on_body;
-  // Called once, last. `why` says what happened, for the log.
+  // Called once, last. `why` says what happened, for the log; for a whole
+  // answer how its end was known (EndName).
   std::function<void(CallEnd end, absl::string_view why)> on_end;
 };
 
