--- a/src/agent.cc
+++ b/src/agent.cc
@@ -20,6 +20,7 @@
 constexpr double kDrainTickSeconds = 0.05;
 // When a caller whose request this agent turned away does well to come back.
 constexpr int kRetryAfterSeconds = 1;
+constexpr char kEventStreamType[] = "text/event-stream";
 constexpr char kDoneMarker[] = "data: [DONE]";
 constexpr size_t kDoneTail = sizeof(kDoneMarker);
 
@@ -220,17 +221,20 @@
   call.body = req.body;
   call.headers = {"Content-Type: application/json"};
   call.at_most_once = !key.empty() || !req.Header(kH2NotRepeatable).empty();
-  call.on_status = [f](int status) {
+  call.on_status = [f](int status, absl::string_view type) {
     f->started = true;
     f->status = status;
+    f->event_stream = absl::StartsWith(type, kEventStreamType);
   };
   call.on_data = [f](absl::string_view data) {
     if (!f->relaying) {
       f->relaying = true;
-      f->event_stream = absl::StartsWith(data, "data:");
+      // An engine that does not say so; the first piece may hold less of a
+      // stream than this, so what it says goes first.
+      f->event_stream |= absl::StartsWith(data, "data:");
       f->out->StartStream(
           f->status, {{kH2Started, "1"},
-                      {"content-type", f->event_stream ? "text/event-stream"
+                      {"content-type", f->event_stream ? kEventStreamType
                                                        : "application/json"}});
     }
     f->out->Write(data);
--- a/src/h2_connection.h
+++ b/src/h2_connection.h
@@ -96,7 +96,8 @@
         session_, nullptr, nva.data(), nva.size(),
         call.body.empty() ? nullptr : &provider, nullptr);
     if (id < 0) return 0;
-    calls_[id] = ClientStream{std::move(call), std::move(body), 0, {}, false};
+    calls_[id] =
+        ClientStream{std::move(call), std::move(body), 0, {}, false, false};
     Flush();
     return id;
   }
@@ -224,6 +225,7 @@
     int status;
     std::map<std::string, std::string> headers;
     bool answered;
+    bool ended;  // The peer ended its side: the answer is complete.
   };
   struct ServerStream {
     H2Request request;
@@ -361,14 +363,16 @@
       }
       return 0;
     }
-    if (frame->hd.type == NGHTTP2_HEADERS &&
-        frame->headers.cat == NGHTTP2_HCAT_RESPONSE) {
-      auto it = c->calls_.find(id);
-      if (it != c->calls_.end() && !it->second.answered) {
-        it->second.answered = true;
-        if (it->second.call.on_response) {
-          it->second.call.on_response(it->second.status, it->second.headers);
-        }
+    bool headers = frame->hd.type == NGHTTP2_HEADERS;
+    if (!headers && frame->hd.type != NGHTTP2_DATA) return 0;
+    auto it = c->calls_.find(id);
+    if (it == c->calls_.end()) return 0;
+    it->second.ended = frame->hd.flags & NGHTTP2_FLAG_END_STREAM;
+    if (headers && frame->headers.cat == NGHTTP2_HCAT_RESPONSE &&
+        !it->second.answered) {
+      it->second.answered = true;
+      if (it->second.call.on_response) {
+        it->second.call.on_response(it->second.status, it->second.headers);
       }
     }
     return 0;
@@ -411,7 +415,9 @@
     ClientStream s = std::move(it->second);
     c->calls_.erase(it);
     if (!s.call.on_close) return 0;
-    if (error_code == NGHTTP2_NO_ERROR) {
+    // A reset without an error before the peer's end says that the rest is not
+    // wanted, not that the answer is whole.
+    if (error_code == NGHTTP2_NO_ERROR && s.ended) {
       s.call.on_close(absl::OkStatus(), false);
     } else {
       bool refused = error_code == NGHTTP2_REFUSED_STREAM;
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -13,6 +13,17 @@
   bool status_seen = false;
   bool cancelled = false;
   int sends = 0;  // Times libcurl was about to send the request.
+
+  void TellStatus() {
+    status_seen = true;
+    long code = 0;
+    const char* type = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &code);
+    curl_easy_getinfo(easy, CURLINFO_CONTENT_TYPE, &type);
+    if (call.on_status) {
+      call.on_status(static_cast<int>(code), absl::NullSafeStringView(type));
+    }
+  }
 };
 
 struct HttpClient::Socket {
@@ -103,12 +114,7 @@
 size_t HttpClient::OnWrite(char* ptr, size_t size, size_t n, void* userdata) {
   auto* a = static_cast<Active*>(userdata);
   if (a->cancelled) return 0;
-  if (!a->status_seen) {
-    a->status_seen = true;
-    long code = 0;
-    curl_easy_getinfo(a->easy, CURLINFO_RESPONSE_CODE, &code);
-    if (a->call.on_status) a->call.on_status(static_cast<int>(code));
-  }
+  if (!a->status_seen) a->TellStatus();
   if (a->cancelled) return 0;
   if (a->call.on_data) a->call.on_data(absl::string_view(ptr, size * n));
   return a->cancelled ? 0 : size * n;
@@ -131,9 +137,8 @@
     if (code != CURLE_OK) {
       r.status = absl::UnavailableError(curl_easy_strerror(code));
       r.never_sent = a->sends == 0;
-    } else if (!a->status_seen && a->call.on_status) {
-      a->status_seen = true;
-      a->call.on_status(r.http_status);
+    } else if (!a->status_seen) {
+      a->TellStatus();
     }
     auto done = std::move(a->call.on_done);
     bool cancelled = a->cancelled;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -44,8 +44,10 @@
   // Send at most once: libcurl's own resend on a fresh connection is
   // aborted, for calls that must not be repeated.
   bool at_most_once = false;
-  // Called once, with the status code, before the first body bytes.
-  std::function<void(int http_status)> on_status;
+  // Called once, with the status code and the Content-Type (empty when there
+  // is none), before the first body bytes.
+  std::function<void(int http_status, absl::string_view content_type)>
+      on_status;
   // Called with each piece of the body as it arrives.
   std::function<void(absl::string_view data)> on_data;
   // Called once at the end, unless the call was cancelled.
--- a/src/load.cc
+++ b/src/load.cc
@@ -208,7 +208,7 @@
                     absl::StrCat("X-Class: ", c.klass)};
     call.timeout =
         Millis(static_cast<int64_t>((w_.duration_s + w_.drain_s) * 1000));
-    call.on_status = [op](int s) { op->status = s; };
+    call.on_status = [op](int s, absl::string_view) { op->status = s; };
     call.on_data = [this, op](absl::string_view d) {
       op->buf.append(d.data(), d.size());
       ParseEvents(*op, Now(loop_));
