--- a/src/caller_server.cc
+++ b/src/caller_server.cc
@@ -78,8 +78,14 @@
   // Ends the connection now, whatever was promised.
   void Abort() {
     auto self = shared_from_this();
+    // Without a length an orderly close would say that the answer is whole.
+    bool reset = exchange_ && exchange_->started_ && !exchange_->chunked_;
     DetachExchange();
     server_->connections_.erase(this);
+    if (reset) {
+      tcp_->Reset();
+      return;
+    }
     tcp_->CloseAfterWrites();
     if (tcp_->open()) Linger();
   }
@@ -127,6 +133,7 @@
     exchange_ = std::make_shared<CallerExchange>();
     if (!head.keep_alive) close_after_ = true;
     exchange_->bodyless_ = head.method == "HEAD";
+    exchange_->chunked_ = head.reads_chunks;
     const std::string* expect = head.Find("Expect");
     if (expect && absl::EqualsIgnoreCase(*expect, "100-continue")) {
       tcp_->Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -223,17 +230,25 @@
 void CallerExchange::StartAnswer(int status, absl::string_view reason,
                                  const HeaderList& headers) {
   if (gone() || started_) return;
-  SendHead(status, reason, headers, "Transfer-Encoding: chunked\r\n");
+  if (!chunked_) connection_->MarkClose();
+  SendHead(status, reason, headers,
+           chunked_ ? "Transfer-Encoding: chunked\r\n" : "");
 }
 
+void CallerExchange::EndWithConnection() { chunked_ = false; }
+
 void CallerExchange::Write(absl::string_view data) {
   if (gone() || data.empty() || bodyless_) return;
+  if (!chunked_) {
+    connection_->Send(data);
+    return;
+  }
   connection_->Send(absl::StrCat(absl::Hex(data.size()), "\r\n", data, "\r\n"));
 }
 
 void CallerExchange::Finish() {
   if (gone()) return;
-  if (!bodyless_) connection_->Send("0\r\n\r\n");
+  if (!bodyless_ && chunked_) connection_->Send("0\r\n\r\n");
   connection_->AnswerDone();
 }
 
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -32,6 +32,9 @@
 
   // Sends a whole answer.
   void Respond(int status, const HeaderList& headers, absl::string_view body);
+  // Before StartAnswer: the answer's end is that of its connection, as for a
+  // caller that cannot read chunks (done for such a one without being asked).
+  void EndWithConnection();
   // Begins an answer whose length is not known: chunked.
   void StartAnswer(int status, absl::string_view reason,
                    const HeaderList& headers);
@@ -57,6 +60,7 @@
   CallerConnection* connection_ = nullptr;
   bool started_ = false;
   bool bodyless_ = false;  // Answers a HEAD request.
+  bool chunked_ = true;    // Otherwise ends with its connection.
   std::function<void()> on_gone_;
   std::function<void()> on_drained_;
 };
--- a/src/control.cc
+++ b/src/control.cc
@@ -45,7 +45,7 @@
     : loop_(loop),
       clock_(clock),
       options_(std::move(options)),
-      store_(options_.data_dir),
+      store_(options_.data_dir, options_.before_disk_write),
       server_(loop,
               [this](const H2Request& r, std::shared_ptr<H2Stream> s) {
                 HandlePeer(r, std::move(s));
@@ -83,7 +83,9 @@
 Control::~Control() { ev_timer_stop(loop_, &tick_); }
 
 absl::Status Control::Start() {
-  absl::Status s = server_.Listen(options_.peer.ip, options_.peer.port);
+  int port = options_.peer_listen_port ? options_.peer_listen_port
+                                       : options_.peer.port;
+  absl::Status s = server_.Listen(options_.peer.ip, port);
   if (!s.ok()) return s;
   if (keeps_state()) {
     OpenStore();
--- a/src/control.h
+++ b/src/control.h
@@ -29,12 +29,14 @@
 struct ControlOptions {
   std::string name;
   Endpoint peer;                   // Where control processes talk.
+  int peer_listen_port = 0;        // Not 0: a forwarder stands at `peer`.
   std::vector<std::string> seeds;  // Peer addresses of some of them.
   bool bootstrap = false;  // The whole system starts for the first time.
   // Empty on a host without a disk: the process keeps nothing and passes
   // operators' calls on to the leader.
   std::string data_dir;
-  int tolerate = 1;  // Hosts that may be lost at once.
+  BeforeWrite before_disk_write;  // May be empty.
+  int tolerate = 1;               // Hosts that may be lost at once.
   ListSource list;
   // Checks a document and returns its version. Errors: InvalidArgument.
   std::function<absl::StatusOr<int64_t>(absl::string_view)> validate;
--- /dev/null
+++ b/src/drill.cc
@@ -0,0 +1,54 @@
+#include "drill.h"
+
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+
+#include "nlohmann/json.hpp"
+
+namespace medlarwalk {
+namespace {
+
+constexpr char kVariable[] = "MEDLARWALK_DRILL";
+constexpr int kMicrosPerMilli = 1000;
+// A drill's disk is never slower than this: the platform's hang for seconds.
+constexpr int kMostDiskMs = 10000;
+
+// An object; empty where the file cannot be read or is half written.
+nlohmann::json Read(const std::string& path) {
+  std::ifstream in(path);
+  nlohmann::json j = nlohmann::json::parse(in, nullptr, false);
+  return j.is_object() ? j : nlohmann::json::object();
+}
+
+int IntAt(const nlohmann::json& j, const char* name) {
+  auto it = j.find(name);
+  return it != j.end() && it->is_number_integer() ? it->get<int>() : 0;
+}
+
+}  // namespace
+
+Drill Drill::FromEnvironment() {
+  Drill d;
+  if (const char* path = std::getenv(kVariable)) d.path_ = path;
+  return d;
+}
+
+int Drill::peer_listen_port() const {
+  return active() ? IntAt(Read(path_), "peer_listen_port") : 0;
+}
+
+absl::Status Drill::BeforeWrite() const {
+  if (!active()) return absl::OkStatus();
+  nlohmann::json j = Read(path_);
+  int ms = std::min(IntAt(j, "disk_ms"), kMostDiskMs);
+  if (ms > 0) usleep(static_cast<useconds_t>(ms * kMicrosPerMilli));
+  auto full = j.find("disk_full");
+  if (full != j.end() && *full == true) {
+    return absl::UnavailableError("no space left on device (drill)");
+  }
+  return absl::OkStatus();
+}
+
+}  // namespace medlarwalk
--- a/src/http1.cc
+++ b/src/http1.cc
@@ -12,6 +12,8 @@
 namespace medlarwalk {
 namespace {
 
+constexpr int kHttp11 = 11;  // As Beast writes versions.
+
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using beast::error_code;
@@ -26,7 +28,9 @@
 
  private:
   void on_request_impl(http::verb, beast::string_view method,
-                       beast::string_view target, int, error_code&) override {
+                       beast::string_view target, int version,
+                       error_code&) override {
+    head_.reads_chunks = version >= kHttp11;
     head_.method = std::string(View(method));
     head_.target = std::string(View(target));
   }
--- a/src/http1.h
+++ b/src/http1.h
@@ -26,6 +26,7 @@
   std::string reason;  // Answers.
   HeaderList headers;
   bool keep_alive = false;
+  bool reads_chunks = true;  // Requests: the sender is no HTTP/1.0 one.
   std::optional<uint64_t> content_length;
 
   // The first value of header `name` (any case), or nullptr.
--- a/src/replica_store.cc
+++ b/src/replica_store.cc
@@ -115,8 +115,10 @@
   return out;
 }
 
-FileReplicaStore::FileReplicaStore(std::string dir)
-    : dir_(std::move(dir)), path_(dir_ + "/replica.log") {}
+FileReplicaStore::FileReplicaStore(std::string dir, BeforeWrite before_write)
+    : before_write_(std::move(before_write)),
+      dir_(std::move(dir)),
+      path_(dir_ + "/replica.log") {}
 
 FileReplicaStore::~FileReplicaStore() {
   if (fd_ >= 0) close(fd_);
@@ -163,6 +165,13 @@
   return s;
 }
 
+absl::Status FileReplicaStore::Write(int fd, absl::string_view bytes) const {
+  absl::Status s = before_write_ ? before_write_() : absl::OkStatus();
+  absl::Status written =
+      WriteAll(fd, s.ok() ? bytes : bytes.substr(0, bytes.size() / 2));
+  return s.ok() ? written : s;
+}
+
 absl::Status FileReplicaStore::WriteRecords(const std::vector<json>& records) {
   if (fd_ < 0) return absl::UnavailableError("store is not open");
   if (dir_unsynced_) {
@@ -180,7 +189,7 @@
   std::string bytes;
   for (const json& r : records) bytes += Frame(r);
   dirty_ = true;
-  absl::Status s = WriteAll(fd_, bytes);
+  absl::Status s = Write(fd_, bytes);
   if (!s.ok()) return s;
   if (fdatasync(fd_) != 0) return Errno("sync");
   dirty_ = false;
@@ -210,7 +219,7 @@
   std::string fresh = path_ + ".new";
   int fd = open(fresh.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
   if (fd < 0) return Errno("create");
-  absl::Status s = WriteAll(fd, bytes);
+  absl::Status s = Write(fd, bytes);
   if (s.ok() && fsync(fd) != 0) s = Errno("sync");
   if (s.ok() && rename(fresh.c_str(), path_.c_str()) != 0) s = Errno("rename");
   if (!s.ok()) {
--- a/src/replica_store.h
+++ b/src/replica_store.h
@@ -5,6 +5,7 @@
 #ifndef MEDLARWALK_REPLICA_STORE_H_
 #define MEDLARWALK_REPLICA_STORE_H_
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -15,10 +16,15 @@
 
 namespace medlarwalk {
 
+// Called before bytes go to the disk; an error stands for one of the disk.
+// May take as long as a slow disk does.
+using BeforeWrite = std::function<absl::Status()>;
+
 // A ReplicaStore in folder `dir`. Calls block until synced.
 class FileReplicaStore : public ReplicaStore {
  public:
-  explicit FileReplicaStore(std::string dir);
+  // `before_write` may be empty.
+  explicit FileReplicaStore(std::string dir, BeforeWrite before_write = {});
   ~FileReplicaStore() override;
   FileReplicaStore(const FileReplicaStore&) = delete;
   FileReplicaStore& operator=(const FileReplicaStore&) = delete;
@@ -35,7 +41,10 @@
 
  private:
   absl::Status WriteRecords(const std::vector<nlohmann::json>& records);
+  // Writes `bytes` to `fd`, or half of them where the disk fails on the way.
+  absl::Status Write(int fd, absl::string_view bytes) const;
 
+  BeforeWrite before_write_;
   std::string dir_;
   std::string path_;
   int fd_ = -1;
--- a/test/procs.cc
+++ b/test/procs.cc
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <cstdlib>
 #include <thread>
 
@@ -67,7 +68,7 @@
 }  // namespace
 
 pid_t Spawn(const std::vector<std::string>& args, const std::string& log,
-            const std::string& env) {
+            const std::vector<std::string>& env) {
   const char* bin = std::getenv("MEDLARWALK_BIN");
   std::string path = bin ? bin : "./medlarwalk";
   pid_t pid = fork();
@@ -79,7 +80,7 @@
     argv.push_back(const_cast<char*>(path.c_str()));
     for (const auto& a : args) argv.push_back(const_cast<char*>(a.c_str()));
     argv.push_back(nullptr);
-    if (!env.empty()) putenv(const_cast<char*>(env.c_str()));
+    for (const auto& e : env) putenv(const_cast<char*>(e.c_str()));
     execv(path.c_str(), argv.data());
     _exit(127);
   }
@@ -128,10 +129,28 @@
 }
 
 int FreeBase() {
-  static int next = 0;
   // Below the kernel's ephemeral range (32768 and up), so that no outgoing
   // connection can hold a port a test wants to listen on.
-  return 20000 + static_cast<int>(getpid() % 120) * 100 + (next++ % 2) * 50;
+  constexpr int kFirst = 20000;
+  constexpr int kBases = 240;
+  static int next = static_cast<int>(getpid());
+  for (int tries = 0; tries < kBases; ++tries) {
+    int base = kFirst + (next++ % kBases) * kPortsEach;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_port = htons(static_cast<uint16_t>(base + kPortsEach - 1));
+    inet_pton(AF_INET, "127.0.0.1", &a.sin_addr);
+    // Held to the end of the process: two test processes that took the same
+    // ports would reach each other's servers.
+    if (bind(fd, reinterpret_cast<sockaddr*>(&a), sizeof(a)) == 0 &&
+        listen(fd, 1) == 0) {
+      return base;
+    }
+    close(fd);
+  }
+  std::fprintf(stderr, "no free ports for tests\n");
+  std::abort();
 }
 
 }  // namespace medlarwalk::testing
--- a/test/procs.h
+++ b/test/procs.h
@@ -14,9 +14,9 @@
 
 // Starts `medlarwalk ARGS...` (the binary named by $MEDLARWALK_BIN), its
 // output appended to `log`. Returns the process id.
-// `env`: "NAME=value" added to its environment.
+// `env`: lines "NAME=value" added to its environment.
 pid_t Spawn(const std::vector<std::string>& args, const std::string& log,
-            const std::string& env = "");
+            const std::vector<std::string>& env = {});
 
 // Sends `sig` and, for ending signals, waits up to `wait_ms` for the exit.
 // Returns true when the process has exited.
@@ -43,7 +43,9 @@
 // A fresh folder under /tmp.
 std::string TempDir();
 
-// A base port unlikely to clash with another test process on this machine.
+// The first of kPortsEach ports that no other test process on this machine
+// uses until this one ends: the last of them is held as the claim.
+inline constexpr int kPortsEach = 50;
 int FreeBase();
 
 }  // namespace medlarwalk::testing
