--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -12,7 +12,8 @@
   json items = json::array();
   for (const UpstreamInfo& u : l.upstreams) {
     items.push_back({u.id, u.service, u.address.ip, u.address.port,
-                     u.data_centre, u.leaving, u.slots, ToMs(u.warmup_left)});
+                     u.data_centre, u.leaving, u.slots, ToMs(u.warmup_left),
+                     u.born});
   }
   return {{"v", l.version}, {"u", std::move(items)}};
 }
@@ -30,6 +31,8 @@
     u.leaving = i.at(5).get<bool>();
     u.slots = i.at(6).get<int>();
     u.warmup_left = Millis(i.at(7).get<int64_t>());
+    // Not told by processes of an earlier version.
+    if (i.size() > 8) u.born = i.at(8).get<int64_t>();
     l.upstreams.push_back(std::move(u));
   }
   return l;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -58,7 +58,7 @@
 }
 
 void Gateway::SetUpstreams(const UpstreamList& list) {
-  pool_.Update(list);
+  for (const std::string& id : pool_.Update(list)) parts_.Forget(id);
   ServeWaiting();
 }
 
--- a/src/lister.cc
+++ b/src/lister.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "log.h"
 
 namespace medlarwalk {
 namespace {
@@ -19,7 +20,7 @@
   return std::equal(
       a.upstreams.begin(), a.upstreams.end(), b.upstreams.begin(),
       b.upstreams.end(), [](const UpstreamInfo& x, const UpstreamInfo& y) {
-        return x.id == y.id && x.service == y.service &&
+        return x.id == y.id && x.born == y.born && x.service == y.service &&
                x.address == y.address && x.data_centre == y.data_centre &&
                x.leaving == y.leaving && x.slots == y.slots &&
                (x.warmup_left > Duration::zero()) ==
@@ -38,6 +39,7 @@
   done_ = std::move(done);
   list_ = {};
   pages_ = 0;
+  unusable_ = 0;
   began_ = clock_.Now();
   Page("");
 }
@@ -81,10 +83,15 @@
     End(page.status());
     return;
   }
+  unusable_ += page->unusable;
   for (UpstreamInfo& u : page->upstreams) {
     list_.upstreams.push_back(std::move(u));
   }
   if (page->next.empty()) {
+    if (unusable_ != unusable_told_) {
+      LogWarn("list_entries_unusable", {{"entries", unusable_}});
+      unusable_told_ = unusable_;
+    }
     // Unlike any other reading's, also of another process.
     list_.version = static_cast<int64_t>(
         StableHash(absl::StrCat(clock_.Now().time_since_epoch().count(), ".",
--- a/src/lister.h
+++ b/src/lister.h
@@ -20,6 +20,7 @@
 struct ListPage {
   std::vector<UpstreamInfo> upstreams;
   std::string next;  // Empty on the last page.
+  int unusable = 0;  // Entries that name no upstream.
 };
 
 // The outside source of the list.
@@ -57,6 +58,8 @@
   Done done_;
   UpstreamList list_;
   int pages_ = 0;
+  int unusable_ = 0;       // In this reading.
+  int unusable_told_ = 0;  // To the log.
   int status_ = 0;
   std::string body_;
   TimePoint began_{};
--- a/src/upstream_list.h
+++ b/src/upstream_list.h
@@ -13,7 +13,8 @@
 
 // One running incarnation of an upstream.
 struct UpstreamInfo {
-  std::string id;  // New for each start.
+  std::string id;    // New for most starts.
+  int64_t born = 0;  // When it started, Unix milliseconds; 0 where not said.
   std::string service;
   Endpoint address;
   std::string data_centre;
@@ -28,6 +29,13 @@
   std::vector<UpstreamInfo> upstreams;
 };
 
+// Whether `fresh` is another start of the upstream that `known` was: it then
+// knows nothing of what `known` held or ran.
+inline bool StartedAgain(const UpstreamInfo& known, const UpstreamInfo& fresh) {
+  if (known.born && fresh.born) return fresh.born > known.born;
+  return !(known.address == fresh.address);
+}
+
 // Whether two readings say the same, their versions aside.
 bool SameUpstreams(const UpstreamList& a, const UpstreamList& b);
 
--- a/src/upstream_pool.cc
+++ b/src/upstream_pool.cc
@@ -16,7 +16,25 @@
 UpstreamPool::UpstreamPool(const Clock& clock, LinkOpener open)
     : clock_(clock), open_(std::move(open)) {}
 
-void UpstreamPool::Update(const UpstreamList& list) {
+void UpstreamPool::StartAnew(UpstreamBoard& b, const UpstreamInfo& fresh) {
+  LogEvent("upstream_restarted", {{"upstream", fresh.id},
+                                  {"address", fresh.address.ToString()},
+                                  {"born", fresh.born},
+                                  {"born_before", b.info.born},
+                                  {"in_flight", b.in_flight}});
+  UpstreamBoard anew;
+  anew.info = fresh;
+  anew.in_flight = b.in_flight;
+  anew.reading = b.reading;
+  anew.quiet_since = b.quiet_since;
+  b = std::move(anew);
+  Connections& c = connections_[fresh.id];
+  for (const auto& k : c.idle) k->Close();
+  c.idle.clear();
+}
+
+std::vector<std::string> UpstreamPool::Update(const UpstreamList& list) {
+  std::vector<std::string> restarted;
   for (UpstreamBoard& b : boards_) b.listed = false;
   for (const UpstreamInfo& u : list.upstreams) {
     auto it = index_.find(u.id);
@@ -31,15 +49,23 @@
       continue;
     }
     UpstreamBoard& b = boards_[it->second];
+    b.listed = true;
+    // An older reading: the list lags, and more than one process reads it.
+    if (u.born && u.born < b.info.born) continue;
+    if (StartedAgain(b.info, u)) {
+      StartAnew(b, u);
+      restarted.push_back(u.id);
+      continue;
+    }
     if (u.leaving && !b.info.leaving) {
       LogEvent("upstream_leaving",
                {{"upstream", u.id}, {"in_flight", b.in_flight}});
     }
     b.info = u;
-    b.listed = true;
   }
   RankUpstreams(absl::MakeSpan(boards_));
   Tick();
+  return restarted;
 }
 
 UpstreamBoard* UpstreamPool::Find(const std::string& id) {
--- a/src/upstream_pool.h
+++ b/src/upstream_pool.h
@@ -22,8 +22,9 @@
   UpstreamPool(const Clock& clock, LinkOpener open);
 
   // Takes over a new reading of the list. Upstreams no longer listed stay
-  // until their last request has ended.
-  void Update(const UpstreamList& list);
+  // until their last request has ended. Returns the ids of those that have
+  // started again, of which nothing known before holds any more.
+  std::vector<std::string> Update(const UpstreamList& list);
 
   std::vector<UpstreamBoard>& boards() { return boards_; }
   const std::vector<UpstreamBoard>& boards() const { return boards_; }
@@ -44,6 +45,8 @@
   void Tick();
 
  private:
+  // Forgets what was known of `b` but its requests under way.
+  void StartAnew(UpstreamBoard& b, const UpstreamInfo& fresh);
   struct Connections {
     std::vector<std::shared_ptr<UpstreamLink>> idle;
     int taken = 0;
