--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -30,7 +30,7 @@
     u.data_centre = i.at(4).get<std::string>();
     u.leaving = i.at(5).get<bool>();
     u.slots = i.at(6).get<int>();
-    u.warmup_left = Millis(i.at(7).get<int64_t>());
+    u.warmup_left = BoundedMs(i.at(7).get<double>());
     // Not told by processes of an earlier version.
     if (i.size() > 8) u.born = i.at(8).get<int64_t>();
     l.upstreams.push_back(std::move(u));
--- a/src/own_api.cc
+++ b/src/own_api.cc
@@ -160,7 +160,7 @@
   if (!key.empty()) f.pinned = std::max<uint64_t>(1, StableHash(key));
   int64_t ms = 0;
   if (absl::SimpleAtoi(head.Value(kHeaderDeadlineMs), &ms) && ms > 0) {
-    f.patience = Millis(ms);
+    f.patience = BoundedMs(static_cast<double>(ms));
   }
   return f;
 }
--- a/src/types.h
+++ b/src/types.h
@@ -4,7 +4,9 @@
 
 #include <time.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 #include <string>
 #include <utility>
@@ -70,6 +72,18 @@
   return std::chrono::duration<double>(d).count();
 }
 
+// `seconds` from outside as a Duration, a year either way at most: beyond what
+// a Duration holds the conversion is undefined. No number is no time.
+inline Duration BoundedSeconds(double seconds) {
+  constexpr double kYear = 365.0 * 24 * 3600;
+  if (std::isnan(seconds)) return Duration::zero();
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::clamp(seconds, -kYear, kYear)));
+}
+
+// The same for milliseconds.
+inline Duration BoundedMs(double ms) { return BoundedSeconds(ms / 1000); }
+
 // Header fields in the order received, names as written by the sender.
 using HeaderList = std::vector<std::pair<std::string, std::string>>;
 
