--- a/src/replica_codec.cc
+++ b/src/replica_codec.cc
@@ -30,6 +30,34 @@
   return out;
 }
 
+// Reads without keeping anything, to the depth that our own messages have: the
+// library reads what is nested by recursion, and a message of nothing but
+// opening arrays would end the process by its stack.
+class DepthCheck : public nlohmann::json_sax<json> {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool key(string_t&) override { return true; }
+  bool start_object(size_t) override { return ++depth_ <= kMostDepth; }
+  bool start_array(size_t) override { return ++depth_ <= kMostDepth; }
+  bool end_object() override { return --depth_ >= 0; }
+  bool end_array() override { return --depth_ >= 0; }
+  bool parse_error(size_t, const std::string&,
+                   const nlohmann::detail::exception&) override {
+    return false;
+  }
+
+ private:
+  // A message, its entries, one of them, its members, one of these: 5.
+  static constexpr int kMostDepth = 16;
+  int depth_ = 0;
+};
+
 }  // namespace
 
 json ToJson(const Member& m) { return json::array({m.id, m.address}); }
@@ -91,6 +119,11 @@
 absl::StatusOr<json> FromCbor(absl::string_view bytes) {
   // The library throws on absurd sizes even where it is told not to.
   try {
+    DepthCheck depth;
+    if (!json::sax_parse(bytes.begin(), bytes.end(), &depth,
+                         json::input_format_t::cbor)) {
+      return absl::InvalidArgumentError("not CBOR, or nested too deep");
+    }
     return json::from_cbor(bytes.begin(), bytes.end());
   } catch (const json::exception& e) {
     return absl::InvalidArgumentError(e.what());
--- a/test/command_line_test.cc
+++ b/test/command_line_test.cc
@@ -16,8 +16,7 @@
 
 // Runs the binary and returns its exit status.
 int Run(const std::string& args) {
-  std::string line = std::string(std::getenv("MEDLARWALK_BIN")) + " " + args +
-                     " >/dev/null 2>&1";
+  std::string line = BinaryPath() + " " + args + " >/dev/null 2>&1";
   int rc = std::system(line.c_str());
   return WIFEXITED(rc) ? WEXITSTATUS(rc) : -1;
 }
--- a/test/control_test.cc
+++ b/test/control_test.cc
@@ -22,7 +22,7 @@
   Controls(int core, int relays)
       : loop_(ev_loop_new(EVFLAG_AUTO)),
         dir_(TempDir()),
-        base_(22500 + static_cast<int>(getpid() % 100) * 20),
+        base_(FreeBase()),
         core_(core),
         processes_(static_cast<size_t>(core + relays)) {}
   ~Controls() {
--- a/test/h2_test.cc
+++ b/test/h2_test.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include "CppUTest/TestHarness.h"
+#include "procs.h"
 
 using namespace medlarwalk;
 
@@ -40,7 +41,7 @@
   struct ev_loop* loop = ev_loop_new(EVFLAG_AUTO);
   {
     BootClock clock;
-    int port = 23900 + static_cast<int>(getpid() % 90);
+    int port = testing::FreeBase();
     std::shared_ptr<H2Stream> held_by_old;
     std::shared_ptr<H2Stream> held_by_new;
     H2Server old_server(
--- a/test/procs.cc
+++ b/test/procs.cc
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <thread>
 
 namespace medlarwalk::testing {
@@ -67,10 +68,15 @@
 
 }  // namespace
 
+std::string BinaryPath() {
+  if (const char* named = std::getenv("MEDLARWALK_BIN")) return named;
+  return std::filesystem::read_symlink("/proc/self/exe").parent_path() /
+         "medlarwalk";
+}
+
 pid_t Spawn(const std::vector<std::string>& args, const std::string& log,
             const std::vector<std::string>& env) {
-  const char* bin = std::getenv("MEDLARWALK_BIN");
-  std::string path = bin ? bin : "./medlarwalk";
+  std::string path = BinaryPath();
   pid_t pid = fork();
   if (pid == 0) {
     int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
--- a/test/procs.h
+++ b/test/procs.h
@@ -12,8 +12,11 @@
 
 namespace medlarwalk::testing {
 
-// Starts `medlarwalk ARGS...` (the binary named by $MEDLARWALK_BIN), its
-// output appended to `log`. Returns the process id.
+// The binary under test: $MEDLARWALK_BIN, or `medlarwalk` beside this program.
+std::string BinaryPath();
+
+// Starts `medlarwalk ARGS...`, its output appended to `log`. Returns the
+// process id.
 // `env`: lines "NAME=value" added to its environment.
 pid_t Spawn(const std::vector<std::string>& args, const std::string& log,
             const std::vector<std::string>& env = {});
--- a/test/replica_store_test.cc
+++ b/test/replica_store_test.cc
@@ -139,6 +139,14 @@
 }
 
 // Fuzz: messages between control processes.
+// Found by fuzzing. Symptom: a process ends by its stack. Sequence: a message
+// of nothing but opening arrays, far below the size allowed. Cause: the library
+// reads what is nested by recursion.
+TEST(replica_store, DeeplyNestedBytesAreAnError) {
+  CHECK_FALSE(FromCbor(std::string(size_t{1} << 20, '\x81')).ok());
+  CHECK_FALSE(FromCbor(std::string(size_t{1} << 20, '\x9f')).ok());
+}
+
 TEST(replica_store, FuzzedMessagesAreErrorsOrMessages) {
   ReplicaMessage m;
   m.type = ReplicaMessage::Type::kAppend;
