--- a/src/drill.cc
+++ b/src/drill.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -40,10 +40,13 @@
   curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
   ev_timer_init(&timer_, OnTimer, 0., 0.);
   timer_.data = this;
+  ev_timer_init(&reap_, OnReap, 0., 0.);
+  reap_.data = this;
 }
 
 HttpClient::~HttpClient() {
   ev_timer_stop(loop_, &timer_);
+  ev_timer_stop(loop_, &reap_);
   while (!calls_.empty()) Remove(calls_.begin()->first);
   curl_multi_cleanup(multi_);
 }
@@ -88,11 +91,13 @@
   auto it = calls_.find(id);
   if (it == calls_.end()) return;
   // Removing an easy handle from inside its own write callback is not
-  // allowed; mark it, and the write callback aborts the transfer.
+  // allowed: it is marked, and taken out from the loop. Its connection closes
+  // with it, so that the upstream drops work that nobody waits for.
   it->second->cancelled = true;
   it->second->call.on_done = nullptr;
   it->second->call.on_data = nullptr;
   it->second->call.on_status = nullptr;
+  ev_timer_start(loop_, &reap_);
 }
 
 void HttpClient::Remove(uint64_t id) {
@@ -192,6 +197,15 @@
   self->Drain();
 }
 
+void HttpClient::OnReap(struct ev_loop*, ev_timer* w, int) {
+  auto* self = static_cast<HttpClient*>(w->data);
+  std::vector<uint64_t> cancelled;
+  for (const auto& [id, a] : self->calls_) {
+    if (a->cancelled) cancelled.push_back(id);
+  }
+  for (uint64_t id : cancelled) self->Remove(id);
+}
+
 void HttpClient::OnTimer(struct ev_loop*, ev_timer* w, int) {
   auto* self = static_cast<HttpClient*>(w->data);
   int running = 0;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -77,6 +77,7 @@
   static int OnTimerChange(CURLM* multi, long timeout_ms, void* userp);
   static void OnIo(struct ev_loop* loop, ev_io* w, int revents);
   static void OnTimer(struct ev_loop* loop, ev_timer* w, int revents);
+  static void OnReap(struct ev_loop* loop, ev_timer* w, int revents);
   static size_t OnWrite(char* ptr, size_t size, size_t n, void* userdata);
   static int OnPrereq(void* userdata, char* conn_primary_ip,
                       char* conn_local_ip, int conn_primary_port,
@@ -87,6 +88,7 @@
   struct ev_loop* loop_;
   CURLM* multi_;
   ev_timer timer_{};
+  ev_timer reap_{};  // Takes cancelled calls out.
   uint64_t next_id_ = 1;
   std::map<uint64_t, std::unique_ptr<Active>> calls_;
 };
--- a/test/answer_end_test.cc
+++ b/test/answer_end_test.cc
@@ -12,6 +12,7 @@
 #include "agent.h"
 #include "agent_link.h"
 #include "http1_client.h"
+#include "later.h"
 #include "procs.h"
 #include "settings.h"
 
@@ -37,46 +38,32 @@
             *told = true;
             Say(loop, t->shared_from_this(), says, 0, ending);
           };
+          e.on_closed = [this](const absl::Status&) { ++left_; };
           tcp->set_events(std::move(e));
           open_.push_back(std::move(tcp));
         }) {
     CHECK_TRUE(listener_.Listen({"127.0.0.1", port}).ok());
   }
   Endpoint at() const { return {"127.0.0.1", listener_.port()}; }
+  // Connections that their callers have closed.
+  int left() const { return left_; }
 
  private:
-  struct Step {
-    ev_timer timer;
-    std::function<void()> f;
-  };
-
   static void Say(struct ev_loop* loop, std::shared_ptr<TcpConnection> tcp,
                   const std::vector<std::string>& says, size_t next,
                   Ending ending) {
     if (next < says.size()) tcp->Write(says[next]);
     if (next + 1 < says.size()) {
       // Long enough apart to be read one by one.
-      After(loop, 0.02, [=] { Say(loop, tcp, says, next + 1, ending); });
+      Later(loop, 20, [=] { Say(loop, tcp, says, next + 1, ending); });
     } else if (ending == Ending::kClose) {
       tcp->CloseAfterWrites();
     } else if (ending == Ending::kReset) {
       // After the bytes were read: a reset drops what is still on its way.
-      After(loop, 0.002, [tcp] { tcp->Reset(); });
+      Later(loop, 2, [tcp] { tcp->Reset(); });
     }
   }
-  static void After(struct ev_loop* loop, double s, std::function<void()> f) {
-    auto* step = new Step{{}, std::move(f)};
-    ev_timer_init(
-        &step->timer,
-        [](struct ev_loop*, ev_timer* w, int) {
-          std::unique_ptr<Step> step(static_cast<Step*>(w->data));
-          step->f();
-        },
-        s, 0.);
-    step->timer.data = step;
-    ev_timer_start(loop, &step->timer);
-  }
-
+  int left_ = 0;
   std::vector<std::shared_ptr<TcpConnection>> open_;
   TcpListener listener_;
 };
@@ -261,3 +248,19 @@
   CHECK_TRUE(ask({head + "da", stream.substr(2)}).end == CallEnd::kWhole);
   CHECK_FALSE(ask({head + "da", stream.substr(2, 7)}).end == CallEnd::kWhole);
 }
+
+// Symptom: an engine reads a prompt on for a caller that has left. Sequence:
+// the call is cancelled before the engine has answered a byte. Cause: a
+// cancelled call was taken out at its next byte only, or at its timeout of 30
+// s.
+TEST(answer_end, ACancelledCallIsClosedAtOnce) {
+  Peer peer(loop, {}, Ending::kStay);
+  HttpClient client(loop);
+  HttpCall call;
+  call.url = absl::StrCat("http://", peer.at().ToString(), "/");
+  uint64_t id = client.Start(std::move(call));
+  Later(loop, 50, [&] { client.Cancel(id); });
+  CHECK_TRUE(Await(
+      loop, [&] { return peer.left() == 1; }, 500));
+  LONGS_EQUAL(0, client.active());
+}
