--- a/src/placement.cc
+++ b/src/placement.cc
@@ -248,15 +248,6 @@
   if (demand->pause < policy.pausing_below) demand->pausing = false;
 }
 
-int LeastDecodeEngines(bool pausing, int engines,
-                       const PlacementPolicy& policy) {
-  constexpr double kMeasuredAt = 9;  // Engines.
-  double scale = std::pow(engines / kMeasuredAt, policy.decode_least_power);
-  double least = pausing ? std::round(policy.decode_least_pausing * scale)
-                         : std::floor(policy.decode_least * scale);
-  return std::max(1, static_cast<int>(least));
-}
-
 int DecodeEngines(const DecodeDemand& demand, int current, int slots,
                   int engines, const PlacementPolicy& policy) {
   if (engines < policy.split_from) return 0;
@@ -268,7 +259,7 @@
   double band = policy.decode_band;
   int n = std::clamp(current, static_cast<int>(std::ceil(need - band)),
                      static_cast<int>(std::ceil(need + band)));
-  int least = LeastDecodeEngines(demand.pausing, engines, policy);
+  int least = std::max(1, demand.pausing ? engines / 3 : engines / 6);
   return std::clamp(n, least, std::max(least, engines / 2));
 }
 
--- a/src/placement.h
+++ b/src/placement.h
@@ -92,19 +92,10 @@
   // for a place and every engine is needed.
   double decode_fill_calm = 0.25;
   double decode_fill_pressed = 0.6;
-  // The fewest engines kept, of a service of nine; of one of n engines
-  // (n / 9)^decode_least_power times as many. Clumps meet less often where
-  // there are more engines to spread them over, and what is kept stands idle
-  // while only long prompts press: against a sixth and a third of any number,
-  // mean worth of the days of highest load on fleets of 38 to 56 engines 0.457
-  // to 0.468.
-  double decode_least = 1.65;
-  double decode_least_pausing = 3;
-  double decode_least_power = 0.75;
-  // The latter from when the longest pause of late (it fades over pause_memory)
-  // is over the first share of its target until it is under the second. Every
-  // entry with a generation at an engine sees its pauses, so they agree without
-  // talking.
+  // A third of the engines, at least, from when the longest pause of late (it
+  // fades over pause_memory) is over the first share of its target until it
+  // is under the second. Every entry with a generation at an engine sees its
+  // pauses, so they agree without talking.
   double pausing_above = 0.85;
   double pausing_below = 0.4;
   double pause_memory_s = 8;
@@ -194,12 +185,8 @@
 void NotePause(double share, TimePoint now, const PlacementPolicy& policy,
                DecodeDemand* demand);
 
-// The fewest of `engines` engines kept for long generations.
-int LeastDecodeEngines(bool pausing, int engines,
-                       const PlacementPolicy& policy);
-
 // How many of `engines` engines to keep for long generations, where `current`
-// were kept so far: half of them at most.
+// were kept so far: between a sixth and a half of them.
 int DecodeEngines(const DecodeDemand& demand, int current, int slots,
                   int engines, const PlacementPolicy& policy);
 
--- a/test/placement_test.cc
+++ b/test/placement_test.cc
@@ -234,29 +234,6 @@
   LONGS_EQUAL(2, DecodeEngines(d, 3, 64, 9, kPolicy));
 }
 
-// Symptom: on large fleets long prompts are turned away while the engines kept
-// for long generations have nothing to do. Load pattern: a burst of long
-// prompts alone. Cause: a sixth of the engines, a third after a pause near its
-// limit, was kept whatever their number, as nine engines need it.
-TEST(placement, LargeFleetsKeepASmallerShareForLongGenerations) {
-  LONGS_EQUAL(1, LeastDecodeEngines(false, 2, kPolicy));
-  LONGS_EQUAL(1, LeastDecodeEngines(false, 9, kPolicy));
-  LONGS_EQUAL(3, LeastDecodeEngines(true, 9, kPolicy));
-  LONGS_EQUAL(4, LeastDecodeEngines(true, 12, kPolicy));
-  for (int n : {38, 41, 56, 200}) {
-    CHECK_TRUE(LeastDecodeEngines(false, n, kPolicy) < n / 6);
-    CHECK_TRUE(LeastDecodeEngines(true, n, kPolicy) < n / 3);
-    // More engines never have fewer kept.
-    CHECK_TRUE(LeastDecodeEngines(true, n, kPolicy) >=
-               LeastDecodeEngines(true, n - 1, kPolicy));
-  }
-  // Few generations, a calm room: the least is what is kept.
-  DecodeDemand d;
-  d.in_flight = 4;
-  LONGS_EQUAL(LeastDecodeEngines(false, 56, kPolicy),
-              DecodeEngines(d, 1, 64, 56, kPolicy));
-}
-
 // Symptom: new work keeps reaching an engine that is being taken out or whose
 // agent does not answer. Cause: placement ignores what is known of it.
 TEST(placement, LeavingOrUnreachableUpstreamsGetNoWork) {
