A control process tells what fills its memory

Cause: nothing in logs or metrics could tell the four hypotheses apart. Change: a memory line whenever the heap has moved by 4 MB, and gauges: document, log and its entries, what waits for peers and for watchers, heap in use and held. A configuration's bytes and an order's time are in its lines. No change of logic.

--- a/src/control.cc
+++ b/src/control.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "heap_use.h"
 #include "log.h"
 #include "random_seed.h"
 #include "replica_codec.h"
@@ -25,6 +26,9 @@
 constexpr auto kToldLeaderTrust = std::chrono::seconds(1);
 constexpr auto kHelloInterval = Millis(300);
 constexpr auto kStoreRetry = std::chrono::seconds(1);
+// Memory is told in the log when it has moved by this much, at most this often.
+constexpr size_t kMemoryStep = size_t{4} << 20;
+constexpr auto kMemoryTellInterval = Millis(100);
 
 std::string NewId() { return absl::StrCat(absl::Hex(RandomSeed())); }
 
@@ -149,8 +153,9 @@
   h.send = [this](const Member& to, const ReplicaMessage& m) {
     SendToPeer(to, m);
   };
-  h.on_config = [this](int64_t version, const std::string&) {
-    LogEvent("config_committed", {{"version", version}});
+  h.on_config = [this](int64_t version, const std::string& config) {
+    LogEvent("config_committed",
+             {{"version", version}, {"bytes", config.size()}});
     AnswerWatchers();
   };
   h.on_change = [this] { FollowLeader(); };
@@ -261,9 +266,45 @@
   leader_watch_.set_seeds(std::move(ask));
 }
 
-// Tells seeds that are no members where the group is.
+ControlMetrics::Memory Control::MemoryNow() const {
+  ControlMetrics::Memory m;
+  if (replica_) {
+    m.config = replica_->config().size();
+    m.log = replica_->log_bytes();
+    m.log_entries = replica_->log_entries();
+  }
+  m.peers = links_.queued_bytes();
+  m.watchers = server_.queued_bytes();
+  HeapUse heap = ReadHeapUse();
+  m.heap = heap.in_use;
+  m.heap_held = heap.held;
+  return m;
+}
+
+// One line when what fills the memory has changed much: a process that ends
+// for its memory leaves in them what filled it.
+void Control::NoteMemory(TimePoint now) {
+  if (now - memory_told_at_ < kMemoryTellInterval) return;
+  size_t held = ReadHeapUse().held;
+  size_t moved =
+      held > memory_told_ ? held - memory_told_ : memory_told_ - held;
+  if (moved < kMemoryStep) return;
+  memory_told_ = held;
+  memory_told_at_ = now;
+  ControlMetrics::Memory m = MemoryNow();
+  LogEvent("memory", {{"heap", m.heap},
+                      {"held", m.heap_held},
+                      {"config", m.config},
+                      {"log", m.log},
+                      {"entries", m.log_entries},
+                      {"peers", m.peers},
+                      {"watchers", m.watchers},
+                      {"waiting", watchers_.size()}});
+}
+
 std::string Control::Metrics() {
   ControlMetrics::State s;
+  s.memory = MemoryNow();
   TimePoint now = clock_.Now();
   s.leader = IsLeader();
   s.followers = followers_.size();
@@ -280,6 +321,7 @@
   return metrics_.Render();
 }
 
+// Tells seeds that are no members where the group is.
 void Control::SayHello(TimePoint now) {
   if (!replica_ || now - hello_at_ < kHelloInterval) return;
   hello_at_ = now;
@@ -323,6 +365,7 @@
   AnswerWatchers();
   PollList(now);
   ServeWaiting(now);
+  NoteMemory(now);
 }
 
 // Calls that waited for a leader.
@@ -401,12 +444,16 @@
     return;
   }
   int64_t v = *version;
+  size_t bytes = document.size();
   TimePoint from = clock_.Now();
   SubmitAnywhere(
       std::make_shared<std::string>(std::move(document)), v, from + kLeaderWait,
-      [this, v, from, done = std::move(done)](absl::Status s) {
+      [this, v, from, bytes, done = std::move(done)](absl::Status s) {
         LogEvent("config_submitted",
-                 {{"version", v}, {"outcome", s.ok() ? "ok" : s.message()}});
+                 {{"version", v},
+                  {"bytes", bytes},
+                  {"ms", ToMs(clock_.Now() - from)},
+                  {"outcome", s.ok() ? "ok" : s.message()}});
         metrics_.ObserveCall("submit", OutcomeOf(s),
                              ToSeconds(clock_.Now() - from));
         done(s);
--- a/src/control.h
+++ b/src/control.h
@@ -122,6 +122,8 @@
   void ConfirmAnywhere(TimePoint until, ConfirmDone done);
   void ConfirmForNew();
   void PollList(TimePoint now);
+  ControlMetrics::Memory MemoryNow() const;
+  void NoteMemory(TimePoint now);
   void FollowLeader();
   int DirectServing() const;
   int TotalServing() const;
@@ -150,6 +152,8 @@
   TimePoint store_tried_at_{};
   TimePoint hello_at_{};
   bool list_lost_ = false;
+  size_t memory_told_ = 0;
+  TimePoint memory_told_at_{};
   // The last confirmation of the newest version by the leader: when it was
   // asked for and what it said.
   bool confirming_ = false;
--- a/src/h2.cc
+++ b/src/h2.cc
@@ -114,6 +114,12 @@
   return n;
 }
 
+size_t H2Server::queued_bytes() const {
+  size_t n = 0;
+  for (const auto& [p, c] : connections_) n += c->queued_bytes();
+  return n;
+}
+
 void H2Server::OnAccept(struct ev_loop*, ev_io* w, int) {
   auto* self = static_cast<H2Server*>(w->data);
   for (;;) {
@@ -221,6 +227,10 @@
   return connection_ ? connection_->open_streams() : 0;
 }
 
+size_t H2Client::queued_bytes() const {
+  return connection_ ? connection_->queued_bytes() : 0;
+}
+
 // Pings the connection on schedule and drops it when a ping goes unanswered
 // past the timeout: a silent connection otherwise looks open for good.
 void H2Client::OnPingTimer(struct ev_loop*, ev_timer* w, int) {
--- a/src/h2.h
+++ b/src/h2.h
@@ -81,6 +81,8 @@
   void StopAccepting();
   // Streams whose answer is not finished, over all connections.
   int open_streams() const;
+  // Bytes of answers that their askers have not taken yet.
+  size_t queued_bytes() const;
 
  private:
   static void OnAccept(struct ev_loop* loop, ev_io* w, int revents);
@@ -132,6 +134,8 @@
   bool usable() const;
   // Streams open on the current connection.
   int open_streams() const;
+  // Bytes of requests that the peer has not taken yet.
+  size_t queued_bytes() const;
   // Connections declared dead because a ping went unanswered.
   int dead_connections() const { return dead_connections_; }
 
--- a/src/h2_connection.h
+++ b/src/h2_connection.h
@@ -138,6 +138,13 @@
   int open_streams() const {
     return static_cast<int>(server_ ? incoming_.size() : calls_.size());
   }
+  // Bytes of bodies that wait here for the peer to take them.
+  size_t queued_bytes() const {
+    size_t n = pending_.size();
+    for (const auto& [id, c] : calls_) n += c.body->size();
+    for (const auto& [id, s] : incoming_) n += s.answer->out_.size();
+    return n;
+  }
   bool connected() const { return connected_; }
   bool ping_outstanding() const { return ping_outstanding_; }
   TimePoint ping_sent_at() const { return ping_sent_at_; }
--- a/src/link_pool.cc
+++ b/src/link_pool.cc
@@ -42,4 +42,10 @@
   return To(address).Submit(std::move(call));
 }
 
+size_t LinkPool::queued_bytes() const {
+  size_t n = 0;
+  for (const auto& [address, c] : clients_) n += c->queued_bytes();
+  return n;
+}
+
 }  // namespace medlarwalk
--- a/src/link_pool.h
+++ b/src/link_pool.h
@@ -31,6 +31,8 @@
   // Posts `body`; returns the stream's id, for Cancel, or 0.
   int32_t Post(const std::string& address, absl::string_view path,
                std::string body, Done done);
+  // Bytes of calls that wait on all links for their peers to take them.
+  size_t queued_bytes() const;
 
  private:
   struct ev_loop* loop_;
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -114,6 +114,13 @@
   set("followers", static_cast<double>(s.followers));
   set("step_age_seconds", s.step_age_s);
   set("list_age_seconds", s.list_age_s);
+  set("config_bytes", static_cast<double>(s.memory.config));
+  set("log_bytes", static_cast<double>(s.memory.log));
+  set("log_entries", static_cast<double>(s.memory.log_entries));
+  set("peer_queue_bytes", static_cast<double>(s.memory.peers));
+  set("watcher_queue_bytes", static_cast<double>(s.memory.watchers));
+  set("heap_bytes", static_cast<double>(s.memory.heap));
+  set("heap_held_bytes", static_cast<double>(s.memory.heap_held));
 }
 
 std::string ControlMetrics::Render() const {
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -51,8 +51,19 @@
 // The metrics of a control process. Thread safety: loop thread only.
 class ControlMetrics {
  public:
+  // What fills its memory, in bytes.
+  struct Memory {
+    size_t config = 0;  // The newest committed document.
+    size_t log = 0;     // Log entries beside the snapshot.
+    size_t log_entries = 0;
+    size_t peers = 0;      // Waits for other control processes to take it.
+    size_t watchers = 0;   // Waits for askers to take it.
+    size_t heap = 0;       // In use, all together.
+    size_t heap_held = 0;  // Taken from the host.
+  };
   // What the process holds and believes now.
   struct State {
+    Memory memory;
     bool leader = false;
     uint64_t term = 0;
     int64_t config_version = 0;
--- a/src/replica.h
+++ b/src/replica.h
@@ -173,6 +173,9 @@
   int64_t config_version() const { return config_version_; }
   const std::string& config() const { return config_; }
   const std::vector<Member>& members() const { return members_; }
+  // Entries kept beside the snapshot, and their bytes in memory.
+  size_t log_entries() const { return log_.size(); }
+  size_t log_bytes() const { return log_bytes_; }
 
  private:
   // A leader whose disk refused a write does not stand for election again for
