--- a/test/replica_group.cc
+++ b/test/replica_group.cc
@@ -134,8 +134,13 @@
     if (cuts_.count({from, to})) return;
     if (std::uniform_real_distribution<double>(0, 1)(random) < drop) return;
     std::uniform_int_distribution<int> delay(1, 15);
-    flights_.push_back(Flight{clock.Now() + Millis(delay(random)), from, to,
-                              EncodeMessage(m)});
+    std::string bytes = EncodeMessage(m);
+    TimePoint at = clock.Now() + Millis(delay(random));
+    if (bytes_per_s > 0) {
+      at += Millis(static_cast<int64_t>(1000. * bytes.size() / bytes_per_s));
+    }
+    bytes_sent += bytes.size();
+    flights_.push_back(Flight{at, from, to, std::move(bytes)});
   }
 }
 
--- a/test/replica_group.h
+++ b/test/replica_group.h
@@ -62,6 +62,10 @@
 
   ManualClock clock;
   double drop = 0;  // Share of messages lost.
+  // How fast a message's bytes arrive; 0: at once. Small messages overtake
+  // large ones, as on a link with streams.
+  double bytes_per_s = 0;
+  size_t bytes_sent = 0;
   std::mt19937_64 random;
 
  private:
