A reply frees the way only for the entries it tells arrived

Cause: any reply cleared in_flight. A heartbeat overtakes large entries, and its reply had the leader send all of them again, once a round trip, with 3 copies in memory of each; the time-out for sending again counted from the last heartbeat. Ruled out: watchers, the log, reading one document (the memory lines); the links (the copies wait before them).

--- a/src/control.cc
+++ b/src/control.cc
@@ -176,11 +176,25 @@
   return Member{"", told_leader_};
 }
 
+// One message with entries or a snapshot at a time goes to a member: while one
+// is under way, the next goes without its load, as a heartbeat. What waits on a
+// link is thus bounded, however slow it is; a link that takes nothing any more
+// is dropped by its pings, which ends the call.
 void Control::SendToPeer(const Member& to, const ReplicaMessage& m) {
   if (!links_.To(to.address).usable()) return;
+  bool loaded = !m.entries.empty() || m.snapshot;
+  if (loaded && !load_under_way_.insert(to.address).second) {
+    ReplicaMessage light = m;
+    light.entries.clear();
+    light.snapshot.reset();
+    SendToPeer(to, light);
+    return;
+  }
   links_.Post(
       to.address, kReplicaPath, EncodeMessage(m),
-      [this](int status, const std::string& body) {
+      [this, loaded, address = to.address](int status,
+                                           const std::string& body) {
+        if (loaded) load_under_way_.erase(address);
         if (status != 200 || body.empty() || !replica_) return;
         absl::StatusOr<ReplicaMessage> reply = DecodeMessage(body);
         if (!reply.ok()) {
--- a/src/control.h
+++ b/src/control.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -144,6 +145,8 @@
   std::vector<Watcher> watchers_;
   std::map<std::string, Follower> followers_;
   int serving_from_leader_ = 0;
+  // Members to whom entries or a snapshot are on their way.
+  std::set<std::string> load_under_way_;
   // Without a disk: the members as last told; the leader, and when.
   std::vector<std::string> told_members_;
   std::string told_leader_;
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -179,7 +179,7 @@
   if (role_ != ReplicaRole::kLeader) return;
   bool due = false;
   for (auto& [id, p] : peers_) {
-    if (p.in_flight && now - p.sent_at > kResendAfter) p.in_flight = false;
+    if (now - p.flight_at > kResendAfter) p.flight_last = 0;
     if (now - p.sent_at >= options_.heartbeat) due = true;
   }
   if (due) Broadcast();
@@ -203,9 +203,12 @@
     ReplicaMessage m = Make(ReplicaMessage::Type::kInstall);
     m.round = round_;
     m.commit = commit_;
-    if (!p.in_flight) m.snapshot = snapshot_;
     // While a snapshot is on its way only the round is sent.
-    p.in_flight = true;
+    if (p.flight_last == 0) {
+      m.snapshot = snapshot_;
+      p.flight_last = snapshot_.index;
+      p.flight_at = p.sent_at;
+    }
     hooks_.send(p.member, m);
     return;
   }
@@ -214,14 +217,17 @@
   m.commit = commit_;
   m.index = p.next - 1;
   m.log_term = TermAt(p.next - 1);
-  if (!p.in_flight) {
+  if (p.flight_last == 0) {
     size_t bytes = 0;
     for (uint64_t i = p.next; i <= LastIndex(); ++i) {
       bytes += BytesOf(At(i));
       if (!m.entries.empty() && bytes > options_.batch_bytes) break;
       m.entries.push_back(At(i));
     }
-    p.in_flight = !m.entries.empty();
+    if (!m.entries.empty()) {
+      p.flight_last = m.entries.back().index;
+      p.flight_at = p.sent_at;
+    }
   }
   hooks_.send(p.member, m);
 }
@@ -438,14 +444,16 @@
     p.round_at = RoundSent(m.round);
   }
   if (m.ok) {
-    p.in_flight = false;
     p.match = std::max(p.match, m.index);
     p.next = p.match + 1;
+    if (p.match >= p.flight_last) p.flight_last = 0;
     AdvanceCommit();
-    if (role_ == ReplicaRole::kLeader && p.next <= LastIndex()) SendTo(p);
-  } else if (m.index < p.next - 1) {
-    p.in_flight = false;
-    p.next = std::max<uint64_t>(1, std::max(m.index, p.match) + 1);
+    bool behind = role_ == ReplicaRole::kLeader && p.next <= LastIndex();
+    if (behind && p.flight_last == 0) SendTo(p);
+  } else if (uint64_t next = std::max(m.index, p.match) + 1; next < p.next) {
+    // It lacks what comes before what was sent to it.
+    p.next = next;
+    p.flight_last = 0;
     SendTo(p);
   }
   SettleWaiters();
--- a/src/replica.h
+++ b/src/replica.h
@@ -189,8 +189,13 @@
     TimePoint heard{};     // Last reply.
     uint64_t round = 0;    // Highest round answered.
     TimePoint round_at{};  // When that round was sent.
-    TimePoint sent_at{};
-    bool in_flight = false;  // Entries or a snapshot are on their way.
+    TimePoint sent_at{};   // Last message of any kind.
+    // The last index of the entries, or of the snapshot, under way; 0: none.
+    // Only a reply that tells it arrived, or kResendAfter, frees the way for
+    // more: heartbeats overtake large entries, and their replies say nothing of
+    // these.
+    uint64_t flight_last = 0;
+    TimePoint flight_at{};
     bool learner = false;
   };
   struct Waiter {
