One copy of a configuration for all who hold or send it

Change: Document, shared and never changed; Payload, bytes of one's own and then shared ones, taken from the front. The bytes on the wire are the same form.

--- a/fuzz/wire.cc
+++ b/fuzz/wire.cc
@@ -37,7 +37,8 @@
       RoundTrip(bytes, DecodeWatchRequest, EncodeWatchRequest);
       break;
     case 2:
-      RoundTrip(bytes, DecodeWatchReply, EncodeWatchReply);
+      RoundTrip(bytes, DecodeWatchReply,
+                [](const WatchReply& r) { return EncodeWatchReply(r).Rest(); });
       break;
     default:
       RoundTrip(bytes, DecodeMessage, EncodeMessage);
--- a/src/control.cc
+++ b/src/control.cc
@@ -153,9 +153,9 @@
   h.send = [this](const Member& to, const ReplicaMessage& m) {
     SendToPeer(to, m);
   };
-  h.on_config = [this](int64_t version, const std::string& config) {
+  h.on_config = [this](int64_t version, const Document& config) {
     LogEvent("config_committed",
-             {{"version", version}, {"bytes", config.size()}});
+             {{"version", version}, {"bytes", config->size()}});
     AnswerWatchers();
   };
   h.on_change = [this] { FollowLeader(); };
@@ -283,7 +283,7 @@
 ControlMetrics::Memory Control::MemoryNow() const {
   ControlMetrics::Memory m;
   if (replica_) {
-    m.config = replica_->config().size();
+    if (replica_->config()) m.config = replica_->config()->size();
     m.log = replica_->log_bytes();
     m.log_entries = replica_->log_entries();
   }
@@ -511,10 +511,10 @@
   replica_->ReadBarrier([this, done = std::move(done)](absl::Status s) {
     if (!s.ok()) {
       done(s);
-    } else if (replica_->config_version() == 0) {
+    } else if (!replica_->config()) {
       done(absl::UnavailableError("no configuration yet"));
     } else {
-      done(replica_->config());
+      done(*replica_->config());
     }
   });
 }
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -97,7 +97,7 @@
     WatchReply reply = MakeReply(w.request);
     if (!told) {
       reply.age_ms = -1;
-      reply.config.reset();
+      reply.config = nullptr;
     }
     metrics_.CountWatch(reply.config ? "config"
                         : reply.list ? "list"
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -1,5 +1,6 @@
 #include "control_wire.h"
 
+#include "absl/strings/str_cat.h"
 #include "json_numbers.h"
 #include "replica_codec.h"
 
@@ -39,6 +40,16 @@
   return l;
 }
 
+// What stands before `n` bytes in CBOR: their type and number, in the form of
+// four bytes whatever the number (RFC 8949, 3.1).
+std::string BytesHeader(size_t n) {
+  std::string out = "\x5a";
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    out += static_cast<char>(n >> shift);
+  }
+  return out;
+}
+
 // Decodes CBOR and runs `f` on it, turning a malformed value into an error.
 template <typename T, typename F>
 absl::StatusOr<T> Decode(absl::string_view bytes, F f) {
@@ -82,15 +93,17 @@
   });
 }
 
-std::string EncodeWatchReply(const WatchReply& r) {
+Payload EncodeWatchReply(const WatchReply& r) {
   json j = {{"a", r.age_ms},  {"c", r.config_version}, {"g", r.list_age_ms},
             {"s", r.serving}, {"m", r.control},        {"h", r.leader}};
-  if (r.config) {
-    j["d"] =
-        json::binary(std::vector<uint8_t>(r.config->begin(), r.config->end()));
-  }
   if (r.list) j["l"] = ListToJson(*r.list);
-  return ToCbor(j);
+  if (!r.config) return ToCbor(j);
+  // The document is the map's last pair, so that its bytes may be anyone's.
+  std::string head = ToCbor(j);
+  ++head[0];  // A map's first byte counts its pairs: fewer than 23.
+  head += ToCbor("d");
+  absl::StrAppend(&head, BytesHeader(r.config->size()));
+  return {std::move(head), r.config};
 }
 
 absl::StatusOr<WatchReply> DecodeWatchReply(absl::string_view bytes) {
@@ -104,7 +117,7 @@
     r.leader = j.at("h").get<std::string>();
     if (j.contains("d")) {
       const auto& b = j["d"].get_binary();
-      r.config = std::string(b.begin(), b.end());
+      r.config = std::make_shared<const std::string>(b.begin(), b.end());
     }
     if (j.contains("l")) r.list = ListFromJson(j["l"]);
     return r;
--- a/src/control_wire.h
+++ b/src/control_wire.h
@@ -10,6 +10,7 @@
 
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
+#include "payload.h"
 #include "upstream_list.h"
 
 namespace medlarwalk {
@@ -37,8 +38,8 @@
   // negative when it never was.
   int64_t age_ms = -1;
   int64_t config_version = 0;
-  std::optional<std::string> config;  // When newer than asked for.
-  std::optional<UpstreamList> list;   // When another than asked for.
+  Document config;                   // When newer than asked for, else null.
+  std::optional<UpstreamList> list;  // When another than asked for.
   // How long ago the list was read, in ms; negative when never.
   int64_t list_age_ms = -1;
   int serving = 0;  // Processes that serve callers, as far as known.
@@ -52,7 +53,8 @@
 absl::StatusOr<std::vector<std::string>> DecodeHello(absl::string_view bytes);
 std::string EncodeWatchRequest(const WatchRequest& r);
 absl::StatusOr<WatchRequest> DecodeWatchRequest(absl::string_view bytes);
-std::string EncodeWatchReply(const WatchReply& r);
+// The document is not copied: all askers' replies share it.
+Payload EncodeWatchReply(const WatchReply& r);
 absl::StatusOr<WatchReply> DecodeWatchReply(absl::string_view bytes);
 
 }  // namespace medlarwalk
--- a/src/h2.cc
+++ b/src/h2.cc
@@ -33,8 +33,7 @@
   return it == headers.end() ? "" : it->second;
 }
 
-void H2Stream::Respond(int status, const HeaderList& headers,
-                       std::string body) {
+void H2Stream::Respond(int status, const HeaderList& headers, Payload body) {
   if (closed_ || started_) return;
   started_ = true;
   finished_ = true;
@@ -50,7 +49,7 @@
 
 void H2Stream::Write(absl::string_view data) {
   if (closed_ || !started_ || finished_) return;
-  out_.append(data.data(), data.size());
+  out_.Append(data);
   connection_->ResumeAnswer(*this);
 }
 
--- a/src/h2.h
+++ b/src/h2.h
@@ -22,6 +22,7 @@
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
 #include "http_server.h"
+#include "payload.h"
 #include "types.h"
 
 namespace medlarwalk {
@@ -41,7 +42,7 @@
 // Thread safety: loop thread.
 class H2Stream {
  public:
-  void Respond(int status, const HeaderList& headers, std::string body);
+  void Respond(int status, const HeaderList& headers, Payload body);
   void StartStream(int status, const HeaderList& headers);
   void Write(absl::string_view data);
   void Finish();
@@ -59,7 +60,7 @@
   bool finished_ = false;
   bool closed_ = false;
   bool deferred_ = false;
-  std::string out_;
+  Payload out_;
   std::function<void()> on_close_;
 };
 
@@ -101,7 +102,7 @@
   std::string method = "POST";
   std::string path;
   HeaderList headers;
-  std::string body;
+  Payload body;
   std::function<void(int status, const std::map<std::string, std::string>&)>
       on_response;
   std::function<void(absl::string_view)> on_data;
--- a/src/h2_connection.h
+++ b/src/h2_connection.h
@@ -88,13 +88,14 @@
     nva.push_back(MakeNv(scheme, http));
     nva.push_back(MakeNv(authority, host));
     for (const auto& [k, v] : call.headers) nva.push_back(MakeNv(k, v));
-    auto body = std::make_unique<std::string>(call.body);
+    bool has_body = !call.body.empty();
+    auto body = std::make_unique<Payload>(std::move(call.body));
     nghttp2_data_provider provider{};
     provider.source.ptr = body.get();
     provider.read_callback = &ReadRequestBody;
-    int32_t id = nghttp2_submit_request(
-        session_, nullptr, nva.data(), nva.size(),
-        call.body.empty() ? nullptr : &provider, nullptr);
+    int32_t id =
+        nghttp2_submit_request(session_, nullptr, nva.data(), nva.size(),
+                               has_body ? &provider : nullptr, nullptr);
     if (id < 0) return 0;
     calls_[id] =
         ClientStream{std::move(call), std::move(body), 0, {}, false, false};
@@ -228,7 +229,7 @@
  private:
   struct ClientStream {
     H2Call call;
-    std::unique_ptr<std::string> body;
+    std::unique_ptr<Payload> body;
     int status;
     std::map<std::string, std::string> headers;
     bool answered;
@@ -439,10 +440,8 @@
   static ssize_t ReadRequestBody(nghttp2_session*, int32_t, uint8_t* buf,
                                  size_t length, uint32_t* flags,
                                  nghttp2_data_source* source, void*) {
-    auto* body = static_cast<std::string*>(source->ptr);
-    size_t n = std::min(length, body->size());
-    std::copy_n(body->data(), n, buf);
-    body->erase(0, n);
+    auto* body = static_cast<Payload*>(source->ptr);
+    size_t n = body->Take(buf, length);
     if (body->empty()) *flags |= NGHTTP2_DATA_FLAG_EOF;
     return static_cast<ssize_t>(n);
   }
@@ -451,9 +450,7 @@
                                 size_t length, uint32_t* flags,
                                 nghttp2_data_source* source, void*) {
     auto* s = static_cast<H2Stream*>(source->ptr);
-    size_t n = std::min(length, s->out_.size());
-    std::copy_n(s->out_.data(), n, buf);
-    s->out_.erase(0, n);
+    size_t n = s->out_.Take(buf, length);
     if (s->out_.empty()) {
       if (s->finished_) {
         *flags |= NGHTTP2_DATA_FLAG_EOF;
--- a/src/link_pool.cc
+++ b/src/link_pool.cc
@@ -26,7 +26,7 @@
 }
 
 int32_t LinkPool::Post(const std::string& address, absl::string_view path,
-                       std::string body, Done done) {
+                       Payload body, Done done) {
   auto status = std::make_shared<int>(0);
   auto answer = std::make_shared<std::string>();
   H2Call call;
--- a/src/link_pool.h
+++ b/src/link_pool.h
@@ -29,8 +29,8 @@
   // the body.
   using Done = std::function<void(int status, const std::string& body)>;
   // Posts `body`; returns the stream's id, for Cancel, or 0.
-  int32_t Post(const std::string& address, absl::string_view path,
-               std::string body, Done done);
+  int32_t Post(const std::string& address, absl::string_view path, Payload body,
+               Done done);
   // Bytes of calls that wait on all links for their peers to take them.
   size_t queued_bytes() const;
 
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -17,7 +17,7 @@
 // Rounds whose sending time is kept; more than a link can hold under way.
 constexpr size_t kRoundsKept = 256;
 
-size_t BytesOf(const LogEntry& e) { return e.data.size() + 64; }
+size_t BytesOf(const LogEntry& e) { return (e.data ? e.data->size() : 0) + 64; }
 
 }  // namespace
 
@@ -240,7 +240,7 @@
   LogEntry e;
   e.kind = EntryKind::kConfig;
   e.version = version;
-  e.data = std::move(config);
+  e.data = std::make_shared<const std::string>(std::move(config));
   Waiter w;
   w.index = LastIndex() + 1;
   w.term = term_;
--- a/src/replica.h
+++ b/src/replica.h
@@ -17,6 +17,7 @@
 
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
+#include "payload.h"
 #include "types.h"
 
 namespace medlarwalk {
@@ -37,8 +38,8 @@
   uint64_t index = 0;
   uint64_t term = 0;
   EntryKind kind = EntryKind::kNoop;
-  std::string data;     // kConfig: the document as the operator sent it.
-  int64_t version = 0;  // kConfig: its version.
+  Document data;                // kConfig; never null there.
+  int64_t version = 0;          // kConfig: its version.
   std::vector<Member> members;  // kMembers.
 };
 
@@ -48,7 +49,7 @@
   uint64_t term = 0;
   std::vector<Member> members;
   int64_t version = 0;
-  std::string config;
+  Document config;  // Null: none yet.
 };
 
 // What a replica keeps on its disk.
@@ -132,7 +133,7 @@
     // Sends without waiting; losing the message is fine.
     std::function<void(const Member& to, const ReplicaMessage&)> send;
     // The committed configuration has changed.
-    std::function<void(int64_t version, const std::string& config)> on_config;
+    std::function<void(int64_t version, const Document& config)> on_config;
     // The role, term or known leader has changed.
     std::function<void()> on_change;
   };
@@ -171,7 +172,8 @@
   // in office had committed: what it holds may be told to those that start.
   Duration StepAge() const;
   int64_t config_version() const { return config_version_; }
-  const std::string& config() const { return config_; }
+  // The newest committed configuration; null when there is none yet.
+  const Document& config() const { return config_; }
   const std::vector<Member>& members() const { return members_; }
   // Entries kept beside the snapshot, and their bytes in memory.
   size_t log_entries() const { return log_.size(); }
@@ -266,7 +268,7 @@
   uint64_t commit_ = 0;
   uint64_t applied_ = 0;
   int64_t config_version_ = 0;
-  std::string config_;
+  Document config_;
 
   ReplicaRole role_ = ReplicaRole::kFollower;
   std::optional<Member> leader_;
--- a/src/replica_codec.cc
+++ b/src/replica_codec.cc
@@ -9,13 +9,14 @@
 namespace {
 
 // Documents are kept as byte strings: an operator's body need not be UTF-8.
-json Bytes(const std::string& s) {
-  return json::binary(std::vector<uint8_t>(s.begin(), s.end()));
+json Bytes(const Document& d) {
+  if (!d) return json::binary({});
+  return json::binary(std::vector<uint8_t>(d->begin(), d->end()));
 }
 
-std::string BytesFrom(const json& j) {
+Document BytesFrom(const json& j) {
   const auto& b = j.get_binary();
-  return std::string(b.begin(), b.end());
+  return std::make_shared<const std::string>(b.begin(), b.end());
 }
 
 json MembersToJson(const std::vector<Member>& members) {
@@ -106,7 +107,7 @@
   s.index = WholeNumber<uint64_t>(j.at("i"));
   s.term = WholeNumber<uint64_t>(j.at("t"));
   s.version = WholeNumber<int64_t>(j.at("v"));
-  s.config = BytesFrom(j.at("d"));
+  if (s.version > 0) s.config = BytesFrom(j.at("d"));
   s.members = MembersFromJson(j.at("m"));
   return s;
 }
--- a/test/large_config_test.cc
+++ b/test/large_config_test.cc
@@ -25,7 +25,7 @@
 constexpr size_t kDocumentBytes = 600'000;
 constexpr auto kElection = std::chrono::seconds(5);
 
-std::string Document(int64_t version, size_t bytes = kDocumentBytes) {
+std::string MakeDocument(int64_t version, size_t bytes = kDocumentBytes) {
   return absl::StrCat(version, " ", std::string(bytes, 'x'));
 }
 
@@ -171,7 +171,7 @@
   g->bytes_per_s = 1e6;  // 0.6 s for the document.
   g->bytes_sent = 0;
   std::optional<bool> done;
-  g->node(g->Leader())->Propose(7, Document(7), [&](absl::Status s) {
+  g->node(g->Leader())->Propose(7, MakeDocument(7), [&](absl::Status s) {
     done = s.ok();
   });
   g->Run(std::chrono::seconds(3));
@@ -187,7 +187,8 @@
   int l = g->Leader();
   for (int i = 0; i < 3; ++i) g->Cut(l, i, true);
   std::optional<bool> done;
-  g->node(l)->Propose(7, Document(7), [&](absl::Status s) { done = s.ok(); });
+  g->node(l)->Propose(7, MakeDocument(7),
+                      [&](absl::Status s) { done = s.ok(); });
   g->HealAll();
   g->Run(std::chrono::seconds(2));
   CHECK_TRUE(done.value_or(false));
@@ -199,7 +200,7 @@
 TEST(large_config, TheLogIsFoldedByItsBytes) {
   auto g = GroupInOffice(3);
   for (int64_t v = 2; v < 20; ++v) {
-    g->node(g->Leader())->Propose(v, Document(v), [](absl::Status) {});
+    g->node(g->Leader())->Propose(v, MakeDocument(v), [](absl::Status) {});
     g->Run(Millis(400));
   }
   for (int i = 0; i < 3; ++i) {
@@ -223,7 +224,7 @@
   size_t most = 0;
   constexpr int kChanges = 100;
   for (int64_t v = 2; v < 2 + kChanges; ++v) {
-    g->node(l)->Propose(v, Document(v),
+    g->node(l)->Propose(v, MakeDocument(v),
                         [&](absl::Status s) { acknowledged += s.ok(); });
     g->Run(Millis(50));
     most = std::max(most, g->node(l)->log_bytes());
@@ -238,12 +239,12 @@
 // encoded copy of its own, and more while it was made; one for all is enough.
 TEST(large_config, AskersThatDoNotReadShareOneDocument) {
   LoneControl c;
-  c.Submit(Document(1, 100));
+  c.Submit(MakeDocument(1, 100));
   constexpr int kAskers = 30;
   for (int i = 0; i < kAskers; ++i) c.AskAndNeverRead(1);
   c.Run(Millis(100));
   size_t before = ReadHeapUse().in_use;
-  c.Submit(Document(2, 4'000'000));
+  c.Submit(MakeDocument(2, 4'000'000));
   c.Run(Millis(300));
   size_t rise = ReadHeapUse().in_use - before;
   CHECK_TRUE(rise > 4'000'000);
@@ -272,7 +273,7 @@
                       if (r.config) got = *r.config;
                     });
   watch.Start();
-  std::string document = Document(7, 200'000);
+  std::string document = MakeDocument(7, 200'000);
   std::string bytes;
   {
     auto encoded = nlohmann::json{
--- a/test/replica_store_test.cc
+++ b/test/replica_store_test.cc
@@ -22,7 +22,8 @@
   e.term = 1;
   e.kind = EntryKind::kConfig;
   e.version = version;
-  e.data = absl::StrCat("doc ", version, std::string(50, 'x'));
+  e.data = std::make_shared<const std::string>(
+      absl::StrCat("doc ", version, std::string(50, 'x')));
   return e;
 }
 
