A watch is awaited for as long as its answer still comes

A watch was given up 0.9 s after it was sent, however much of the answer had come: an entry behind 10 Mbit/s never got a document of 1.2 MB, asked the next control process for it and had it sent again. Ruled out: the leader (acknowledged within 1.6 s) and parsing (14 MB and less). Change: the time-out counts from the last bytes; what the answer says of the list's age grows by the time it took to come.

--- a/src/link_pool.cc
+++ b/src/link_pool.cc
@@ -26,15 +26,17 @@
 }
 
 int32_t LinkPool::Post(const std::string& address, absl::string_view path,
-                       Payload body, Done done) {
+                       Payload body, Done done,
+                       std::function<void()> progress) {
   auto status = std::make_shared<int>(0);
   auto answer = std::make_shared<std::string>();
   H2Call call;
   call.path = std::string(path);
   call.body = std::move(body);
   call.on_response = [status](int s, const auto&) { *status = s; };
-  call.on_data = [answer](absl::string_view d) {
+  call.on_data = [answer, progress](absl::string_view d) {
     answer->append(d.data(), d.size());
+    if (progress) progress();
   };
   call.on_close = [status, answer, done](absl::Status s, bool) {
     if (done) done(s.ok() ? *status : 0, *answer);
--- a/src/link_pool.h
+++ b/src/link_pool.h
@@ -28,9 +28,10 @@
   // What a call came to: the status (0 when there was no whole answer) and
   // the body.
   using Done = std::function<void(int status, const std::string& body)>;
-  // Posts `body`; returns the stream's id, for Cancel, or 0.
+  // Posts `body`; returns the stream's id, for Cancel, or 0. `progress` is
+  // called whenever a part of the answer has come.
   int32_t Post(const std::string& address, absl::string_view path, Payload body,
-               Done done);
+               Done done, std::function<void()> progress = nullptr);
   // Bytes of calls that wait on all links for their peers to take them.
   size_t queued_bytes() const;
 
--- a/src/watch_client.cc
+++ b/src/watch_client.cc
@@ -95,12 +95,19 @@
     target_ = all[0];
   }
   asking_ = true;
-  asked_at_ = now;
+  heard_at_ = now;
+  began_at_ = {};
   uint64_t ask = ++ask_;
-  stream_ = links_.Post(target_, kWatchPath, EncodeWatchRequest(state_),
-                        [this, ask](int status, const std::string& body) {
-                          Answered(ask, body, status == 200);
-                        });
+  stream_ = links_.Post(
+      target_, kWatchPath, EncodeWatchRequest(state_),
+      [this, ask](int status, const std::string& body) {
+        Answered(ask, body, status == 200);
+      },
+      [this, ask] {
+        if (ask != ask_) return;
+        heard_at_ = clock_.Now();
+        if (began_at_ == TimePoint{}) began_at_ = heard_at_;
+      });
 }
 
 void WatchClient::Answered(uint64_t ask, const std::string& body, bool ok) {
@@ -116,6 +123,8 @@
   if (in_step) misses_ = 0;
   // Also from one out of step: it may know where the others are.
   if (!r->control.empty()) known_ = r->control;
+  // What it says of the list's age was so when the first of it came.
+  if (r->list_age_ms >= 0) r->list_age_ms += ToMs(clock_.Now() - began_at_);
   on_reply_(*r, in_step);
   if (!in_step) NextTarget("out of step");
 }
@@ -123,7 +132,7 @@
 void WatchClient::OnTick(struct ev_loop*, ev_timer* w, int) {
   auto* self = static_cast<WatchClient*>(w->data);
   TimePoint now = self->clock_.Now();
-  if (self->asking_ && now - self->asked_at_ > self->options_.answer_timeout) {
+  if (self->asking_ && now - self->heard_at_ > self->options_.answer_timeout) {
     if (self->stream_) self->links_.To(self->target_).Cancel(self->stream_);
     self->asking_ = false;
     self->stream_ = 0;
--- a/src/watch_client.h
+++ b/src/watch_client.h
@@ -18,8 +18,9 @@
 struct WatchOptions {
   std::string name;
   bool serves_callers = false;
-  // A watch is held for less than this; one that is not back by then is
-  // given up and another control process asked.
+  // A watch is held for less than this; one of which nothing has come for so
+  // long is given up and another control process asked. An answer that takes
+  // longer in all is none the worse: by the next process it would, too.
   Duration answer_timeout = Millis(900);
   // The answerer must have been in step with a leader this lately.
   Duration max_age = Millis(800);
@@ -67,7 +68,8 @@
   bool asking_ = false;
   bool paused_ = false;
   int32_t stream_ = 0;
-  TimePoint asked_at_{};
+  TimePoint began_at_{};  // When the answer's first bytes came.
+  TimePoint heard_at_{};  // The last bytes, or when it was asked for.
   TimePoint not_before_{};
   int misses_ = 0;
   ev_timer tick_{};
