--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -81,6 +81,8 @@
   int port() const { return listener_.port(); }
   // Applies to messages that begin from now on.
   void set_limits(const CallerLimits& limits) { limits_ = limits; }
+  // No more connections than this are held at once.
+  void set_most_connections(size_t n) { most_connections_ = n; }
   // Planned stop, first step: answers from now on close their connection.
   void CloseAfterAnswers() { closing_ = true; }
   // Planned stop, second step: takes no new connection, closes idle ones.
@@ -101,6 +103,7 @@
   CallerLimits limits_;
   TcpListener listener_;
   bool closing_ = false;
+  size_t most_connections_ = SIZE_MAX;
   ev_timer sweep_{};
   std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>>
       connections_;
