Failing test: a link on which a document still comes is given up as silent

Cause: H2Client counts only the ping's answer as a sign of life; it stands behind what the peer's socket holds already. Ruled out: a silent peer (bytes of it are read every 50 ms in the test). Change: the test only.

--- a/test/large_config_test.cc
+++ b/test/large_config_test.cc
@@ -314,3 +314,43 @@
   CHECK_EQUAL(1, asked);
   answer.reset();
 }
+
+// A document fills the link from a peer for seconds; the answer to our ping
+// stands behind it, in the peer's socket. The link was given up as silent after
+// 0.9 s, with most of the document read, and all began anew on the next one. A
+// peer of which bytes still come is there, whatever became of the ping.
+TEST(large_config, APeerThatStillSendsIsNotSilent) {
+  struct ev_loop* loop = ev_loop_new(EVFLAG_AUTO);
+  BootClock clock;
+  int base = FreeBase();
+  std::shared_ptr<TcpConnection> peer;
+  TcpListener listener(loop, [&](std::shared_ptr<TcpConnection> c) {
+    peer = std::move(c);
+    // An empty SETTINGS frame, as the protocol has a server begin.
+    peer->Write(absl::string_view("\0\0\0\4\0\0\0\0\0", 9));
+  });
+  CHECK_TRUE(listener.Listen(Endpoint{"127.0.0.1", base}).ok());
+  H2Client client(loop, clock, "127.0.0.1", base, Millis(100), Millis(300));
+  H2Call call;
+  call.path = "/x";
+  client.Submit(std::move(call));
+  auto run = [&](Duration d, bool sending) {
+    TimePoint until = clock.Now() + d;
+    TimePoint next{};
+    while (clock.Now() < until) {
+      ev_run(loop, EVRUN_ONCE);
+      if (!sending || !peer || clock.Now() < next) continue;
+      next = clock.Now() + Millis(50);
+      // Room for one byte more: says nothing, but comes.
+      peer->Write(absl::string_view("\0\0\4\x8\0\0\0\0\0\0\0\0\1", 13));
+    }
+  };
+  run(Millis(1200), true);
+  CHECK_EQUAL(0, client.dead_connections());
+  CHECK_TRUE(client.usable());
+  run(Millis(900), false);
+  CHECK_TRUE(client.dead_connections() > 0);
+  CHECK_FALSE(client.usable());
+  listener.Stop();
+  peer.reset();
+}
