Whatever comes on a link is a sign of life

Cause: only the answer to a ping kept a link; behind a document in the peer's socket it came too late. Ruled out: longer time-outs (a host that is gone would be noticed later). Change: a link is silent when a ping is out and no byte has come for the time allowed. Little of what is written waits in the kernel (64 KB), where a ping could not overtake it, and links have the same time-out for unacknowledged bytes as other connections. The heap is a gauge of every process.

--- a/src/h2.cc
+++ b/src/h2.cc
@@ -96,7 +96,7 @@
 }
 
 void H2Server::Accepted(int fd) {
-  SetNonBlocking(fd);
+  PrepareConnection(fd);
   auto c = std::make_unique<H2Connection>(loop_, fd, this, nullptr, false);
   H2Connection* p = c.get();
   connections_[p] = std::move(c);
@@ -142,7 +142,7 @@
     suspect_ = true;
     return false;
   }
-  SetNonBlocking(fd);
+  PrepareConnection(fd);
   sockaddr_in addr{};
   addr.sin_family = AF_INET;
   addr.sin_port = htons(static_cast<uint16_t>(port_));
@@ -194,19 +194,17 @@
   at.connection->Cancel(at.id);
 }
 
-bool H2Client::healthy() const {
-  return connection_ && connection_->connected() &&
-         !(connection_->ping_outstanding() &&
-           clock_.Now() - connection_->ping_sent_at() > ping_timeout_);
+bool H2Client::Silent() const {
+  TimePoint now = clock_.Now();
+  return connection_ && now - connection_->SilentSince(now) > ping_timeout_;
 }
 
-bool H2Client::usable() const {
-  if (suspect_) return false;
-  return !connection_ ||
-         !(connection_->ping_outstanding() &&
-           clock_.Now() - connection_->ping_sent_at() > ping_timeout_);
+bool H2Client::healthy() const {
+  return connection_ && connection_->connected() && !Silent();
 }
 
+bool H2Client::usable() const { return !suspect_ && !Silent(); }
+
 int H2Client::open_streams() const {
   return connection_ ? connection_->open_streams() : 0;
 }
@@ -241,9 +239,7 @@
     return;
   }
   if (c->ping_outstanding()) {
-    if (now - c->ping_sent_at() > self->ping_timeout_) {
-      self->DropSilent("ping unanswered");
-    }
+    if (self->Silent()) self->DropSilent("ping unanswered");
     return;
   }
   if (now - c->ping_sent_at() >= self->ping_interval_) {
--- a/src/h2.h
+++ b/src/h2.h
@@ -145,6 +145,8 @@
   // False when there is no socket to be had: the peer is then suspect.
   bool Connect();
   void Drop(H2Connection* c);
+  // Whether the current connection has said nothing for too long.
+  bool Silent() const;
   // Gives up the current connection, which answers nothing.
   void DropSilent(absl::string_view why);
 
--- a/src/h2_connection.h
+++ b/src/h2_connection.h
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <map>
@@ -149,6 +150,13 @@
   bool connected() const { return connected_; }
   bool ping_outstanding() const { return ping_outstanding_; }
   TimePoint ping_sent_at() const { return ping_sent_at_; }
+  // Since when a ping is out and nothing at all has come; `now` without one.
+  // The answer to a ping may stand behind much else, so any bytes count.
+  TimePoint SilentSince(TimePoint now) {
+    if (heard_) heard_at_ = now;
+    heard_ = false;
+    return ping_outstanding_ ? std::max(ping_sent_at_, heard_at_) : now;
+  }
   TimePoint opened_at() const { return opened_at_; }
   void set_opened_at(TimePoint t) { opened_at_ = t; }
   void set_ping_sent_at(TimePoint t) { ping_sent_at_ = t; }
@@ -280,6 +288,7 @@
         return;
       }
       if (n < 0) break;
+      c->heard_ = true;
       c->in_callback_ = true;
       ssize_t used = nghttp2_session_mem_recv(
           c->session_, reinterpret_cast<uint8_t*>(buf), static_cast<size_t>(n));
@@ -474,6 +483,8 @@
   bool in_callback_ = false;
   bool flush_wanted_ = false;
   bool ping_outstanding_ = false;
+  bool heard_ = false;  // Bytes have come since SilentSince was asked.
+  TimePoint heard_at_{};
   TimePoint ping_sent_at_{};
   TimePoint opened_at_{};
   std::string pending_;
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -1,6 +1,7 @@
 #include "metrics.h"
 
 #include "absl/strings/str_cat.h"
+#include "heap_use.h"
 #include "log.h"
 #include "prometheus/text_serializer.h"
 
@@ -119,8 +120,6 @@
   set("log_entries", static_cast<double>(s.memory.log_entries));
   set("peer_queue_bytes", static_cast<double>(s.memory.peers));
   set("watcher_queue_bytes", static_cast<double>(s.memory.watchers));
-  set("heap_bytes", static_cast<double>(s.memory.heap));
-  set("heap_held_bytes", static_cast<double>(s.memory.heap_held));
 }
 
 std::string ControlMetrics::Render() const {
@@ -129,7 +128,13 @@
 
 std::string RenderRegistry(const prometheus::Registry& registry) {
   prometheus::TextSerializer serializer;
+  HeapUse heap = ReadHeapUse();
   return absl::StrCat(serializer.Serialize(registry.Collect()),
+                      "# TYPE medlarwalk_heap_bytes gauge\n"
+                      "medlarwalk_heap_bytes{what=\"in_use\"} ",
+                      heap.in_use, "\nmedlarwalk_heap_bytes{what=\"held\"} ",
+                      heap.held,
+                      "\n"
                       "# TYPE medlarwalk_log_lines_dropped_total counter\n"
                       "medlarwalk_log_lines_dropped_total ",
                       LogLinesDropped(), "\n");
--- a/src/tcp.cc
+++ b/src/tcp.cc
@@ -24,6 +24,8 @@
 // A peer that acknowledges nothing for this long is gone: without it a write
 // into a silent connection would wait for the kernel's minutes.
 constexpr unsigned kUserTimeoutMs = 5000;
+// What the kernel takes beyond what is under way: two of a link's reads.
+constexpr int kUnsentBytes = 64 * 1024;
 
 bool ToSockaddr(const Endpoint& e, sockaddr_in* out) {
   *out = {};
@@ -32,12 +34,6 @@
   return inet_pton(AF_INET, e.ip.c_str(), &out->sin_addr) == 1;
 }
 
-void Prepare(int fd) {
-  SetNonBlocking(fd);
-  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
-             sizeof(kUserTimeoutMs));
-}
-
 }  // namespace
 
 void SetNonBlocking(int fd) {
@@ -46,6 +42,14 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 }
 
+void PrepareConnection(int fd) {
+  SetNonBlocking(fd);
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
+             sizeof(kUserTimeoutMs));
+  setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &kUnsentBytes,
+             sizeof(kUnsentBytes));
+}
+
 std::string Endpoint::ToString() const { return absl::StrCat(ip, ":", port); }
 
 absl::Status ParseEndpoint(absl::string_view text, Endpoint* out) {
@@ -65,7 +69,7 @@
 
 std::shared_ptr<TcpConnection> TcpConnection::Accepted(struct ev_loop* loop,
                                                        int fd) {
-  Prepare(fd);
+  PrepareConnection(fd);
   auto c = std::make_shared<TcpConnection>(loop, fd, false);
   c->UpdateIo();
   return c;
@@ -75,7 +79,7 @@
                                                       const Endpoint& to,
                                                       Duration timeout) {
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (fd >= 0) Prepare(fd);
+  if (fd >= 0) PrepareConnection(fd);
   auto c = std::make_shared<TcpConnection>(loop, fd, true);
   sockaddr_in addr;
   bool ok =
--- a/src/tcp.h
+++ b/src/tcp.h
@@ -32,6 +32,11 @@
 // Makes calls on socket `fd` return at once and its small writes leave at once.
 void SetNonBlocking(int fd);
 
+// SetNonBlocking for a connection; besides, a peer that takes nothing any more
+// ends it within seconds, and little of what is written waits in the kernel,
+// where what is urgent could not overtake it.
+void PrepareConnection(int fd);
+
 class TcpConnection;
 
 // What a connection tells its owner. Any callback may close the connection.
