Payload's constructor is explicit

Change: callers say Payload; an answer of a plain string has its own Respond. No change of behaviour.

--- a/src/agent_link.cc
+++ b/src/agent_link.cc
@@ -17,7 +17,7 @@
   h2.method = call_.request.method;
   h2.path = call_.request.target;
   h2.headers = call_.request.headers;
-  h2.body = std::string(call_.request.body);
+  h2.body = Payload(std::string(call_.request.body));
   std::weak_ptr<AgentLink> link = self;
   h2.on_response = [link](int status, const auto& headers) {
     std::shared_ptr<AgentLink> l = link.lock();
--- a/src/control.cc
+++ b/src/control.cc
@@ -199,7 +199,7 @@
     return;
   }
   links_.Post(
-      to.address, kReplicaPath, EncodeMessage(m),
+      to.address, kReplicaPath, Payload(EncodeMessage(m)),
       [this, loaded, address = to.address](int status,
                                            const std::string& body) {
         if (loaded) load_under_way_.erase(address);
@@ -359,7 +359,7 @@
       continue;
     }
     if (!links_.To(seed).usable()) continue;
-    links_.Post(seed, kHelloPath, EncodeHello(members), nullptr);
+    links_.Post(seed, kHelloPath, Payload(EncodeHello(members)), nullptr);
   }
 }
 
@@ -566,7 +566,7 @@
         [done] { done(absl::UnavailableError("no leader")); });
     return;
   }
-  links_.Post(Leader()->address, path, "",
+  links_.Post(Leader()->address, path, Payload(),
               [done](int status, const std::string& body) {
                 if (status == 200) {
                   done(body);
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -97,7 +97,7 @@
   json j = {{"a", r.age_ms},  {"c", r.config_version}, {"g", r.list_age_ms},
             {"s", r.serving}, {"m", r.control},        {"h", r.leader}};
   if (r.list) j["l"] = ListToJson(*r.list);
-  if (!r.config) return ToCbor(j);
+  if (!r.config) return Payload(ToCbor(j));
   // The document is the map's last pair, so that its bytes may be anyone's.
   std::string head = ToCbor(j);
   ++head[0];  // A map's first byte counts its pairs: fewer than 23.
--- a/src/h2.h
+++ b/src/h2.h
@@ -44,6 +44,9 @@
 class H2Stream {
  public:
   void Respond(int status, const HeaderList& headers, Payload body);
+  void Respond(int status, const HeaderList& headers, std::string body) {
+    Respond(status, headers, Payload(std::move(body)));
+  }
   void StartStream(int status, const HeaderList& headers);
   void Write(absl::string_view data);
   void Finish();
--- a/src/payload.h
+++ b/src/payload.h
@@ -20,9 +20,7 @@
 class Payload {
  public:
   Payload() = default;
-  // Implicit: what is sent is mostly a string.
-  Payload(std::string own) : own_(std::move(own)) {}
-  Payload(const char* own) : own_(own) {}
+  explicit Payload(std::string own) : own_(std::move(own)) {}
   Payload(std::string own, Document shared)
       : own_(std::move(own)), shared_(std::move(shared)) {}
 
--- a/src/watch_client.cc
+++ b/src/watch_client.cc
@@ -99,7 +99,7 @@
   began_at_ = {};
   uint64_t ask = ++ask_;
   stream_ = links_.Post(
-      target_, kWatchPath, EncodeWatchRequest(state_),
+      target_, kWatchPath, Payload(EncodeWatchRequest(state_)),
       [this, ask](int status, const std::string& body) {
         Answered(ask, body, status == 200);
       },
