A refusal by a configuration that may be old waits for a newer one

Ruled out: the control group (acknowledged and committed everywhere at 25 s), the link (the watch was answered as soon as it was asked). Change: what a configuration does not allow is refused for good only within 1.5 s of the last time it was told to be the newest; else the request waits for that, 0.9 s at most, as before the first configuration, and is told to come back. Left: the turn itself; callers' requests are not limited a turn.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -15,7 +15,7 @@
 // Assumed until the control processes have said how many entries there are:
 // too many is safe for the shared limits.
 constexpr int kAssumedServing = 8;
-// Longest wait of a request for the first configuration.
+// Longest wait of a request for the first configuration, or for a newer one.
 constexpr auto kConfigWait = Millis(900);
 // A part is believed to be kept for this long after it was read, and so many
 // parts are remembered.
@@ -50,6 +50,15 @@
 
 void Gateway::SetConfig(std::shared_ptr<const RoutingConfig> config) {
   config_ = std::move(config);
+  BeginEarly();
+}
+
+void Gateway::NoteInStep(TimePoint as_of) {
+  in_step_at_ = std::max(in_step_at_, as_of);
+  if (config_) BeginEarly();
+}
+
+void Gateway::BeginEarly() {
   std::vector<uint64_t> early = std::move(early_);
   early_.clear();
   for (uint64_t seq : early) {
@@ -119,6 +128,10 @@
 
 void Gateway::Begin(Request& r) {
   absl::Status s = Admit(r);
+  if (!s.ok() && MayBeOutdated(s)) {
+    early_.push_back(r.seq);
+    return;
+  }
   if (!s.ok()) {
     Fail(r, KindOf(s), s.message());
     return;
@@ -127,6 +140,18 @@
   Dispatch(r);
 }
 
+// Whether a newer configuration may allow what `refusal` says this one does
+// not. An entry whose loop stood still for seconds wakes up among requests sent
+// long after a route was added: told "no such route", their callers never come
+// back.
+bool Gateway::MayBeOutdated(const absl::Status& refusal) const {
+  ErrorKind kind = KindOf(refusal);
+  bool by_config =
+      kind == ErrorKind::kUnknownRoute || kind == ErrorKind::kUnknownKey;
+  return by_config && options_.config_trust > Duration::zero() &&
+         clock_.Now() - in_step_at_ > options_.config_trust;
+}
+
 absl::Status Gateway::Admit(Request& r) {
   absl::StatusOr<RequestFacts> facts =
       dialect_.read_request(r.exchange->head, r.exchange->body);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -39,6 +39,10 @@
   // Part of an upstream's connections that the entries use together; the rest
   // covers entries that are not known yet or any more.
   double connection_share = 0.8;
+  // For this long since it was last told that its configuration is the newest
+  // (NoteInStep), an entry refuses for good what that does not allow. Zero: it
+  // always does.
+  Duration config_trust{};
   // How upstreams are reached; HTTP/1.1 connections when empty.
   LinkOpener open_link;
 };
@@ -56,6 +60,8 @@
   void Handle(std::shared_ptr<CallerExchange> ex);
   // A newer configuration. Requests under way keep the one they began with.
   void SetConfig(std::shared_ptr<const RoutingConfig> config);
+  // The configuration in force here was the newest one at `as_of`.
+  void NoteInStep(TimePoint as_of);
   void SetUpstreams(const UpstreamList& list);
   // How many entry processes share upstreams and allowances.
   void SetServing(int serving);
@@ -79,6 +85,8 @@
   // Admits and dispatches, or refuses, a request that has just come or that
   // waited for the first configuration.
   void Begin(Request& r);
+  void BeginEarly();
+  bool MayBeOutdated(const absl::Status& refusal) const;
   absl::Status Admit(Request& r);
   void Dispatch(Request& r);
   PlacementAsk AskFor(const Request& r) const;
@@ -122,7 +130,9 @@
   WaitingRoom waiting_;
   int serving_;
   // Requests that came before the first configuration, oldest first.
+  // Requests that wait for a configuration, the first or a newer one.
   std::vector<uint64_t> early_;
+  TimePoint in_step_at_{};
   std::unordered_map<uint64_t, RequestPtr> requests_;
   std::multimap<TimePoint, uint64_t> give_up_;
   std::map<std::string, RetryBudget> budgets_;
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -8,6 +8,10 @@
 namespace medlarwalk {
 namespace {
 
+// In step, a watch is answered within 0.4 s; a change may take effect
+// everywhere within 2 s at the least that operators allow, and nothing it
+// allows may be refused after that.
+constexpr auto kConfigTrust = Millis(1500);
 constexpr double kTickSeconds = 0.02;
 // The list is read by this process itself when no control process has told
 // one this lately: leaving upstreams must still be known in time.
@@ -29,8 +33,14 @@
       clock_(clock),
       options_(std::move(options)),
       metrics_("entry"),
-      gateway_(loop, clock, options_.gateway, options_.dialect, metrics_,
-               RandomSeed()),
+      gateway_(
+          loop, clock,
+          [&] {
+            GatewayOptions o = options_.gateway;
+            o.config_trust = kConfigTrust;
+            return o;
+          }(),
+          options_.dialect, metrics_, RandomSeed()),
       callers_(loop, clock,
                [this](std::shared_ptr<CallerExchange> ex) {
                  gateway_.Handle(std::move(ex));
@@ -91,6 +101,7 @@
   bool first = watch_.state().config_version == 0;
   if (r.config && (in_step || !first)) ApplyConfig(r.config_version, *r.config);
   if (!in_step) return;
+  gateway_.NoteInStep(clock_.Now() - Millis(r.age_ms));
   if (r.serving > 0) gateway_.SetServing(r.serving);
   if (r.list) {
     watch_.state().list_version = r.list->version;
--- a/tools/make-days.py
+++ b/tools/make-days.py
@@ -100,6 +100,28 @@
     ("config_change", ["quota down", "topup"], {}),
     ("bad_config", ["stale_match"], {"count": 2, "gap_s": 0.6}),
 ]
+# Size rather than kind: configurations that are large, quick, or both, each
+# beside one trouble of the hosts that keep them, and callers by the thousand.
+LARGE = [("big_config", "", {"count": n}) for n in (1000, 3000)]
+QUICK = [("config_storm", "", {"gap_s": 0.05, "for_s": 12.0}),
+         ("config_storm", "", {"gap_s": 0.2, "for_s": 15.0})]
+BESIDE = [
+    ("core_cut", "", {"count": 1, "for_s": 10.0}),
+    ("core_cut", "split", {"for_s": 8.0}),
+    ("herd_kill", "power", {"on": "core", "for_s": 1.0}),
+    ("node_kill", "leader", {"on": "core", "count": 1, "for_s": 3.0}),
+    ("disk_slow", "", {"count": 2, "x": 30.0, "for_s": 15.0}),
+    ("disk_full", "", {"count": 1, "for_s": 10.0}),
+    ("lossy", "", {"x": 0.05, "for_s": 15.0}),
+    ("replace_core", "", {"x": 1.5}),
+    ("after_ack_wipe", "", {"for_s": 2.0}),
+    ("node_slow", "", {"share": 0.3, "x": 10.0, "for_s": 10.0}),
+    ("reset_conns", "", {"share": 0.6, "x": 0.8}),
+    ("node_freeze", "", {"share": 0.2, "for_s": 4.0}),
+]
+CROWD = [("node_slow", "", {"share": 1.0, "x": 30.0, "for_s": 12.0}),
+         ("burst", "", {"x": 3.0, "for_s": 12.0}),
+         ("retry_abuse", "", {"x": 10.0, "share": 1.0, "for_s": 10.0})]
 PLANNED = {"release", "scale_out", "scale_in", "add_nodes", "roll_term", "hup",
            "seed_turnover", "replace_core", "config_change", "config_storm",
            "config_race", "bad_config", "big_config", "revoke"}
@@ -159,6 +181,26 @@
             write_day(folder, f"together-{round_}-{n // 8:02d}",
                       5000 + 100 * round_ + n, entries, closing)
     write_more(folder)
+    write_sizes(folder)
+
+
+def write_sizes(folder):
+    """Each trouble of BESIDE in the midst of a large configuration and quick
+    changes of it; and the crowd, once by itself and once beside both."""
+    day = 0
+    for kind, how, fields in BESIDE:
+        large = LARGE[day % len(LARGE)]
+        quick = QUICK[day // 2 % len(QUICK)]
+        entries = [(k, entry(k, h, f, at)) for (k, h, f), at in
+                   ((large, 3.0), (quick, 6.0), ((kind, how, fields), 9.0))]
+        closing = (CLOSINGS + [None])[day % 4]
+        write_day(folder, f"size-{day:02d}", 12000 + day, entries, closing)
+        day += 1
+    for beside in ([], [(LARGE[1], 4.0), (QUICK[1], 8.0)]):
+        entries = [(k, entry(k, h, f, at)) for (k, h, f), at in
+                   [(c, 2.0 + 2 * i) for i, c in enumerate(CROWD)] + beside]
+        write_day(folder, f"size-{day:02d}", 12000 + day, entries, None)
+        day += 1
 
 
 def write_more(folder):
