Tests: product's own words, one entry for both tests of callers' room

Cause: a last reading as a newcomer: a platform's field names in test/packed_test, the same ten lines of set-up twice in test/descriptors_test. Change: tests only; the checks are the same.

--- a/test/descriptors_test.cc
+++ b/test/descriptors_test.cc
@@ -29,6 +29,21 @@
   rlimit before_{};
 };
 
+// Takes callers in, at most `most` of them, and answers nothing by itself.
+struct Entry {
+  Entry(struct ev_loop* loop, const Clock& clock, size_t most)
+      : at{"127.0.0.1", FreeBase()},
+        server(loop, clock, [this](std::shared_ptr<CallerExchange> ex) {
+          open.push_back(std::move(ex));
+        }) {
+    server.set_most_connections(most);
+    CHECK_TRUE(server.Listen(at).ok());
+  }
+  Endpoint at;
+  std::vector<std::shared_ptr<CallerExchange>> open;
+  CallerServer server;
+};
+
 }  // namespace
 
 TEST_GROUP(descriptors) {
@@ -120,18 +135,11 @@
 // there was, until none was left for the calls of those who do. Past a bound
 // the connection that has been idle longest makes room; a busy one never does.
 TEST(descriptors, IdleCallersMakeRoomForNewOnes) {
-  int base = FreeBase();
-  std::vector<std::shared_ptr<CallerExchange>> open;
-  CallerServer server(loop, clock, [&](std::shared_ptr<CallerExchange> ex) {
-    open.push_back(std::move(ex));
-  });
-  server.set_most_connections(10);
-  CHECK_TRUE(server.Listen(Endpoint{"127.0.0.1", base}).ok());
+  Entry entry(loop, clock, 10);
   std::vector<std::shared_ptr<TcpConnection>> callers;
   std::vector<bool> closed(40, false);
   auto connect = [&](size_t i) {
-    auto c =
-        TcpConnection::Connect(loop, Endpoint{"127.0.0.1", base}, Millis(900));
+    auto c = TcpConnection::Connect(loop, entry.at, Millis(900));
     TcpEvents e;
     e.on_closed = [&closed, i](const absl::Status&) { closed[i] = true; };
     c->set_events(std::move(e));
@@ -141,14 +149,14 @@
   connect(0);
   callers[0]->Write("GET /busy HTTP/1.1\r\nHost: x\r\n\r\n");
   Run(Millis(20));
-  CHECK_EQUAL(1U, open.size());
+  CHECK_EQUAL(1U, entry.open.size());
   for (size_t i = 1; i < 40; ++i) connect(i);
   Run(Millis(50));
-  CHECK_EQUAL(10U, server.connections());
+  CHECK_EQUAL(10U, entry.server.connections());
   CHECK_FALSE(closed[0]);
   for (size_t i = 1; i < 31; ++i) CHECK_TRUE(closed[i]);
   for (size_t i = 31; i < 40; ++i) CHECK_FALSE(closed[i]);
-  open[0]->Respond(200, {}, "");
+  entry.open[0]->Respond(200, {}, "");
   Run(Millis(20));
   callers.clear();
   Run(Millis(20));
@@ -157,24 +165,17 @@
 // Every connection taken in has a request under way: there is nobody to make
 // room, and a newcomer waits in the listening queue until one has its answer.
 TEST(descriptors, ANewcomerWaitsWhileAllAreBusy) {
-  int base = FreeBase();
-  std::vector<std::shared_ptr<CallerExchange>> open;
-  CallerServer server(loop, clock, [&](std::shared_ptr<CallerExchange> ex) {
-    open.push_back(std::move(ex));
-  });
-  server.set_most_connections(2);
-  CHECK_TRUE(server.Listen(Endpoint{"127.0.0.1", base}).ok());
+  Entry entry(loop, clock, 2);
   std::vector<std::shared_ptr<TcpConnection>> callers;
   for (int i = 0; i < 3; ++i) {
-    callers.push_back(
-        TcpConnection::Connect(loop, Endpoint{"127.0.0.1", base}, Millis(900)));
+    callers.push_back(TcpConnection::Connect(loop, entry.at, Millis(900)));
     callers.back()->Write("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
   }
   Run(Millis(300));
-  CHECK_EQUAL(2U, open.size());
-  open[0]->Respond(200, {}, "");
+  CHECK_EQUAL(2U, entry.open.size());
+  entry.open[0]->Respond(200, {}, "");
   Run(Millis(200));
-  CHECK_EQUAL(3U, open.size());
+  CHECK_EQUAL(3U, entry.open.size());
   callers.clear();
   Run(Millis(20));
 }
--- a/test/packed_test.cc
+++ b/test/packed_test.cc
@@ -10,10 +10,10 @@
 
 // A document of `routes` that differ as an operator's do.
 std::string Routes(int routes) {
-  std::string out = R"({"Version":7,"Routes":[)";
+  std::string out = R"({"version":7,"routes":[)";
   for (int i = 0; i < routes; ++i) {
-    absl::StrAppend(&out, R"({"Name":"r-)", i, R"(","Host":"h.example",)",
-                    R"("PathPrefix":"/p/)", i, R"(/","TimeoutMs":1500},)");
+    absl::StrAppend(&out, R"({"name":"r-)", i, R"(","host":"h.example",)",
+                    R"("path":"/p/)", i, R"(/","timeout":1500},)");
   }
   return out + "]}";
 }
