The upstream list spreads by what has changed, within each data centre

Change: a list's version tells its contents, so that it means the same at every process and after a change of leader. Who holds a version is told what has changed since, packed once for all who hold it, or the whole list where the way from there is not known; what a join leads to is checked against the version it names, and what does not fit is asked for whole. Entries follow the control process of their own data centre, and come back to it.

--- a/src/control.cc
+++ b/src/control.cc
@@ -30,6 +30,9 @@
 // 100 Mbit/s, shared with the other members that pass changes on.
 constexpr size_t kMostForwarded = size_t{1} << 20;
 constexpr auto kStoreRetry = std::chrono::seconds(1);
+// Changes of the list that are kept, in upstreams: what a fleet of hundreds
+// sees in a minute of replacements. Who was away for longer is told it whole.
+constexpr size_t kListChanges = 256;
 // Memory is told in the log when it has moved by this much, at most this often.
 constexpr size_t kMemoryStep = size_t{4} << 20;
 constexpr auto kMemoryTellInterval = Millis(100);
@@ -69,23 +72,15 @@
           [&] {
             WatchOptions o;
             o.name = options_.name;
+            o.data_centre = options_.data_centre;
+            o.address = options_.peer.ToString();
             return o;
           }(),
           {},
           [this](const WatchReply& r, bool in_step) {
-            if (!in_step || IsLeader()) return;
-            serving_from_leader_ = r.serving;
-            told_leader_ = r.leader;
-            told_at_ = clock_.Now();
-            if (r.list) {
-              list_ = *r.list;
-              leader_watch_.state().list_version = list_.version;
-            }
-            if (r.list_age_ms >= 0) {
-              list_read_at_ = clock_.Now() - Millis(r.list_age_ms);
-            }
-            if (r.list) AnswerWatchers();
-          }) {
+            OnLeaderReply(r, in_step);
+          }),
+      list_(kListChanges, EncodeListChange) {
   // Configurations come through the log, not through this watch.
   leader_watch_.state().config_version = std::numeric_limits<int64_t>::max();
   ev_timer_init(&tick_, OnTick, kTickSeconds, kTickSeconds);
@@ -416,7 +411,7 @@
   if (!IsLeader() && !lone) return;
   if (now - polled_at_ < (lone ? kLoneListInterval : kListInterval)) return;
   polled_at_ = now;
-  lister_.Read([this, now](absl::StatusOr<UpstreamList> r) {
+  lister_.Read([this, now](absl::StatusOr<std::vector<UpstreamInfo>> r) {
     if (!r.ok()) {
       if (!list_lost_) {
         LogWarn("list_lost", {{"error", r.status().message()}});
@@ -427,10 +422,12 @@
     if (list_lost_) LogEvent("list_regained", {});
     list_lost_ = false;
     list_read_at_ = now;
-    if (SameUpstreams(list_, *r)) return;
-    LogEvent("list_changed", {{"upstreams", r->upstreams.size()}});
-    list_ = *std::move(r);
-    leader_watch_.state().list_version = list_.version;
+    int64_t before = list_.version();
+    if (!list_.Replace(*std::move(r))) return;
+    LogEvent("list_changed", {{"version", list_.version()},
+                              {"from", before},
+                              {"upstreams", list_.list().size()}});
+    leader_watch_.state().list_version = list_.version();
     AnswerWatchers();
   });
 }
--- a/src/control.h
+++ b/src/control.h
@@ -29,6 +29,7 @@
 
 struct ControlOptions {
   std::string name;
+  std::string data_centre;
   Endpoint peer;                   // Where control processes talk.
   int peer_listen_port = 0;        // Not 0: a forwarder stands at `peer`.
   std::vector<std::string> seeds;  // Peer addresses of some of them.
@@ -83,6 +84,8 @@
   };
   struct Follower {
     TimePoint seen{};
+    std::string data_centre;
+    std::string address;  // Of a control process; else empty.
     bool serves_callers = false;
     int watchers = 0;
   };
@@ -116,7 +119,11 @@
   bool IsLeader() const;
   bool keeps_state() const { return !options_.data_dir.empty(); }
   std::optional<Member> Leader() const;
-  WatchReply MakeReply(const WatchRequest& r) const;
+  WatchReply MakeReply(const WatchRequest& r);
+  std::vector<ControlPlace> Places() const;
+  std::string DataCentreOf(const std::string& address) const;
+  void OnLeaderReply(const WatchReply& r, bool in_step);
+  void TakeListFrom(const WatchReply& r);
   bool MayTell(const Watcher& w) const;
   void AnswerWatchers();
   using ConfirmDone = std::function<void(absl::StatusOr<int64_t>)>;
@@ -143,12 +150,14 @@
   NewestGate forwards_;  // Changes passed on to the leader.
   Lister lister_;
   WatchClient leader_watch_;
-  UpstreamList list_;
+  ListHistory list_;
   TimePoint list_read_at_{};
   TimePoint polled_at_{};
   std::vector<Watcher> watchers_;
   std::map<std::string, Follower> followers_;
   int serving_from_leader_ = 0;
+  // Where the control processes are, as the leader told it.
+  std::map<std::string, std::string> data_centres_;  // By address.
   // Without a disk: the members as last told; the leader, and when.
   std::vector<std::string> told_members_;
   std::string told_leader_;
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -28,7 +28,60 @@
   return n;
 }
 
-WatchReply Control::MakeReply(const WatchRequest& r) const {
+std::string Control::DataCentreOf(const std::string& address) const {
+  if (address == options_.peer.ToString()) return options_.data_centre;
+  for (const auto& [name, f] : followers_) {
+    if (f.address == address) return f.data_centre;
+  }
+  auto it = data_centres_.find(address);
+  return it == data_centres_.end() ? "" : it->second;
+}
+
+// The control processes, each with its data centre as far as it is known: those
+// who follow here in person, the others as the leader told.
+std::vector<ControlPlace> Control::Places() const {
+  std::vector<std::string> addresses = told_members_;
+  if (replica_) {
+    addresses.clear();
+    for (const Member& m : replica_->members()) addresses.push_back(m.address);
+  }
+  std::vector<ControlPlace> out;
+  for (std::string& a : addresses) {
+    std::string data_centre = DataCentreOf(a);
+    out.push_back({std::move(a), std::move(data_centre)});
+  }
+  return out;
+}
+
+void Control::OnLeaderReply(const WatchReply& r, bool in_step) {
+  if (!in_step || IsLeader()) return;
+  serving_from_leader_ = r.serving;
+  told_leader_ = r.leader;
+  told_at_ = clock_.Now();
+  data_centres_.clear();
+  for (const ControlPlace& p : r.control) {
+    data_centres_[p.address] = p.data_centre;
+  }
+  if (r.list_age_ms >= 0) {
+    list_read_at_ = clock_.Now() - Millis(r.list_age_ms);
+  }
+  if (r.list) TakeListFrom(r);
+}
+
+void Control::TakeListFrom(const WatchReply& r) {
+  absl::StatusOr<ListChange> c = DecodeListChange(*r.list);
+  bool fits = c.ok() && list_.Apply(*c);
+  if (!fits) {
+    LogWarn("list_unfit", {{"held", list_.version()},
+                           {"from", c.ok() ? c->from : -1},
+                           {"to", c.ok() ? c->to : -1}});
+  }
+  // What does not fit is asked for as a whole.
+  leader_watch_.state().list_version = fits ? list_.version() : 0;
+  if (fits) AnswerWatchers();
+}
+
+WatchReply Control::MakeReply(const WatchRequest& r) {
   WatchReply w;
   TimePoint now = clock_.Now();
   if (replica_) {
@@ -36,11 +89,12 @@
     w.age_ms = age == Duration::max() ? -1 : ToMs(age);
     w.config_version = replica_->config_version();
     if (w.config_version > r.config_version) w.config = replica_->config();
-    for (const Member& m : replica_->members()) w.control.push_back(m.address);
     if (std::optional<Member> l = replica_->Leader()) w.leader = l->address;
   }
-  if (!replica_) w.control = told_members_;
-  if (list_.version != 0 && list_.version != r.list_version) w.list = list_;
+  w.control = Places();
+  if (list_.version() != 0 && list_.version() != r.list_version) {
+    w.list = list_.EncodedSince(r.list_version);
+  }
   if (list_read_at_ != TimePoint{}) w.list_age_ms = ToMs(now - list_read_at_);
   w.serving = TotalServing();
   return w;
@@ -56,6 +110,8 @@
   }
   Follower& f = followers_[r->name];
   f.seen = clock_.Now();
+  f.data_centre = r->data_centre;
+  f.address = r->address;
   f.serves_callers = r->serves_callers;
   f.watchers = r->watchers;
   TimePoint now = clock_.Now();
@@ -89,7 +145,7 @@
     bool fresh =
         told &&
         ((replica_ && replica_->config_version() > w.request.config_version) ||
-         (list_.version && list_.version != w.request.list_version));
+         (list_.version() && list_.version() != w.request.list_version));
     if (!fresh && !lost && now < w.until) {
       keep.push_back(std::move(w));
       continue;
@@ -99,6 +155,11 @@
       reply.age_ms = -1;
       reply.config = nullptr;
     }
+    if (reply.list) {
+      bool known = list_.Knows(w.request.list_version);
+      metrics_.CountListTold(known ? "difference" : "whole",
+                             reply.list->size());
+    }
     metrics_.CountWatch(reply.config ? "config"
                         : reply.list ? "list"
                                      : "nothing");
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "json_numbers.h"
+#include "packed.h"
 #include "replica_codec.h"
 
 namespace medlarwalk {
@@ -10,34 +11,45 @@
 
 namespace {
 
-json ListToJson(const UpstreamList& l) {
-  json items = json::array();
-  for (const UpstreamInfo& u : l.upstreams) {
-    items.push_back({u.id, u.service, u.address.ip, u.address.port,
-                     u.data_centre, u.leaving, u.slots, ToMs(u.warmup_left),
-                     u.born});
+json ToJson(const UpstreamInfo& u) {
+  return {u.id,          u.service, u.address.ip, u.address.port,
+          u.data_centre, u.leaving, u.slots,      u.born};
+}
+
+UpstreamInfo UpstreamFrom(const json& j) {
+  UpstreamInfo u;
+  u.id = j.at(0).get<std::string>();
+  u.service = j.at(1).get<std::string>();
+  u.address.ip = j.at(2).get<std::string>();
+  u.address.port = WholeNumber<int>(j.at(3));
+  u.data_centre = j.at(4).get<std::string>();
+  u.leaving = j.at(5).get<bool>();
+  u.slots = WholeNumber<int>(j.at(6));
+  u.born = WholeNumber<int64_t>(j.at(7));
+  return u;
+}
+
+json ToJson(const std::vector<ControlPlace>& places) {
+  json out = json::array();
+  for (const ControlPlace& p : places) {
+    out.push_back({p.address, p.data_centre});
   }
-  return {{"v", l.version}, {"u", std::move(items)}};
+  return out;
 }
 
-UpstreamList ListFromJson(const json& j) {
-  UpstreamList l;
-  l.version = WholeNumber<int64_t>(j.at("v"));
-  for (const json& i : j.at("u")) {
-    UpstreamInfo u;
-    u.id = i.at(0).get<std::string>();
-    u.service = i.at(1).get<std::string>();
-    u.address.ip = i.at(2).get<std::string>();
-    u.address.port = WholeNumber<int>(i.at(3));
-    u.data_centre = i.at(4).get<std::string>();
-    u.leaving = i.at(5).get<bool>();
-    u.slots = WholeNumber<int>(i.at(6));
-    u.warmup_left = BoundedMs(i.at(7).get<double>());
-    // Not told by processes of an earlier version.
-    if (i.size() > 8) u.born = WholeNumber<int64_t>(i.at(8));
-    l.upstreams.push_back(std::move(u));
+std::vector<ControlPlace> PlacesFrom(const json& j) {
+  std::vector<ControlPlace> out;
+  for (const json& p : j) {
+    out.push_back({p.at(0).get<std::string>(), p.at(1).get<std::string>()});
   }
-  return l;
+  return out;
+}
+
+Document DocumentAt(const json& j, const char* name) {
+  auto it = j.find(name);
+  if (it == j.end()) return nullptr;
+  const auto& b = it->get_binary();
+  return std::make_shared<const std::string>(b.begin(), b.end());
 }
 
 // What stands before `n` bytes in CBOR: their type and number, in the form of
@@ -75,6 +87,8 @@
 
 std::string EncodeWatchRequest(const WatchRequest& r) {
   return ToCbor({{"n", r.name},
+                 {"z", r.data_centre},
+                 {"p", r.address},
                  {"s", r.serves_callers},
                  {"w", r.watchers},
                  {"c", r.config_version},
@@ -85,6 +99,8 @@
   return Decode<WatchRequest>(bytes, [](const json& j) {
     WatchRequest r;
     r.name = j.at("n").get<std::string>();
+    r.data_centre = j.at("z").get<std::string>();
+    r.address = j.at("p").get<std::string>();
     r.serves_callers = j.at("s").get<bool>();
     r.watchers = WholeNumber<int>(j.at("w"));
     r.config_version = WholeNumber<int64_t>(j.at("c"));
@@ -94,16 +110,20 @@
 }
 
 Payload EncodeWatchReply(const WatchReply& r) {
-  json j = {{"a", r.age_ms},  {"c", r.config_version}, {"g", r.list_age_ms},
-            {"s", r.serving}, {"m", r.control},        {"h", r.leader}};
-  if (r.list) j["l"] = ListToJson(*r.list);
-  if (!r.config) return Payload(ToCbor(j));
-  // The document is the map's last pair, so that its bytes may be anyone's.
+  json j = {{"a", r.age_ms},  {"c", r.config_version},  {"g", r.list_age_ms},
+            {"s", r.serving}, {"m", ToJson(r.control)}, {"h", r.leader}};
   std::string head = ToCbor(j);
-  ++head[0];  // A map's first byte counts its pairs: fewer than 23.
-  head += ToCbor("d");
-  absl::StrAppend(&head, BytesHeader(r.config->size()));
-  return {std::move(head), r.config};
+  // The documents are the map's last pairs, so that their bytes may be
+  // anyone's. A map's first byte counts its pairs: fewer than 23.
+  head[0] = static_cast<char>(head[0] + (r.config ? 1 : 0) + (r.list ? 1 : 0));
+  Payload out(std::move(head));
+  for (const auto& [name, document] :
+       {std::make_pair("d", r.config), std::make_pair("l", r.list)}) {
+    if (!document) continue;
+    out.Append(absl::StrCat(ToCbor(name), BytesHeader(document->size())));
+    out.Append(document);
+  }
+  return out;
 }
 
 absl::StatusOr<WatchReply> DecodeWatchReply(absl::string_view bytes) {
@@ -113,15 +133,32 @@
     r.config_version = WholeNumber<int64_t>(j.at("c"));
     r.list_age_ms = WholeNumber<int64_t>(j.at("g"));
     r.serving = WholeNumber<int>(j.at("s"));
-    r.control = j.at("m").get<std::vector<std::string>>();
+    r.control = PlacesFrom(j.at("m"));
     r.leader = j.at("h").get<std::string>();
-    if (j.contains("d")) {
-      const auto& b = j["d"].get_binary();
-      r.config = std::make_shared<const std::string>(b.begin(), b.end());
-    }
-    if (j.contains("l")) r.list = ListFromJson(j["l"]);
+    r.config = DocumentAt(j, "d");
+    r.list = DocumentAt(j, "l");
     return r;
   });
 }
 
+Document EncodeListChange(const ListChange& c) {
+  json changed = json::array();
+  for (const UpstreamInfo& u : c.changed) changed.push_back(ToJson(u));
+  return Pack(ToCbor(
+      {{"f", c.from}, {"t", c.to}, {"u", std::move(changed)}, {"g", c.gone}}));
+}
+
+absl::StatusOr<ListChange> DecodeListChange(absl::string_view bytes) {
+  absl::StatusOr<std::string> text = Unpack(bytes, kMaxLinkBodyBytes);
+  if (!text.ok()) return text.status();
+  return Decode<ListChange>(*text, [](const json& j) {
+    ListChange c;
+    c.from = WholeNumber<int64_t>(j.at("f"));
+    c.to = WholeNumber<int64_t>(j.at("t"));
+    for (const json& u : j.at("u")) c.changed.push_back(UpstreamFrom(u));
+    c.gone = j.at("g").get<std::vector<std::string>>();
+    return c;
+  });
+}
+
 }  // namespace medlarwalk
--- a/src/control_wire.h
+++ b/src/control_wire.h
@@ -1,10 +1,10 @@
 // What passes between control processes and those that follow them: the watch
-// (CBOR over HTTP/2) by which configurations and the upstream list spread.
+// (CBOR over HTTP/2) by which configurations and the upstream list spread, the
+// list as what has changed since the version that the asker holds.
 #ifndef MEDLARWALK_CONTROL_WIRE_H_
 #define MEDLARWALK_CONTROL_WIRE_H_
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,25 +26,33 @@
 // Asks for what is newer than the asker holds. Held back for a while when
 // there is nothing.
 struct WatchRequest {
-  std::string name;  // Of the asker.
+  std::string name;         // Of the asker.
+  std::string data_centre;  // Where it is.
+  std::string address;      // Where others may ask it; empty: nowhere.
   bool serves_callers = false;
   int watchers = 0;  // Serving processes that follow the asker in turn.
   int64_t config_version = 0;
   int64_t list_version = 0;
 };
 
+// A control process, and where it is; "" where that is not known.
+struct ControlPlace {
+  std::string address;
+  std::string data_centre;
+};
+
 struct WatchReply {
   // How long ago the answerer was surely in step with a leader, in ms;
   // negative when it never was.
   int64_t age_ms = -1;
   int64_t config_version = 0;
-  Document config;                   // When newer than asked for, else null.
-  std::optional<UpstreamList> list;  // When another than asked for.
+  Document config;  // When newer than asked for, else null.
+  Document list;    // A ListChange when another than asked for, else null.
   // How long ago the list was read, in ms; negative when never.
   int64_t list_age_ms = -1;
   int serving = 0;  // Processes that serve callers, as far as known.
-  std::vector<std::string> control;  // Addresses of the control processes.
-  std::string leader;                // Address of the leader, if known.
+  std::vector<ControlPlace> control;  // All that are known.
+  std::string leader;                 // Address of the leader, if known.
 };
 
 // The addresses of the group's members, told to processes that seeds name but
@@ -53,9 +61,13 @@
 absl::StatusOr<std::vector<std::string>> DecodeHello(absl::string_view bytes);
 std::string EncodeWatchRequest(const WatchRequest& r);
 absl::StatusOr<WatchRequest> DecodeWatchRequest(absl::string_view bytes);
-// The document is not copied: all askers' replies share it.
+// Documents are not copied: all askers' replies share them.
 Payload EncodeWatchReply(const WatchReply& r);
 absl::StatusOr<WatchReply> DecodeWatchReply(absl::string_view bytes);
+// Packed: the ids and addresses of a whole list have much in common.
+Document EncodeListChange(const ListChange& c);
+// Errors: InvalidArgument.
+absl::StatusOr<ListChange> DecodeListChange(absl::string_view bytes);
 
 }  // namespace medlarwalk
 
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -156,7 +156,7 @@
 
 // Asks each agent for its upstream's (lagging) load and whether it leaves.
 void Entry::PollLoad() {
-  for (const UpstreamInfo& u : upstreams_.upstreams) {
+  for (const UpstreamInfo& u : upstreams_) {
     H2Call call;
     call.method = "GET";
     call.path = "/mw/load";
@@ -180,16 +180,15 @@
   }
   gateway_.NoteLoad(upstream, j.value("running", 0), j.value("waiting", 0));
   bool leaving = j.value("leaving", false);
-  for (UpstreamInfo& u : upstreams_.upstreams) {
+  for (UpstreamInfo& u : upstreams_) {
     if (u.id != upstream || u.leaving == leaving) continue;
     u.leaving = leaving;
-    ++upstreams_.version;
     gateway_.SetUpstreams(upstreams_);
   }
 }
 
 void Entry::Tick() {
-  for (const UpstreamInfo& u : upstreams_.upstreams) {
+  for (const UpstreamInfo& u : upstreams_) {
     gateway_.SetReachable(u.id, AgentOf(u.id).usable());
   }
   gateway_.Tick();
--- a/src/entry.h
+++ b/src/entry.h
@@ -56,7 +56,7 @@
   EntryPolicyKind policy_;
   Metrics metrics_;
   std::map<std::string, std::unique_ptr<H2Client>> agents_;  // By host name.
-  UpstreamList upstreams_;
+  std::vector<UpstreamInfo> upstreams_;
   Gateway gateway_;
   CallerServer callers_;
   bool draining_ = false;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -67,8 +67,8 @@
   }
 }
 
-void Gateway::SetUpstreams(const UpstreamList& list) {
-  for (const std::string& id : pool_.Update(list)) parts_.Forget(id);
+void Gateway::SetUpstreams(absl::Span<const UpstreamInfo> upstreams) {
+  for (const std::string& id : pool_.Update(upstreams)) parts_.Forget(id);
   ServeWaiting();
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -62,7 +62,7 @@
   void SetConfig(std::shared_ptr<const RoutingConfig> config);
   // The configuration in force here was the newest one at `as_of`.
   void NoteInStep(TimePoint as_of);
-  void SetUpstreams(const UpstreamList& list);
+  void SetUpstreams(absl::Span<const UpstreamInfo> upstreams);
   // How many entry processes share upstreams and allowances.
   void SetServing(int serving);
   // What is known of an upstream from elsewhere than its answers.
--- a/src/lister.cc
+++ b/src/lister.cc
@@ -1,6 +1,6 @@
 #include "lister.h"
 
-#include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "log.h"
@@ -9,25 +9,21 @@
 namespace {
 
 constexpr auto kConnectTimeout = Millis(500);
-// A reading that is not whole after this is given up; the next starts anew.
-constexpr auto kReadTimeout = Millis(1000);
+// A page that has not come after this is given up, and the reading with it.
+constexpr auto kPageTimeout = Millis(1000);
+// So is a reading that is not whole after this, counted over all its pages:
+// what its first pages said is too old by then.
+constexpr auto kReadTimeout = std::chrono::seconds(3);
+// A source that is asked more often than it allows refuses the rest of a
+// second; beginning anew would use that up with the same first pages each time,
+// and a list of more pages than it allows a second would never be read.
+constexpr auto kPutOff = Millis(150);
+constexpr int kTooManyCalls = 429;
 // A list of more pages than this is taken for a loop in the source.
 constexpr int kMaxPages = 200;
 
 }  // namespace
 
-bool SameUpstreams(const UpstreamList& a, const UpstreamList& b) {
-  return std::equal(
-      a.upstreams.begin(), a.upstreams.end(), b.upstreams.begin(),
-      b.upstreams.end(), [](const UpstreamInfo& x, const UpstreamInfo& y) {
-        return x.id == y.id && x.born == y.born && x.service == y.service &&
-               x.address == y.address && x.data_centre == y.data_centre &&
-               x.leaving == y.leaving && x.slots == y.slots &&
-               (x.warmup_left > Duration::zero()) ==
-                   (y.warmup_left > Duration::zero());
-      });
-}
-
 Lister::Lister(struct ev_loop* loop, const Clock& clock, ListSource source)
     : loop_(loop), clock_(clock), source_(std::move(source)) {}
 
@@ -37,21 +33,33 @@
 
 void Lister::Read(Done done) {
   done_ = std::move(done);
-  list_ = {};
+  list_.clear();
   pages_ = 0;
   unusable_ = 0;
   began_ = clock_.Now();
+  ask_again_at_ = {};
   Page("");
 }
 
 void Lister::Tick() {
-  if (!busy() || clock_.Now() - began_ < kReadTimeout) return;
+  if (!busy()) return;
+  TimePoint now = clock_.Now();
+  bool put_off = ask_again_at_ != TimePoint{};
+  bool late = now - began_ >= kReadTimeout ||
+              (!put_off && now - asked_at_ >= kPageTimeout);
+  if (!late) {
+    if (!put_off || now < ask_again_at_) return;
+    ask_again_at_ = {};
+    Page(std::exchange(put_off_page_, ""));
+    return;
+  }
   if (client_) client_->Cancel();
   client_.reset();
   End(absl::UnavailableError("timed out"));
 }
 
 void Lister::Page(const std::string& token) {
+  asked_at_ = clock_.Now();
   if (!client_ || !client_->open() ||
       clock_.Now() - client_->idle_since() > client_->keep_for()) {
     client_ = Http1Client::Open(loop_, clock_, source_.at, kConnectTimeout);
@@ -67,13 +75,19 @@
   call.on_body = [this](absl::string_view d) {
     body_.append(d.data(), d.size());
   };
-  call.on_end = [this](CallEnd end, absl::string_view why) {
-    PageDone(end, why);
+  call.on_end = [this, token](CallEnd end, absl::string_view why) {
+    PageDone(token, end, why);
   };
   client_->Start(std::move(call));
 }
 
-void Lister::PageDone(CallEnd end, absl::string_view why) {
+void Lister::PageDone(const std::string& token, CallEnd end,
+                      absl::string_view why) {
+  if (end == CallEnd::kWhole && status_ == kTooManyCalls) {
+    put_off_page_ = token;
+    ask_again_at_ = clock_.Now() + kPutOff;
+    return;
+  }
   if (end != CallEnd::kWhole || status_ != 200) {
     End(absl::UnavailableError(absl::StrCat("status ", status_, " ", why)));
     return;
@@ -85,29 +99,26 @@
   }
   unusable_ += page->unusable;
   for (UpstreamInfo& u : page->upstreams) {
-    list_.upstreams.push_back(std::move(u));
+    list_.push_back(std::move(u));
   }
+  ++pages_;
   if (page->next.empty()) {
     if (unusable_ != unusable_told_) {
       LogWarn("list_entries_unusable", {{"entries", unusable_}});
       unusable_told_ = unusable_;
     }
-    // Unlike any other reading's, also of another process.
-    list_.version = static_cast<int64_t>(
-        StableHash(absl::StrCat(clock_.Now().time_since_epoch().count(), ".",
-                                ++readings_)) >>
-        1);
+    pages_of_list_ = pages_;
     End(std::move(list_));
     return;
   }
-  if (++pages_ >= kMaxPages) {
+  if (pages_ >= kMaxPages) {
     End(absl::UnavailableError("too many pages"));
     return;
   }
   Page(page->next);
 }
 
-void Lister::End(absl::StatusOr<UpstreamList> r) {
+void Lister::End(absl::StatusOr<std::vector<UpstreamInfo>> r) {
   Done done = std::move(done_);
   done_ = nullptr;
   if (done) done(std::move(r));
--- a/src/lister.h
+++ b/src/lister.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
@@ -34,7 +35,7 @@
 // Thread safety: loop thread only.
 class Lister {
  public:
-  using Done = std::function<void(absl::StatusOr<UpstreamList>)>;
+  using Done = std::function<void(absl::StatusOr<std::vector<UpstreamInfo>>)>;
   Lister(struct ev_loop* loop, const Clock& clock, ListSource source);
   ~Lister();
   Lister(const Lister&) = delete;
@@ -42,28 +43,34 @@
 
   // Reads the whole list. Precondition: !busy(). Errors: Unavailable.
   void Read(Done done);
-  // Gives up a reading that takes longer than its timeout; call regularly.
+  // Goes on with a page that the source would not give yet, and gives up a
+  // reading that takes too long; call regularly.
   void Tick();
   bool busy() const { return static_cast<bool>(done_); }
+  // Pages of the last whole reading; 0 before it.
+  int pages_of_list() const { return pages_of_list_; }
 
  private:
   void Page(const std::string& token);
-  void PageDone(CallEnd end, absl::string_view why);
-  void End(absl::StatusOr<UpstreamList> r);
+  void PageDone(const std::string& token, CallEnd end, absl::string_view why);
+  void End(absl::StatusOr<std::vector<UpstreamInfo>> r);
 
   struct ev_loop* loop_;
   const Clock& clock_;
   ListSource source_;
   std::shared_ptr<Http1Client> client_;
   Done done_;
-  UpstreamList list_;
-  int pages_ = 0;
+  std::vector<UpstreamInfo> list_;
+  int pages_ = 0;  // Read so far.
+  int pages_of_list_ = 0;
   int unusable_ = 0;       // In this reading.
   int unusable_told_ = 0;  // To the log.
   int status_ = 0;
   std::string body_;
   TimePoint began_{};
-  int64_t readings_ = 0;
+  TimePoint asked_at_{};      // For the page under way.
+  std::string put_off_page_;  // The source would not give it yet.
+  TimePoint ask_again_at_{};  // For it; the epoch when none is put off.
 };
 
 }  // namespace medlarwalk
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -43,6 +43,18 @@
                  .Name(prefix + "queued")
                  .Help("Requests waiting, by class")
                  .Register(*registry_);
+  list_updates_ = &prometheus::BuildCounter()
+                       .Name(prefix + "list_updates_total")
+                       .Help("Updates of the upstream list, by how they came")
+                       .Register(*registry_);
+  list_bytes_ = &prometheus::BuildCounter()
+                     .Name(prefix + "list_bytes_total")
+                     .Help("Bytes of these updates, by how they came")
+                     .Register(*registry_);
+  list_age_ = &prometheus::BuildHistogram()
+                   .Name(prefix + "list_age_seconds")
+                   .Help("Age of the upstream list when heard of")
+                   .Register(*registry_);
 }
 
 void Metrics::CountRefusal(absl::string_view reason) {
@@ -70,6 +82,16 @@
       .Observe(seconds);
 }
 
+void Metrics::CountListUpdate(absl::string_view how, size_t bytes) {
+  prometheus::Labels labels = {{"how", std::string(how)}};
+  list_updates_->Add(labels).Increment();
+  list_bytes_->Add(labels).Increment(static_cast<double>(bytes));
+}
+
+void Metrics::ObserveListAge(double seconds) {
+  list_age_->Add({}, LatencyBuckets()).Observe(seconds);
+}
+
 void Metrics::SetQueued(absl::string_view klass, double n) {
   queued_->Add({{"class", std::string(klass)}}).Set(n);
 }
@@ -86,6 +108,14 @@
                   .Name("medlarwalk_control_watches_total")
                   .Help("Watches answered, by what they told")
                   .Register(*registry_);
+  lists_ = &prometheus::BuildCounter()
+                .Name("medlarwalk_control_lists_total")
+                .Help("Upstream lists told, whole or as a difference")
+                .Register(*registry_);
+  list_bytes_ = &prometheus::BuildCounter()
+                     .Name("medlarwalk_control_list_bytes_total")
+                     .Help("Bytes of these lists")
+                     .Register(*registry_);
   state_ = &prometheus::BuildGauge()
                 .Name("medlarwalk_control_state")
                 .Help("What the process holds and believes")
@@ -104,6 +134,12 @@
   watches_->Add({{"told", std::string(what)}}).Increment();
 }
 
+void ControlMetrics::CountListTold(absl::string_view how, size_t bytes) {
+  prometheus::Labels labels = {{"how", std::string(how)}};
+  lists_->Add(labels).Increment();
+  list_bytes_->Add(labels).Increment(static_cast<double>(bytes));
+}
+
 void ControlMetrics::Set(const State& s) {
   auto set = [this](const char* what, double value) {
     state_->Add({{"what", what}}).Set(value);
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -32,6 +32,11 @@
   void ObserveFirstToken(absl::string_view klass, double seconds);
   // Records the whole request's duration, in seconds, for `klass`.
   void ObserveDuration(absl::string_view klass, double seconds);
+  // Counts one update of the upstream list of `bytes` from a control process,
+  // by how it came: "whole", as a "difference", or "unfit" for what is held.
+  void CountListUpdate(absl::string_view how, size_t bytes);
+  // Records how old the list was, in seconds, when this process heard of it.
+  void ObserveListAge(double seconds);
   // Sets the queued requests of `klass`.
   void SetQueued(absl::string_view klass, double n);
 
@@ -46,6 +51,9 @@
   prometheus::Family<prometheus::Histogram>* first_token_;
   prometheus::Family<prometheus::Histogram>* duration_;
   prometheus::Family<prometheus::Gauge>* queued_;
+  prometheus::Family<prometheus::Counter>* list_updates_;
+  prometheus::Family<prometheus::Counter>* list_bytes_;
+  prometheus::Family<prometheus::Histogram>* list_age_;
 };
 
 // The metrics of a control process. Thread safety: loop thread only.
@@ -78,6 +86,8 @@
                    double seconds);
   // Counts one watch answered: with a configuration, a list or nothing new.
   void CountWatch(absl::string_view what);
+  // Counts one list told, "whole" or as a "difference", and its bytes.
+  void CountListTold(absl::string_view how, size_t bytes);
   void Set(const State& s);
   std::string Render() const;
 
@@ -85,6 +95,8 @@
   std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Histogram>* calls_;
   prometheus::Family<prometheus::Counter>* watches_;
+  prometheus::Family<prometheus::Counter>* lists_;
+  prometheus::Family<prometheus::Counter>* list_bytes_;
   prometheus::Family<prometheus::Gauge>* state_;
 };
 
--- a/src/own_api.cc
+++ b/src/own_api.cc
@@ -269,9 +269,8 @@
   return c;
 }
 
-UpstreamList OwnUpstreams(const Settings& settings) {
-  UpstreamList list;
-  list.version = 1;
+std::vector<UpstreamInfo> OwnUpstreams(const Settings& settings) {
+  std::vector<UpstreamInfo> list;
   for (const UpstreamSettings& u : settings.upstreams) {
     const HostSettings* agent = settings.FindHost(u.agent);
     UpstreamInfo i;
@@ -280,7 +279,7 @@
     i.address = Endpoint{agent->address, agent->port};
     i.data_centre = agent->data_centre;
     i.slots = SlotsOf(settings, u);
-    list.upstreams.push_back(std::move(i));
+    list.push_back(std::move(i));
   }
   return list;
 }
--- a/src/own_api.h
+++ b/src/own_api.h
@@ -24,7 +24,7 @@
 RoutingConfig OwnRouting(const Settings& settings);
 
 // The upstreams as declared, none leaving.
-UpstreamList OwnUpstreams(const Settings& settings);
+std::vector<UpstreamInfo> OwnUpstreams(const Settings& settings);
 
 }  // namespace medlarwalk
 
--- a/src/payload.cc
+++ b/src/payload.cc
@@ -12,17 +12,28 @@
 }  // namespace
 
 void Payload::Append(absl::string_view bytes) {
-  if (taken_ >= kLetGoFrom && taken_ >= own_.size() / 2) {
+  if (before_own_.empty() && taken_ >= kLetGoFrom &&
+      taken_ >= own_.size() / 2) {
     own_.erase(0, taken_);
     taken_ = 0;
   }
   own_.append(bytes.data(), bytes.size());
 }
 
+void Payload::Append(Document shared) {
+  if (!shared || shared->empty()) return;
+  if (!own_.empty()) {
+    size_before_own_ += own_.size();
+    before_own_.push_back(std::make_shared<const std::string>(std::move(own_)));
+    own_.clear();
+  }
+  size_before_own_ += shared->size();
+  before_own_.push_back(std::move(shared));
+}
+
 absl::string_view Payload::Front() const {
-  if (taken_ < own_.size()) return absl::string_view(own_).substr(taken_);
-  if (!shared_) return {};
-  return absl::string_view(*shared_).substr(taken_ - own_.size());
+  const std::string& first = before_own_.empty() ? own_ : *before_own_.front();
+  return absl::string_view(first).substr(taken_);
 }
 
 size_t Payload::Take(uint8_t* to, size_t most) {
@@ -32,6 +43,11 @@
     std::copy(piece.begin(), piece.end(), to + n);
     n += piece.size();
     taken_ += piece.size();
+    if (!before_own_.empty() && taken_ == before_own_.front()->size()) {
+      size_before_own_ -= taken_;
+      taken_ = 0;
+      before_own_.pop_front();
+    }
   }
   if (empty()) *this = Payload();
   return n;
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -60,6 +60,7 @@
           [&] {
             WatchOptions o;
             o.name = options_.name;
+            o.data_centre = options_.data_centre;
             o.serves_callers = true;
             return o;
           }(),
@@ -92,7 +93,7 @@
 }
 
 bool Serving::ready() const {
-  return !draining_ && gateway_.has_config() && has_list_;
+  return !draining_ && gateway_.has_config() && list_.version() != 0;
 }
 
 void Serving::OnWatch(const WatchReply& r, bool in_step) {
@@ -103,12 +104,35 @@
   if (!in_step) return;
   gateway_.NoteInStep(clock_.Now() - Millis(r.age_ms));
   if (r.serving > 0) gateway_.SetServing(r.serving);
-  if (r.list) {
-    watch_.state().list_version = r.list->version;
-    has_list_ = true;
-    gateway_.SetUpstreams(*r.list);
+  if (r.list) TakeList(r);
+  if (r.list_age_ms < 0) return;
+  list_at_ = clock_.Now() - Millis(r.list_age_ms);
+  metrics_.ObserveListAge(ToSeconds(Millis(r.list_age_ms)));
+}
+
+void Serving::TakeList(const WatchReply& r) {
+  absl::StatusOr<ListChange> c = DecodeListChange(*r.list);
+  int64_t before = list_.version();
+  bool fits = c.ok() && list_.Apply(*c);
+  metrics_.CountListUpdate(!fits          ? "unfit"
+                           : c->from == 0 ? "whole"
+                                          : "difference",
+                           r.list->size());
+  // What does not fit is asked for as a whole.
+  watch_.state().list_version = fits ? list_.version() : 0;
+  if (!fits) {
+    LogWarn("list_unfit", {{"held", before},
+                           {"from", c.ok() ? c->from : -1},
+                           {"to", c.ok() ? c->to : -1}});
+    return;
   }
-  if (r.list_age_ms >= 0) list_at_ = clock_.Now() - Millis(r.list_age_ms);
+  LogEvent("list_in_force", {{"version", list_.version()},
+                             {"from", c->from},
+                             {"changed", c->changed.size()},
+                             {"gone", c->gone.size()},
+                             {"bytes", r.list->size()},
+                             {"age_ms", r.list_age_ms}});
+  gateway_.SetUpstreams(list_.All());
 }
 
 void Serving::ApplyConfig(int64_t version, const std::string& document) {
@@ -138,18 +162,17 @@
     return;
   }
   listed_alone_at_ = now;
-  lister_.Read([this, now](absl::StatusOr<UpstreamList> r) {
+  lister_.Read([this, now](absl::StatusOr<std::vector<UpstreamInfo>> r) {
     if (!r.ok()) {
       LogWarn("list_lost", {{"error", r.status().message()}});
       return;
     }
-    LogEvent("list_read_alone", {{"upstreams", r->upstreams.size()}});
-    has_list_ = true;
+    list_.Replace(*std::move(r));
+    LogEvent("list_read_alone",
+             {{"version", list_.version()}, {"upstreams", list_.size()}});
     list_at_ = now;
-    // Another version than any control process tells: theirs counts again as
-    // soon as one answers.
-    watch_.state().list_version = 0;
-    gateway_.SetUpstreams(*r);
+    watch_.state().list_version = list_.version();
+    gateway_.SetUpstreams(list_.All());
   });
 }
 
--- a/src/serving.h
+++ b/src/serving.h
@@ -21,6 +21,7 @@
 
 struct ServingOptions {
   std::string name;
+  std::string data_centre;
   Endpoint frontend;   // Callers.
   Endpoint readiness;  // The balancer's questions.
   std::string readiness_path;
@@ -56,6 +57,7 @@
   static void OnTick(struct ev_loop* loop, ev_timer* w, int revents);
   void Tick();
   void OnWatch(const WatchReply& r, bool in_step);
+  void TakeList(const WatchReply& r);
   void ApplyConfig(int64_t version, const std::string& document);
   void ReadListAlone(TimePoint now);
   void DrainStep(TimePoint now);
@@ -70,9 +72,9 @@
   CallerServer metrics_server_;
   WatchClient watch_;
   Lister lister_;
+  UpstreamList list_;
   TimePoint list_at_{};
   TimePoint listed_alone_at_{};
-  bool has_list_ = false;
   bool draining_ = false;
   TimePoint drain_began_{};
   bool stopped_accepting_ = false;
--- /dev/null
+++ b/src/upstream_list.cc
@@ -0,0 +1,194 @@
+#include "upstream_list.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace medlarwalk {
+namespace {
+
+// Each text behind its length, so that no two upstreams read alike.
+uint64_t HashOf(const UpstreamInfo& u) {
+  std::string text;
+  for (const std::string* s :
+       {&u.id, &u.service, &u.address.ip, &u.data_centre}) {
+    absl::StrAppend(&text, s->size(), ":", *s);
+  }
+  absl::StrAppend(&text, u.address.port, ",", u.leaving, ",", u.slots, ",",
+                  u.born);
+  return StableHash(text);
+}
+
+// Never 0, which stands for no list.
+int64_t VersionOf(uint64_t sum, size_t n) {
+  std::array<uint64_t, 2> both = {sum, n};
+  uint64_t h = StableHash(absl::string_view(
+      reinterpret_cast<const char*>(both.data()), sizeof(both)));
+  return std::max<int64_t>(1, static_cast<int64_t>(h >> 1));
+}
+
+bool Same(const UpstreamInfo& a, const UpstreamInfo& b) {
+  return a.id == b.id && a.born == b.born && a.service == b.service &&
+         a.address == b.address && a.data_centre == b.data_centre &&
+         a.leaving == b.leaving && a.slots == b.slots;
+}
+
+}  // namespace
+
+const UpstreamInfo* UpstreamList::Find(const std::string& id) const {
+  auto it = upstreams_.find(id);
+  return it == upstreams_.end() ? nullptr : &it->second.info;
+}
+
+std::vector<UpstreamInfo> UpstreamList::All() const {
+  std::vector<UpstreamInfo> out;
+  out.reserve(upstreams_.size());
+  for (const auto& [id, e] : upstreams_) out.push_back(e.info);
+  return out;
+}
+
+UpstreamList::Total UpstreamList::After(const ListChange& c) const {
+  // Sums of unsigned numbers wrap, and come back the way they went.
+  Total t = total_;
+  std::set<absl::string_view> seen;
+  auto drop = [&](const std::string& id) {
+    auto it = upstreams_.find(id);
+    if (it == upstreams_.end()) return;
+    t.sum -= it->second.hash;
+    --t.n;
+  };
+  for (const std::string& id : c.gone) {
+    if (seen.insert(id).second) drop(id);
+  }
+  for (const UpstreamInfo& u : c.changed) {
+    // One id twice is no change that was ever made: it leads nowhere.
+    if (!seen.insert(u.id).second) return {~total_.sum, 0};
+    drop(u.id);
+    t.sum += HashOf(u);
+    ++t.n;
+  }
+  return t;
+}
+
+void UpstreamList::Commit(const ListChange& c, Total after) {
+  for (const std::string& id : c.gone) upstreams_.erase(id);
+  for (const UpstreamInfo& u : c.changed) {
+    upstreams_[u.id] = Entry{u, HashOf(u)};
+  }
+  total_ = after;
+  version_ = c.to;
+}
+
+ListChange UpstreamList::Replace(std::vector<UpstreamInfo> reading) {
+  std::map<std::string, UpstreamInfo> fresh;
+  for (UpstreamInfo& u : reading) {
+    auto [it, added] = fresh.try_emplace(u.id, u);
+    if (!added && u.born >= it->second.born) it->second = std::move(u);
+  }
+  ListChange c;
+  c.from = version_;
+  for (const auto& [id, e] : upstreams_) {
+    if (!fresh.count(id)) c.gone.push_back(id);
+  }
+  for (auto& [id, u] : fresh) {
+    const UpstreamInfo* known = Find(id);
+    if (!known || !Same(*known, u)) c.changed.push_back(std::move(u));
+  }
+  Total after = After(c);
+  c.to = VersionOf(after.sum, after.n);
+  Commit(c, after);
+  return c;
+}
+
+bool UpstreamList::Apply(const ListChange& change) {
+  if (change.from == 0) {
+    UpstreamList whole;
+    whole.Replace(change.changed);
+    if (whole.version() != change.to || !change.gone.empty()) return false;
+    *this = std::move(whole);
+    return true;
+  }
+  if (change.from != version_) return false;
+  Total after = After(change);
+  if (VersionOf(after.sum, after.n) != change.to) return false;
+  Commit(change, after);
+  return true;
+}
+
+bool ListHistory::Replace(std::vector<UpstreamInfo> reading) {
+  ListChange c = list_.Replace(std::move(reading));
+  if (c.from == c.to) return false;
+  Note(c);
+  return true;
+}
+
+bool ListHistory::Apply(const ListChange& change) {
+  if (!list_.Apply(change)) return false;
+  Note(change);
+  return true;
+}
+
+void ListHistory::Note(const ListChange& change) {
+  encoded_.clear();
+  if (change.from == 0) {
+    // Nobody's version leads here by what is known.
+    steps_.clear();
+    step_entries_ = 0;
+    return;
+  }
+  Step s;
+  s.from = change.from;
+  s.ids = change.gone;
+  for (const UpstreamInfo& u : change.changed) s.ids.push_back(u.id);
+  step_entries_ += s.ids.size();
+  steps_.push_back(std::move(s));
+  size_t most = std::max(most_entries_, list_.size() / 2);
+  while (!steps_.empty() && step_entries_ > most) {
+    step_entries_ -= steps_.front().ids.size();
+    steps_.pop_front();
+  }
+}
+
+// The last change made to the list of version `held`, if it is still known.
+std::deque<ListHistory::Step>::const_iterator ListHistory::StepFrom(
+    int64_t held) const {
+  auto it = std::find_if(steps_.rbegin(), steps_.rend(),
+                         [&](const Step& s) { return s.from == held; });
+  return it == steps_.rend() ? steps_.end() : std::prev(it.base());
+}
+
+ListChange ListHistory::Since(int64_t held) const {
+  ListChange c;
+  c.to = version();
+  auto step = StepFrom(held);
+  if (step == steps_.end()) {
+    c.changed = list_.All();
+    return c;
+  }
+  c.from = held;
+  std::set<absl::string_view> ids;
+  for (; step != steps_.end(); ++step) {
+    ids.insert(step->ids.begin(), step->ids.end());
+  }
+  for (absl::string_view id : ids) {
+    const UpstreamInfo* u = list_.Find(std::string(id));
+    if (u) {
+      c.changed.push_back(*u);
+    } else {
+      c.gone.emplace_back(id);
+    }
+  }
+  return c;
+}
+
+Document ListHistory::EncodedSince(int64_t held) {
+  if (!Knows(held)) held = 0;
+  Document& d = encoded_[held];
+  if (!d) d = encode_(Since(held));
+  return d;
+}
+
+}  // namespace medlarwalk
--- a/src/upstream_pool.cc
+++ b/src/upstream_pool.cc
@@ -33,10 +33,11 @@
   c.idle.clear();
 }
 
-std::vector<std::string> UpstreamPool::Update(const UpstreamList& list) {
+std::vector<std::string> UpstreamPool::Update(
+    absl::Span<const UpstreamInfo> listed) {
   std::vector<std::string> restarted;
   for (UpstreamBoard& b : boards_) b.listed = false;
-  for (const UpstreamInfo& u : list.upstreams) {
+  for (const UpstreamInfo& u : listed) {
     auto it = index_.find(u.id);
     if (it == index_.end()) {
       index_[u.id] = boards_.size();
--- a/src/upstream_pool.h
+++ b/src/upstream_pool.h
@@ -24,7 +24,7 @@
   // Takes over a new reading of the list. Upstreams no longer listed stay
   // until their last request has ended. Returns the ids of those that have
   // started again, of which nothing known before holds any more.
-  std::vector<std::string> Update(const UpstreamList& list);
+  std::vector<std::string> Update(absl::Span<const UpstreamInfo> listed);
 
   std::vector<UpstreamBoard>& boards() { return boards_; }
   const std::vector<UpstreamBoard>& boards() const { return boards_; }
--- a/src/watch_client.cc
+++ b/src/watch_client.cc
@@ -12,6 +12,9 @@
 // Pause before the next control process is asked after a failure, so that a
 // fleet without control does not hammer what is left of it.
 constexpr auto kRetryPause = Millis(40);
+// A process nearer than the one that is followed is asked again this long after
+// the last failure: it may have been the one that failed.
+constexpr auto kReturnAfter = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -25,6 +28,8 @@
       on_reply_(std::move(on_reply)),
       links_(loop, clock) {
   state_.name = options_.name;
+  state_.data_centre = options_.data_centre;
+  state_.address = options_.address;
   state_.serves_callers = options_.serves_callers;
   ev_timer_init(&tick_, OnTick, kTickSeconds, kTickSeconds);
   tick_.data = this;
@@ -56,21 +61,41 @@
   paused_ = paused;
 }
 
-// In an order of this process's own, so that many followers spread over the
-// control processes.
+// Those of this data centre first, so that what spreads crosses between two of
+// them once and not for each follower; then in an order of this process's own,
+// so that many followers spread over the control processes.
 std::vector<std::string> WatchClient::Targets() const {
   if (!pinned_.empty()) return {pinned_};
-  std::vector<std::string> all = known_.empty() ? seeds_ : known_;
+  std::vector<ControlPlace> all = known_;
   // Seeds stay in reach: all that is known may have been replaced meanwhile.
-  if (misses_ > static_cast<int>(all.size())) {
-    all.insert(all.end(), seeds_.begin(), seeds_.end());
+  if (misses_ >= static_cast<int>(all.size())) {
+    for (const std::string& s : seeds_) all.push_back({s, ""});
   }
-  std::sort(
-      all.begin(), all.end(), [&](const std::string& a, const std::string& b) {
-        return StableHash(a + options_.name) < StableHash(b + options_.name);
-      });
-  all.erase(std::unique(all.begin(), all.end()), all.end());
-  return all;
+  auto order = [&](const ControlPlace& p) {
+    return std::make_pair(p.data_centre != options_.data_centre,
+                          StableHash(p.address + options_.name));
+  };
+  std::sort(all.begin(), all.end(),
+            [&](const ControlPlace& a, const ControlPlace& b) {
+              return order(a) < order(b);
+            });
+  std::vector<std::string> out;
+  for (ControlPlace& p : all) {
+    if (std::find(out.begin(), out.end(), p.address) == out.end()) {
+      out.push_back(std::move(p.address));
+    }
+  }
+  return out;
+}
+
+// Stays with the process it follows, but for one nearer that may be back.
+void WatchClient::ChooseTarget(TimePoint now) {
+  std::vector<std::string> all = Targets();
+  if (all.empty()) return;
+  bool known = std::find(all.begin(), all.end(), target_) != all.end();
+  bool back =
+      now - turned_away_at_ >= kReturnAfter && links_.To(all[0]).usable();
+  if (!known || back) target_ = all[0];
 }
 
 void WatchClient::NextTarget(absl::string_view why) {
@@ -83,17 +108,15 @@
   auto it = std::find(all.begin(), all.end(), target_);
   size_t next = it == all.end() ? 0 : (it - all.begin() + 1) % all.size();
   target_ = all[next];
-  not_before_ = clock_.Now() + kRetryPause;
+  turned_away_at_ = clock_.Now();
+  not_before_ = turned_away_at_ + kRetryPause;
 }
 
 void WatchClient::Ask() {
   TimePoint now = clock_.Now();
   if (paused_ || asking_ || now < not_before_) return;
-  std::vector<std::string> all = Targets();
-  if (all.empty()) return;
-  if (std::find(all.begin(), all.end(), target_) == all.end()) {
-    target_ = all[0];
-  }
+  ChooseTarget(now);
+  if (target_.empty()) return;
   asking_ = true;
   heard_at_ = now;
   began_at_ = {};
--- a/src/watch_client.h
+++ b/src/watch_client.h
@@ -24,6 +24,8 @@
   Duration answer_timeout = Millis(900);
   // The answerer must have been in step with a leader this lately.
   Duration max_age = Millis(800);
+  std::string data_centre;  // Control processes there are asked first.
+  std::string address;      // Where others may ask this process, if they may.
 };
 
 // Thread safety: loop thread only.
@@ -53,12 +55,13 @@
   void Answered(uint64_t ask, const std::string& body, bool ok);
   void NextTarget(absl::string_view why);
   std::vector<std::string> Targets() const;
+  void ChooseTarget(TimePoint now);
 
   struct ev_loop* loop_;
   const Clock& clock_;
   WatchOptions options_;
   std::vector<std::string> seeds_;
-  std::vector<std::string> known_;
+  std::vector<ControlPlace> known_;
   OnReply on_reply_;
   LinkPool links_;
   WatchRequest state_;
@@ -71,6 +74,7 @@
   TimePoint began_at_{};  // When the answer's first bytes came.
   TimePoint heard_at_{};  // The last bytes, or when it was asked for.
   TimePoint not_before_{};
+  TimePoint turned_away_at_{};  // From a target that failed.
   int misses_ = 0;
   ev_timer tick_{};
 };
--- a/test/upstream_pool_test.cc
+++ b/test/upstream_pool_test.cc
@@ -40,7 +40,7 @@
                       return std::make_shared<IdleLink>();
                     }};
   std::vector<std::string> Read(const UpstreamInfo& u) {
-    return pool.Update({1, {u}});
+    return pool.Update({u});
   }
   // The upstream has failed, is said to be gone, and one connection is kept.
   std::shared_ptr<UpstreamLink> KnowMuch() {
