A long list is read less often, and never by all entries beside it

Cause: the busiest control host at 303 machines still moved 1.1 MB a second. Not pages: the source gives some 200 upstreams a page there, and making the interval follow the pages changed nothing (1,108 kB/s). The reading itself is as long as the list, every 0.6 s.

Ruled out: replication and watches (about 180 kB/s together by what is left).

Control processes are named in a watch's answer only when others than the asker knows.

Reading shared out among the control processes would bring it down, at the price of a protocol between them.

--- a/src/control.cc
+++ b/src/control.cc
@@ -15,12 +15,9 @@
 namespace {
 
 constexpr double kTickSeconds = 0.02;
-// Readings of the list: often enough that a leaving upstream is known well
-// within the seconds allowed, rare enough for a source that limits calls.
-constexpr auto kListInterval = Millis(600);
-// A control process without a leader reads the list itself, less often: any
-// number of them may do so at once.
-constexpr auto kLoneListInterval = Millis(1500);
+// A control process without a leader reads the list itself, this much less
+// often: any number of them may do so at once.
+constexpr double kLoneListShare = 0.4;
 // A follower not heard for this long is no longer counted.
 constexpr auto kFollowerGone = std::chrono::seconds(3);
 // How long a process without a disk believes in the leader it was told of.
@@ -409,7 +406,11 @@
   if (lister_.busy() || !replica_) return;
   bool lone = !IsLeader() && replica_->LeaderAge() > kLeaderlessAfter;
   if (!IsLeader() && !lone) return;
-  if (now - polled_at_ < (lone ? kLoneListInterval : kListInterval)) return;
+  list_interval_ = ListInterval(lister_.length(), options_.list.calls_per_s);
+  if (lone) {
+    list_interval_ = BoundedSeconds(ToSeconds(list_interval_) / kLoneListShare);
+  }
+  if (now - polled_at_ < list_interval_) return;
   polled_at_ = now;
   lister_.Read([this, now](absl::StatusOr<std::vector<UpstreamInfo>> r) {
     if (!r.ok()) {
--- a/src/control.h
+++ b/src/control.h
@@ -152,6 +152,7 @@
   WatchClient leader_watch_;
   ListHistory list_;
   TimePoint list_read_at_{};
+  Duration list_interval_{};  // As this process or its leader reads it.
   TimePoint polled_at_{};
   std::vector<Watcher> watchers_;
   std::map<std::string, Follower> followers_;
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -58,12 +58,13 @@
   serving_from_leader_ = r.serving;
   told_leader_ = r.leader;
   told_at_ = clock_.Now();
-  data_centres_.clear();
+  if (!r.control.empty()) data_centres_.clear();
   for (const ControlPlace& p : r.control) {
     data_centres_[p.address] = p.data_centre;
   }
   if (r.list_age_ms >= 0) {
     list_read_at_ = clock_.Now() - Millis(r.list_age_ms);
+    list_interval_ = Millis(r.list_interval_ms);
   }
   if (r.list) TakeListFrom(r);
 }
@@ -91,11 +92,13 @@
     if (w.config_version > r.config_version) w.config = replica_->config();
     if (std::optional<Member> l = replica_->Leader()) w.leader = l->address;
   }
-  w.control = Places();
+  std::vector<ControlPlace> places = Places();
+  if (PlacesVersion(places) != r.places_version) w.control = std::move(places);
   if (list_.version() != 0 && list_.version() != r.list_version) {
     w.list = list_.EncodedSince(r.list_version);
   }
   if (list_read_at_ != TimePoint{}) w.list_age_ms = ToMs(now - list_read_at_);
+  w.list_interval_ms = ToMs(list_interval_);
   w.serving = TotalServing();
   return w;
 }
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -1,5 +1,7 @@
 #include "control_wire.h"
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 #include "json_numbers.h"
 #include "packed.h"
@@ -76,6 +78,14 @@
 
 }  // namespace
 
+int64_t PlacesVersion(const std::vector<ControlPlace>& places) {
+  std::string text;
+  for (const ControlPlace& p : places) {
+    absl::StrAppend(&text, p.address, " ", p.data_centre, "\n");
+  }
+  return std::max<int64_t>(1, static_cast<int64_t>(StableHash(text) >> 1));
+}
+
 std::string EncodeHello(const std::vector<std::string>& control) {
   return ToCbor(json(control));
 }
@@ -92,7 +102,8 @@
                  {"s", r.serves_callers},
                  {"w", r.watchers},
                  {"c", r.config_version},
-                 {"l", r.list_version}});
+                 {"l", r.list_version},
+                 {"k", r.places_version}});
 }
 
 absl::StatusOr<WatchRequest> DecodeWatchRequest(absl::string_view bytes) {
@@ -105,13 +116,16 @@
     r.watchers = WholeNumber<int>(j.at("w"));
     r.config_version = WholeNumber<int64_t>(j.at("c"));
     r.list_version = WholeNumber<int64_t>(j.at("l"));
+    r.places_version = WholeNumber<int64_t>(j.at("k"));
     return r;
   });
 }
 
 Payload EncodeWatchReply(const WatchReply& r) {
-  json j = {{"a", r.age_ms},  {"c", r.config_version},  {"g", r.list_age_ms},
-            {"s", r.serving}, {"m", ToJson(r.control)}, {"h", r.leader}};
+  json j = {{"a", r.age_ms},      {"c", r.config_version},
+            {"g", r.list_age_ms}, {"i", r.list_interval_ms},
+            {"s", r.serving},     {"m", ToJson(r.control)},
+            {"h", r.leader}};
   std::string head = ToCbor(j);
   // The documents are the map's last pairs, so that their bytes may be
   // anyone's. A map's first byte counts its pairs: fewer than 23.
@@ -132,6 +146,7 @@
     r.age_ms = WholeNumber<int64_t>(j.at("a"));
     r.config_version = WholeNumber<int64_t>(j.at("c"));
     r.list_age_ms = WholeNumber<int64_t>(j.at("g"));
+    r.list_interval_ms = WholeNumber(j, "i", int64_t{0});
     r.serving = WholeNumber<int>(j.at("s"));
     r.control = PlacesFrom(j.at("m"));
     r.leader = j.at("h").get<std::string>();
--- a/src/control_wire.h
+++ b/src/control_wire.h
@@ -33,6 +33,7 @@
   int watchers = 0;  // Serving processes that follow the asker in turn.
   int64_t config_version = 0;
   int64_t list_version = 0;
+  int64_t places_version = 0;  // Of the control processes it knows.
 };
 
 // A control process, and where it is; "" where that is not known.
@@ -41,6 +42,9 @@
   std::string data_centre;
 };
 
+// Tells one set of places from another; never 0.
+int64_t PlacesVersion(const std::vector<ControlPlace>& places);
+
 struct WatchReply {
   // How long ago the answerer was surely in step with a leader, in ms;
   // negative when it never was.
@@ -48,11 +52,14 @@
   int64_t config_version = 0;
   Document config;  // When newer than asked for, else null.
   Document list;    // A ListChange when another than asked for, else null.
-  // How long ago the list was read, in ms; negative when never.
+  // How long ago the list was read, in ms; negative when never. And the time
+  // from one reading to the next.
   int64_t list_age_ms = -1;
+  int64_t list_interval_ms = 0;
   int serving = 0;  // Processes that serve callers, as far as known.
-  std::vector<ControlPlace> control;  // All that are known.
-  std::string leader;                 // Address of the leader, if known.
+  // All that are known, when others than the asker knows, else none.
+  std::vector<ControlPlace> control;
+  std::string leader;  // Address of the leader, if known.
 };
 
 // The addresses of the group's members, told to processes that seeds name but
--- a/src/lister.cc
+++ b/src/lister.cc
@@ -1,9 +1,11 @@
 #include "lister.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "log.h"
+#include "random_seed.h"
 
 namespace medlarwalk {
 namespace {
@@ -19,13 +21,30 @@
 // and a list of more pages than it allows a second would never be read.
 constexpr auto kPutOff = Millis(150);
 constexpr int kTooManyCalls = 429;
+// Between readings: the least, the most, and for each upstream of the list.
+constexpr Duration kLeastInterval = Millis(600);
+constexpr Duration kMostInterval = Millis(1500);
+constexpr Duration kIntervalOfUpstream = std::chrono::microseconds(500);
+constexpr double kShareOfCalls = 0.5;
 // A list of more pages than this is taken for a loop in the source.
 constexpr int kMaxPages = 200;
 
 }  // namespace
 
+Duration ListInterval(const ListLength& length, double calls_per_s) {
+  Duration d = std::clamp<Duration>(
+      static_cast<int64_t>(length.upstreams) * kIntervalOfUpstream,
+      kLeastInterval, kMostInterval);
+  if (calls_per_s <= 0) return d;
+  return std::max(d,
+                  BoundedSeconds(length.pages / (calls_per_s * kShareOfCalls)));
+}
+
 Lister::Lister(struct ev_loop* loop, const Clock& clock, ListSource source)
-    : loop_(loop), clock_(clock), source_(std::move(source)) {}
+    : loop_(loop),
+      clock_(clock),
+      source_(std::move(source)),
+      random_(static_cast<uint32_t>(RandomSeed())) {}
 
 Lister::~Lister() {
   if (client_) client_->Cancel();
@@ -85,7 +104,10 @@
                       absl::string_view why) {
   if (end == CallEnd::kWhole && status_ == kTooManyCalls) {
     put_off_page_ = token;
-    ask_again_at_ = clock_.Now() + kPutOff;
+    // Many may have been refused at once: they do not come back together.
+    std::uniform_real_distribution<double> spread(0.5, 1.5);
+    ask_again_at_ =
+        clock_.Now() + BoundedSeconds(ToSeconds(kPutOff) * spread(random_));
     return;
   }
   if (end != CallEnd::kWhole || status_ != 200) {
@@ -107,7 +129,7 @@
       LogWarn("list_entries_unusable", {{"entries", unusable_}});
       unusable_told_ = unusable_;
     }
-    pages_of_list_ = pages_;
+    length_ = {list_.size(), pages_};
     End(std::move(list_));
     return;
   }
--- a/src/lister.h
+++ b/src/lister.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -30,8 +31,25 @@
   // The request for the page `token` ("" for the first).
   std::function<OutgoingRequest(absl::string_view token)> encode;
   std::function<absl::StatusOr<ListPage>(absl::string_view body)> decode;
+  // Calls a second that it takes from all processes together; 0: any number.
+  double calls_per_s = 0;
 };
 
+// How long a list is.
+struct ListLength {
+  size_t upstreams = 0;
+  int pages = 0;
+};
+
+// The time from one reading of a list of that length to the next. Load pattern:
+// one process reads the list for all, and each reading is as long as the list:
+// 3,000 upstreams every 0.6 s were 900 kB a second of its host's link. A small
+// list is read often enough that a leaving upstream is known well within the
+// seconds allowed; a long one less often, so that reading costs the same, but
+// still within half of the least time that operators allow; and never at more
+// than half of the calls that the source takes, as others must reach it, too.
+Duration ListInterval(const ListLength& length, double calls_per_s);
+
 // Thread safety: loop thread only.
 class Lister {
  public:
@@ -47,8 +65,8 @@
   // reading that takes too long; call regularly.
   void Tick();
   bool busy() const { return static_cast<bool>(done_); }
-  // Pages of the last whole reading; 0 before it.
-  int pages_of_list() const { return pages_of_list_; }
+  // Of the last whole reading; nothing before it.
+  const ListLength& length() const { return length_; }
 
  private:
   void Page(const std::string& token);
@@ -62,7 +80,7 @@
   Done done_;
   std::vector<UpstreamInfo> list_;
   int pages_ = 0;  // Read so far.
-  int pages_of_list_ = 0;
+  ListLength length_;
   int unusable_ = 0;       // In this reading.
   int unusable_told_ = 0;  // To the log.
   int status_ = 0;
@@ -71,6 +89,7 @@
   TimePoint asked_at_{};      // For the page under way.
   std::string put_off_page_;  // The source would not give it yet.
   TimePoint ask_again_at_{};  // For it; the epoch when none is put off.
+  std::minstd_rand random_;
 };
 
 }  // namespace medlarwalk
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -1,5 +1,7 @@
 #include "serving.h"
 
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 #include "log.h"
 #include "packed.h"
@@ -14,9 +16,11 @@
 constexpr auto kConfigTrust = Millis(1500);
 constexpr double kTickSeconds = 0.02;
 // The list is read by this process itself when no control process has told
-// one this lately: leaving upstreams must still be known in time.
-constexpr auto kAloneAfter = Millis(2000);
-constexpr auto kAloneInterval = Millis(2000);
+// one this lately, nor one that is missing two readings: leaving upstreams must
+// still be known in time.
+constexpr Duration kAloneAfter = Millis(2000);
+constexpr int kReadingsMissed = 2;
+constexpr Duration kAloneInterval = Millis(2000);
 // After SIGTERM new connections still come until the balancer has asked twice
 // and taken this host out.
 constexpr auto kAcceptWhileDraining = Millis(2500);
@@ -66,7 +70,11 @@
           }(),
           options_.control_seeds,
           [this](const WatchReply& r, bool in_step) { OnWatch(r, in_step); }),
-      lister_(loop, clock, options_.list) {
+      lister_(loop, clock, options_.list),
+      // Not alone from the start: where all processes start at once, the
+      // control processes have a list within a moment, but not if every entry
+      // asks its source beside them.
+      list_at_(clock.Now()) {
   ev_timer_init(&tick_, OnTick, kTickSeconds, kTickSeconds);
   tick_.data = this;
   callers_.set_most_connections(CallersFor(options_.descriptors));
@@ -103,10 +111,14 @@
   if (r.config && (in_step || !first)) ApplyConfig(r.config_version, *r.config);
   if (!in_step) return;
   gateway_.NoteInStep(clock_.Now() - Millis(r.age_ms));
-  if (r.serving > 0) gateway_.SetServing(r.serving);
+  if (r.serving > 0) {
+    serving_ = r.serving;
+    gateway_.SetServing(r.serving);
+  }
   if (r.list) TakeList(r);
   if (r.list_age_ms < 0) return;
   list_at_ = clock_.Now() - Millis(r.list_age_ms);
+  list_interval_ = Millis(r.list_interval_ms);
   metrics_.ObserveListAge(ToSeconds(Millis(r.list_age_ms)));
 }
 
@@ -158,9 +170,16 @@
 void Serving::ReadListAlone(TimePoint now) {
   lister_.Tick();
   if (lister_.busy() || !gateway_.has_config()) return;
-  if (now - list_at_ < kAloneAfter || now - listed_alone_at_ < kAloneInterval) {
+  if (now - list_at_ <
+      std::max(kAloneAfter, kReadingsMissed * list_interval_)) {
     return;
   }
+  // All entries may be alone at once: each takes its part of what the source
+  // allows.
+  Duration interval = std::max(
+      kAloneInterval,
+      ListInterval(lister_.length(), options_.list.calls_per_s / serving_));
+  if (now - listed_alone_at_ < interval) return;
   listed_alone_at_ = now;
   lister_.Read([this, now](absl::StatusOr<std::vector<UpstreamInfo>> r) {
     if (!r.ok()) {
--- a/src/serving.h
+++ b/src/serving.h
@@ -74,6 +74,8 @@
   Lister lister_;
   UpstreamList list_;
   TimePoint list_at_{};
+  Duration list_interval_{};  // As the control processes read it.
+  int serving_ = 1;           // Entry processes, as last told.
   TimePoint listed_alone_at_{};
   bool draining_ = false;
   TimePoint drain_began_{};
--- a/src/watch_client.cc
+++ b/src/watch_client.cc
@@ -145,7 +145,10 @@
   bool in_step = r->age_ms >= 0 && r->age_ms <= ToMs(options_.max_age);
   if (in_step) misses_ = 0;
   // Also from one out of step: it may know where the others are.
-  if (!r->control.empty()) known_ = r->control;
+  if (!r->control.empty()) {
+    known_ = r->control;
+    state_.places_version = PlacesVersion(known_);
+  }
   // What it says of the list's age was so when the first of it came.
   if (r->list_age_ms >= 0) r->list_age_ms += ToMs(clock_.Now() - began_at_);
   on_reply_(*r, in_step);
--- a/test/large_config_test.cc
+++ b/test/large_config_test.cc
@@ -276,8 +276,10 @@
   });
   CHECK_TRUE(server.Listen("127.0.0.1", base).ok());
   std::string got;
-  WatchClient watch(loop, clock, {"entry", true},
-                    {absl::StrCat("127.0.0.1:", base)},
+  WatchOptions o;
+  o.name = "entry";
+  o.serves_callers = true;
+  WatchClient watch(loop, clock, o, {absl::StrCat("127.0.0.1:", base)},
                     [&](const WatchReply& r, bool) {
                       if (r.config) got = *r.config;
                     });
