Requests go by their route's tier, then by their account's

Requests were ranked by their account's tier first, so that engines were told that a favoured account's summaries are more urgent than everybody else's answers; an engine with more streams than places then gave up the answers. The rule goes by the kind of request.

Change: the rank is the route's tier, then the account's. Engines tell ten priorities apart: they are given to the ranks that the configuration has, in order, and where these are more, to the tiers of routes.

Conclusion: the rule's first half is kept by the order itself, whatever the load.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -21,8 +21,6 @@
 // parts are remembered.
 constexpr auto kPartTrust = std::chrono::seconds(12);
 constexpr size_t kMostParts = 4096;
-// Lowest rank an engine knows.
-constexpr int kLastEnginePriority = 9;
 
 LinkOpener Http1Links(struct ev_loop* loop, const Clock& clock) {
   return [loop, &clock](const UpstreamInfo& to, Duration connect_timeout) {
@@ -166,13 +164,14 @@
   r.route = FindRoute(*config_, r.facts.host, r.facts.path);
   if (!r.route) return MakeError(ErrorKind::kUnknownRoute, "no route");
   r.tier = r.route->tier;
+  Tier account_tier = r.tier;
   if (!config_->accounts.empty() && !r.route->anonymous) {
     const AccountRule* a = FindAccount(*config_, r.facts.key);
     if (!a) return MakeError(ErrorKind::kUnknownKey, "key not held");
     r.account = a->name;
-    if (a->tier) r.tier = *a->tier;
+    account_tier = a->tier.value_or(r.tier);
   }
-  r.rank = RankOf(r.tier, r.route->tier);
+  r.rank = RankOf(r.tier, account_tier);
   std::uniform_real_distribution<double> draw(0, 1);
   r.service = &config_->services.at(PickService(*r.route, draw(random_)));
   Duration patience = r.route->timeout;
@@ -306,7 +305,7 @@
   f.patience = r.give_up_at - now;
   f.account = r.account;
   if (r.service->engine) {
-    f.engine_priority = std::clamp(r.rank, 0, kLastEnginePriority);
+    f.engine_priority = EnginePriority(*r.config, r.rank);
   }
   f.last_event = r.last_event;
   if (r.service->engine) f.copy_from = CopySource(r, u, now);
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -31,7 +31,7 @@
   const ServiceRule* service = nullptr;
   std::string account;
   Tier tier = 0;
-  Tier rank = 0;  // The tier, and within it the route's own.
+  Tier rank = 0;  // The tier, and within it the account's.
   uint64_t affinity = 0;
   int64_t shared_tokens = 0;
   WorkShape shape = WorkShape::kPlain;
--- a/src/routing_config.cc
+++ b/src/routing_config.cc
@@ -10,8 +10,38 @@
 namespace medlarwalk {
 namespace {
 
-// Ranks of routes told apart within one tier.
-constexpr int kRouteRanks = 3;
+// Tiers of accounts told apart within one of routes: as many as of these.
+constexpr int kAccountTiers = 8;
+// Far above any tier; keeps ranks within an int.
+constexpr Tier kMostTier = 1'000'000;
+// Priorities that engines tell apart.
+constexpr int kEnginePriorities = 10;
+
+Tier AccountTier(Tier tier) { return std::clamp(tier, 0, kAccountTiers - 1); }
+
+// The priority of each rank that may occur.
+std::map<Tier, int> EnginePriorities(const RoutingConfig& c) {
+  std::set<Tier> routes;
+  std::set<Tier> accounts;
+  for (const RouteRule& r : c.routes) {
+    routes.insert(r.tier);
+    accounts.insert(AccountTier(r.tier));
+  }
+  for (const AccountRule& a : c.accounts) {
+    if (a.tier) accounts.insert(AccountTier(*a.tier));
+  }
+  bool all = routes.size() * accounts.size() <= kEnginePriorities;
+  std::map<Tier, int> out;
+  int next = 0;
+  for (Tier route : routes) {
+    for (Tier account : accounts) {
+      out[RankOf(route, account)] = std::min(next, kEnginePriorities - 1);
+      next += all;
+    }
+    next += !all;
+  }
+  return out;
+}
 
 absl::Status Invalid(absl::string_view what, absl::string_view name) {
   return absl::InvalidArgumentError(absl::StrCat(what, ": ", name));
@@ -52,6 +82,7 @@
 }
 
 void IndexConfig(RoutingConfig* c) {
+  c->engine_priority = EnginePriorities(*c);
   c->account_of_key.clear();
   for (size_t i = 0; i < c->accounts.size(); ++i) {
     for (const std::string& k : c->accounts[i].keys) c->account_of_key[k] = i;
@@ -85,8 +116,14 @@
   return it == c.account_of_key.end() ? nullptr : &c.accounts[it->second];
 }
 
-Tier RankOf(Tier tier, Tier route_tier) {
-  return tier * kRouteRanks + std::clamp(route_tier, 0, kRouteRanks - 1);
+Tier RankOf(Tier route_tier, Tier account_tier) {
+  return std::clamp(route_tier, 0, kMostTier) * kAccountTiers +
+         AccountTier(account_tier);
+}
+
+int EnginePriority(const RoutingConfig& c, Tier rank) {
+  auto it = c.engine_priority.find(rank);
+  return it == c.engine_priority.end() ? kEnginePriorities - 1 : it->second;
 }
 
 const std::string& PickService(const RouteRule& r, double draw) {
--- a/src/routing_config.h
+++ b/src/routing_config.h
@@ -41,7 +41,7 @@
   int max_attempts = 1;  // Upstreams that one caller attempt may be sent to.
   bool anonymous = false;
   bool resumable = false;  // A stream may go on elsewhere.
-  std::string label;       // In the metrics; empty: the request's tier.
+  std::string label;       // In the metrics; empty: the tier.
 };
 
 // Limits of a model engine.
@@ -58,7 +58,7 @@
 struct AccountRule {
   std::string name;
   std::vector<std::string> keys;
-  std::optional<Tier> tier;  // Goes before the route's.
+  std::optional<Tier> tier;  // Among accounts; the route's where not said.
 };
 
 struct RoutingConfig {
@@ -70,6 +70,7 @@
   // Derived by IndexConfig.
   std::unordered_map<std::string, size_t> account_of_key;
   std::unordered_map<std::string, std::vector<size_t>> routes_of_host;
+  std::map<Tier, int> engine_priority;  // By rank.
 };
 
 // Checks `c` as a whole: known services, distinct places, positive weights
@@ -86,10 +87,16 @@
 // The account that holds `key`, or nullptr.
 const AccountRule* FindAccount(const RoutingConfig& c, const std::string& key);
 
-// The order in which requests go: by tier, and within a tier by the route's
-// own, since an account's tier may cover routes of all tiers. Ranks fit what
-// engines tell apart (0 to 9) for three tiers of three.
-Tier RankOf(Tier tier, Tier route_tier);
+// The order in which requests go: by their route's tier, and within it by their
+// account's. A favoured account's summaries must not be served, or stay in an
+// engine, in place of another account's answers that somebody waits for on the
+// spot.
+Tier RankOf(Tier route_tier, Tier account_tier);
+
+// What engines are told of `rank`, 0 (first) to 9: in the order of ranks for
+// all that the configuration has. Where these are more than engines tell apart,
+// accounts are not told apart. Precondition: IndexConfig has run.
+int EnginePriority(const RoutingConfig& c, Tier rank);
 
 // Picks a service by weight; `draw` is uniform in [0, 1).
 const std::string& PickService(const RouteRule& r, double draw);
