What is less urgent than a tier that is turned away waits

Change: tier_guard, a pure module: an entry that turns a tier away (more than 2% of its requests of late, smoothed over 30 of them) begins nothing less urgent at that service; what has begun goes on elsewhere all the same. It forgets within three seconds. `no_place` logs why a request found no place: how many upstreams are full, loaded, read enough, or would take it.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -93,6 +93,10 @@
   return reading_.try_emplace(service, options_.reading).first->second;
 }
 
+TierGuard& Gateway::GuardFor(const std::string& service) {
+  return guards_.try_emplace(service, options_.tiers).first->second;
+}
+
 std::string Gateway::LabelOf(const Request& r) {
   return r.route && !r.route->label.empty() ? r.route->label
                                             : absl::StrCat("tier-", r.tier);
@@ -240,8 +244,12 @@
 }
 
 bool Gateway::TrySend(Request& r) {
+  // What has begun elsewhere goes on, whoever waits.
+  if (r.sends == 0 && !GuardFor(r.service->name).Admits(r.tier, clock_.Now())) {
+    return false;
+  }
   if (r.shape == WorkShape::kPrefill &&
-      !GateFor(r.service->name).open(r.rank)) {
+      !GateFor(r.service->name).open(r.tier)) {
     return false;
   }
   int limit =
@@ -284,7 +292,7 @@
   TimePoint now = clock_.Now();
   UpstreamBoard& u = pool_.boards()[upstream];
   ++r.attempt;
-  ++r.sends;
+  if (++r.sends == 1) GuardFor(r.service->name).NotePlace(r.tier, now);
   r.upstream = u.info.id;
   r.tried.push_back(u.info.id);
   r.sent_at = r.progress_at = now;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -24,6 +24,7 @@
 #include "reading_gate.h"
 #include "retry_budget.h"
 #include "routing_config.h"
+#include "tier_guard.h"
 #include "upstream_link.h"
 #include "upstream_pool.h"
 #include "waiting.h"
@@ -36,6 +37,7 @@
   PlacementPolicy placement;
   WaitingPolicy waiting;
   ReadingGatePolicy reading;
+  TierGuardPolicy tiers;
   // Part of an upstream's connections that the entries use together; the rest
   // covers entries that are not known yet or any more.
   double connection_share = 0.8;
@@ -117,6 +119,9 @@
   void CountWaiting();
   Duration RetryAfter(const Request& r, ErrorKind kind);
   ReadingGate& GateFor(const std::string& service);
+  TierGuard& GuardFor(const std::string& service);
+  // Logs why `r`, which waited, has no place.
+  void LogNoPlace(const Request& r, TimePoint now);
   RetryBudget& BudgetFor(const std::string& service);
 
   const Clock& clock_;
@@ -129,7 +134,6 @@
   PartMemory parts_;
   WaitingRoom waiting_;
   int serving_;
-  // Requests that came before the first configuration, oldest first.
   // Requests that wait for a configuration, the first or a newer one.
   std::vector<uint64_t> early_;
   TimePoint in_step_at_{};
@@ -142,6 +146,7 @@
   std::map<std::string, DecodeDemand> demand_;
   std::map<std::string, int> decode_engines_;
   std::map<std::string, ReadingGate> reading_;  // By service.
+  std::map<std::string, TierGuard> guards_;     // By service.
   std::map<std::string, int> waiting_told_;     // To the metrics, by label.
   TimePoint ticked_at_{};
   uint64_t next_seq_ = 1;
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -20,6 +20,12 @@
 // Come-back time where another entry can serve at once.
 constexpr auto kRetryElsewhere = Millis(20);
 
+// Whether a request that ended so was turned away for want of a place.
+bool NoPlace(ErrorKind kind) {
+  return kind == ErrorKind::kTargetUnmeetable ||
+         kind == ErrorKind::kOverloaded || kind == ErrorKind::kShed;
+}
+
 absl::string_view Name(CallEnd e) {
   switch (e) {
     case CallEnd::kWhole:
@@ -123,6 +129,9 @@
     Finish(r, "cut", why);
     return;
   }
+  if (r.sends == 0 && r.service && NoPlace(kind)) {
+    GuardFor(r.service->name).NoteTurnedAway(r.tier, clock_.Now());
+  }
   metrics_.CountRefusal(a.code);
   Refusal refusal = dialect_.write_refusal(kind, why, RetryAfter(r, kind));
   r.exchange->Respond(a.http_status, refusal.headers, refusal.body);
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -7,6 +7,7 @@
 
 #include "gateway.h"
 #include "gateway_request.h"
+#include "log.h"
 
 namespace medlarwalk {
 namespace {
@@ -76,6 +77,27 @@
   AttemptFailed(r, CallEnd::kNoAnswer, "silent");
 }
 
+void Gateway::LogNoPlace(const Request& r, TimePoint now) {
+  NoPlaceCounts n =
+      CountNoPlace(pool_.boards(), AskFor(r), now, options_.placement);
+  Tier turned_away = -1;
+  GuardFor(r.service->name).TurningAway(now, &turned_away);
+  const ReadingGate& gate = GateFor(r.service->name);
+  LogEvent("no_place", {{"request", r.facts.id},
+                        {"tier", r.tier},
+                        {"rank", r.rank},
+                        {"sends", r.sends},
+                        {"tier_turned_away", turned_away},
+                        {"reading", gate.under_way()},
+                        {"reading_limit", static_cast<int>(gate.limit())},
+                        {"upstreams", n.upstreams},
+                        {"unusable", n.unusable},
+                        {"full", n.full},
+                        {"loaded", n.loaded},
+                        {"reads", n.reading},
+                        {"free", n.free}});
+}
+
 void Gateway::NoteDemand(TimePoint now) {
   double share = std::min(
       1.0, std::chrono::duration<double>(now - ticked_at_) / kDemandSmoothing);
@@ -127,6 +149,7 @@
     auto it = requests_.find(seq);
     if (it == requests_.end()) continue;
     Request& r = *it->second;
+    LogNoPlace(r, now);
     Fail(
         r,
         r.maybe_run ? ErrorKind::kOutcomeUnknown : ErrorKind::kTargetUnmeetable,
--- a/src/placement.cc
+++ b/src/placement.cc
@@ -60,16 +60,24 @@
   return n ? sum / n : 0;
 }
 
+double LoadShare(const UpstreamBoard& u, TimePoint now,
+                 const PlacementPolicy& policy) {
+  return EstimatedLoad(u, now, policy) / std::max(1, u.info.slots);
+}
+
+// Whether as many own prompts are being read at `u` as this process allows.
+bool ReadsEnough(const UpstreamBoard& u, const PlacementAsk& ask,
+                 const PlacementPolicy& policy) {
+  return !policy.blind && ask.shape == WorkShape::kPrefill &&
+         u.reading >= std::max(1, static_cast<int>(u.reading_limit));
+}
+
 Scored ScoreOf(const UpstreamBoard& u, size_t index, const PlacementAsk& ask,
                TimePoint now, double usual_share,
                const PlacementPolicy& policy) {
   Scored s{index, 0, false, false};
-  s.score = EstimatedLoad(u, now, policy) / std::max(1, u.info.slots);
-  s.busy = s.score >= ask.most_load;
-  if (!policy.blind && ask.shape == WorkShape::kPrefill &&
-      u.reading >= std::max(1, static_cast<int>(u.reading_limit))) {
-    s.busy = true;
-  }
+  s.score = LoadShare(u, now, policy);
+  s.busy = s.score >= ask.most_load || ReadsEnough(u, ask, policy);
   if (ask.shape != WorkShape::kPlain) {
     bool kept_for_decode = u.rank < ask.decode_engines;
     s.wrong_shape = ask.decode_engines > 0 &&
@@ -211,6 +219,28 @@
   return first->index;
 }
 
+NoPlaceCounts CountNoPlace(absl::Span<const UpstreamBoard> boards,
+                           const PlacementAsk& ask, TimePoint now,
+                           const PlacementPolicy& policy) {
+  NoPlaceCounts n;
+  for (const UpstreamBoard& u : boards) {
+    if (u.info.service != ask.service || !u.listed || u.info.leaving) continue;
+    ++n.upstreams;
+    if (u.full) {
+      ++n.full;
+    } else if (Contains(ask.avoid, u.info.id) || !Usable(u, now, policy)) {
+      ++n.unusable;
+    } else if (LoadShare(u, now, policy) >= ask.most_load) {
+      ++n.loaded;
+    } else if (ReadsEnough(u, ask, policy)) {
+      ++n.reading;
+    } else {
+      ++n.free;
+    }
+  }
+  return n;
+}
+
 std::optional<size_t> FirstHome(absl::Span<const UpstreamBoard> boards,
                                 absl::string_view service, uint64_t part,
                                 int decode_engines, absl::string_view except,
--- a/src/placement.h
+++ b/src/placement.h
@@ -227,6 +227,19 @@
                             const PlacementAsk& ask, TimePoint now, double draw,
                             const PlacementPolicy& policy);
 
+// Why upstreams of a service do not take a request now, each counted once.
+struct NoPlaceCounts {
+  int upstreams = 0;  // Listed and staying.
+  int unusable = 0;   // Tried, aside, quiet, ended or out of reach.
+  int full = 0;       // As many own requests or connections as allowed.
+  int loaded = 0;     // As busy as allowed, by estimate.
+  int reading = 0;    // As many own prompts being read as allowed.
+  int free = 0;       // Would take it, but are no home of its part.
+};
+NoPlaceCounts CountNoPlace(absl::Span<const UpstreamBoard> boards,
+                           const PlacementAsk& ask, TimePoint now,
+                           const PlacementPolicy& policy);
+
 // The engine of `service`, other than `except`, that a part would be kept at
 // first, or nullopt.
 std::optional<size_t> FirstHome(absl::Span<const UpstreamBoard> boards,
