Sight: logs tell what a request asks, and which upstreams ended under it

Lines of a request bear asks=, a hash of its path, account and body, the same at every process. crash_watch follows a cut call up: where no connection to that upstream is left it opens one, and a refusal (or another id at the address, or the list) shows the upstream's end: upstream_crashed how=, and a crashed_under line for each request it was cut at. A refused connection is now told apart from one that timed out (tcp). No request is treated otherwise than before; after a cut call one connection may be opened, which is kept for the next call.

Ruled out as evidence: the close alone (garbled answers and resets close single connections), the list alone (it lags by seconds).

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -39,6 +39,11 @@
       random_(random_seed),
       pool_(clock,
             options_.open_link ? options_.open_link : Http1Links(loop, clock)),
+      crashes_(pool_,
+               [this](const std::string& upstream,
+                      const std::vector<RequestPrint>& cut) {
+                 UpstreamCrashed(upstream, cut);
+               }),
       parts_(kPartTrust, kMostParts),
       waiting_(options_.waiting),
       serving_(kAssumedServing) {}
@@ -66,6 +71,7 @@
 
 void Gateway::SetUpstreams(absl::Span<const UpstreamInfo> upstreams) {
   for (const std::string& id : pool_.Update(upstreams)) parts_.Forget(id);
+  crashes_.NoteList();
   ServeWaiting();
 }
 
@@ -174,6 +180,7 @@
     r.account = a->name;
     account_tier = a->tier.value_or(r.tier);
   }
+  r.asks = PrintOf(r.exchange->head.target, r.account, r.exchange->body);
   r.rank = RankOf(r.tier, account_tier);
   std::uniform_real_distribution<double> draw(0, 1);
   r.service = &config_->services.at(PickService(*r.route, draw(random_)));
@@ -317,6 +324,7 @@
   if (r.service->engine) f.copy_from = CopySource(r, u, now);
   LogEvent("sent",
            {{"request", r.facts.id},
+            {"asks", PrintName(r.asks)},
             {"upstream", u.info.id},
             {"attempt", r.sends + static_cast<int>(r.connect_failures)},
             {"load", u.reported},
@@ -398,6 +406,7 @@
   LogEvent(
       "request_ended",
       {{"request", r.facts.id},
+       {"asks", PrintName(r.asks)},
        {"outcome", outcome},
        {"why", why},
        {"route", r.route ? r.route->name : ""},
@@ -421,6 +430,14 @@
   requests_.erase(r.seq);
 }
 
+void Gateway::UpstreamCrashed(const std::string& upstream,
+                              const std::vector<RequestPrint>& cut) {
+  for (RequestPrint asks : cut) {
+    LogEvent("crashed_under",
+             {{"upstream", upstream}, {"asks", PrintName(asks)}});
+  }
+}
+
 void Gateway::CallerLeft(uint64_t seq) {
   auto it = requests_.find(seq);
   if (it == requests_.end()) return;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "caller_server.h"
+#include "crash_watch.h"
 #include "dialect.h"
 #include "errors.h"
 #include "event_stream.h"
@@ -105,12 +106,16 @@
   // The attempt failed; moves the request on or gives it up.
   void AttemptFailed(Request& r, CallEnd end, absl::string_view why);
   bool MayMove(Request& r, CallEnd end);
+  void NoteEndOf(const Request& r, CallEnd end);
   void DropAttempt(Request& r);
   void ReleaseUpstream(Request& r);
   HeaderList HeadersOf(const MessageHead& answer) const;
   void Fail(Request& r, ErrorKind kind, absl::string_view why);
   void Finish(Request& r, absl::string_view outcome, absl::string_view why);
   void CallerLeft(uint64_t seq);
+  // `upstream` has ended while it had `cut`.
+  void UpstreamCrashed(const std::string& upstream,
+                       const std::vector<RequestPrint>& cut);
   void CheckStall(Request& r, TimePoint now);
   void ServeWaiting();
   static std::string LabelOf(const Request& r);
@@ -131,6 +136,7 @@
   std::mt19937_64 random_;
   std::shared_ptr<const RoutingConfig> config_;
   UpstreamPool pool_;
+  CrashWatch crashes_;
   PartMemory parts_;
   WaitingRoom waiting_;
   int serving_;
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -63,6 +63,18 @@
   return true;
 }
 
+// What the end of an attempt says of its upstream's own end.
+void Gateway::NoteEndOf(const Request& r, CallEnd end) {
+  bool answered = r.have_head && end == CallEnd::kWhole;
+  if (answered && r.answer_facts.other_upstream) {
+    crashes_.NoteEnded(r.upstream, "replaced");
+  } else if (end == CallEnd::kNotSent) {
+    if (r.connection->refused()) crashes_.NoteEnded(r.upstream, "refused");
+  } else if (!answered && !r.connection->open()) {
+    crashes_.NoteCut(r.upstream, r.asks, clock_.Now());
+  }
+}
+
 void Gateway::AttemptFailed(Request& r, CallEnd end, absl::string_view why) {
   TimePoint now = clock_.Now();
   bool not_run = r.have_head && r.answer_facts.not_run;
@@ -74,9 +86,11 @@
       LogEvent("upstream_ended", {{"upstream", u->info.id}});
     }
   }
+  NoteEndOf(r, end);
   if (end != CallEnd::kNotSent && !not_run) r.maybe_run = true;
   LogEvent("attempt_failed",
            {{"request", r.facts.id},
+            {"asks", PrintName(r.asks)},
             {"upstream", r.upstream},
             {"attempt", r.sends + static_cast<int>(r.connect_failures)},
             {"end", Name(end)},
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -30,6 +30,7 @@
   const RouteRule* route = nullptr;
   const ServiceRule* service = nullptr;
   std::string account;
+  RequestPrint asks = 0;
   Tier tier = 0;
   Tier rank = 0;  // The tier, and within it the account's.
   uint64_t affinity = 0;
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -131,6 +131,7 @@
   TimePoint now = clock_.Now();
   NoteDemand(now);
   parts_.Tick(now);
+  crashes_.Tick(now);
   std::vector<uint64_t> due;
   for (auto it = give_up_.begin(); it != give_up_.end() && it->first <= now;
        ++it) {
--- a/src/http1_client.cc
+++ b/src/http1_client.cc
@@ -91,7 +91,7 @@
   message_end_ = false;
   parser_.Reset();
   if (head_method_) parser_.ExpectNoBody();
-  if (connected()) OnConnected();
+  if (established()) OnConnected();
 }
 
 void Http1Client::OnConnected() {
--- a/src/http1_client.h
+++ b/src/http1_client.h
@@ -38,7 +38,10 @@
   void Close() override;
   bool idle() const override { return !busy_; }
   bool open() const override { return tcp_ && tcp_->open(); }
-  bool connected() const { return tcp_ && tcp_->connected(); }
+  bool established() const override {
+    return tcp_ && tcp_->open() && tcp_->connected();
+  }
+  bool refused() const override { return tcp_ && tcp_->refused(); }
   bool sent() const override { return sent_; }
   void PauseRead(bool paused) override;
   TimePoint idle_since() const override { return idle_since_; }
--- /dev/null
+++ b/src/request_print.h
@@ -0,0 +1,31 @@
+// What a request asks, as one number. A caller that sends a request again gives
+// it a new id; this stays the same, at every process and in every run.
+#ifndef MEDLARWALK_REQUEST_PRINT_H_
+#define MEDLARWALK_REQUEST_PRINT_H_
+
+#include <cstdint>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/string_view.h"
+#include "types.h"
+
+namespace medlarwalk {
+
+using RequestPrint = uint64_t;
+
+// The print of a request for `target` (path and query) with `body` by client
+// account `account` ("" where there is none). Thread safe.
+inline RequestPrint PrintOf(absl::string_view target, absl::string_view account,
+                            absl::string_view body) {
+  return StableHash(body, StableHash(account, StableHash(target)));
+}
+
+// As it stands in logs.
+inline std::string PrintName(RequestPrint p) {
+  return absl::StrCat(absl::Hex(p, absl::kZeroPad16));
+}
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_REQUEST_PRINT_H_
--- a/src/tcp.cc
+++ b/src/tcp.cc
@@ -82,10 +82,11 @@
   if (fd >= 0) PrepareConnection(fd);
   auto c = std::make_shared<TcpConnection>(loop, fd, true);
   sockaddr_in addr;
-  bool ok =
-      fd >= 0 && ToSockaddr(to, &addr) &&
-      (connect(fd, reinterpret_cast<sockaddr*>(&addr), sizeof(addr)) == 0 ||
-       errno == EINPROGRESS);
+  bool named = fd >= 0 && ToSockaddr(to, &addr);
+  bool ok = named && (connect(fd, reinterpret_cast<sockaddr*>(&addr),
+                              sizeof(addr)) == 0 ||
+                      errno == EINPROGRESS);
+  c->refused_ = named && !ok && errno == ECONNREFUSED;
   // An immediate failure is told through the timer, so that the caller has
   // set its events by then.
   ev_timer_set(&c->timer_, ok ? ToSeconds(timeout) : 0., 0.);
@@ -198,6 +199,7 @@
     socklen_t len = sizeof(err);
     getsockopt(fd_, SOL_SOCKET, SO_ERROR, &err, &len);
     if (err != 0) {
+      refused_ = err == ECONNREFUSED;
       Fail(absl::UnavailableError(std::strerror(err)));
       return;
     }
--- a/src/tcp.h
+++ b/src/tcp.h
@@ -78,6 +78,8 @@
   void PauseRead(bool paused);
   bool open() const { return fd_ >= 0; }
   bool connected() const { return connected_; }
+  // The host is there and nobody listens at the port.
+  bool refused() const { return refused_; }
   // Whether bytes have come that were not read yet.
   bool HasUnread() const;
   size_t unsent() const { return out_.size() - sent_; }
@@ -95,6 +97,7 @@
   bool connected_;
   bool closing_ = false;
   bool paused_ = false;
+  bool refused_ = false;
   int io_events_ = 0;
   ev_io io_{};
   ev_timer timer_{};
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -58,6 +58,10 @@
   virtual bool idle() const = 0;
   // Can carry another call.
   virtual bool open() const = 0;
+  // The way to the upstream is there, as far as this end knows.
+  virtual bool established() const { return open(); }
+  // The upstream's host is there and nobody listens at its address.
+  virtual bool refused() const { return false; }
   // Whether any byte of the current call was handed on.
   virtual bool sent() const = 0;
   // Stops or resumes reading the answer (a slow caller).
--- a/src/upstream_pool.cc
+++ b/src/upstream_pool.cc
@@ -110,6 +110,16 @@
   }
 }
 
+std::shared_ptr<UpstreamLink> UpstreamPool::Reconnect(
+    const UpstreamBoard& u, Duration connect_timeout) {
+  Connections& c = connections_[u.info.id];
+  for (const auto& k : c.idle) {
+    if (k->established()) return k;
+  }
+  c.idle.push_back(open_(u.info, connect_timeout));
+  return c.idle.back();
+}
+
 void UpstreamPool::Tick() {
   TimePoint now = clock_.Now();
   for (auto& [id, c] : connections_) {
--- a/src/upstream_pool.h
+++ b/src/upstream_pool.h
@@ -41,6 +41,11 @@
   void Give(const std::string& upstream_id,
             const std::shared_ptr<UpstreamLink>& c);
 
+  // A connection to `u` that is not in use: a kept one, or one that is being
+  // opened and kept from now on, and shows whether `u` still listens.
+  std::shared_ptr<UpstreamLink> Reconnect(const UpstreamBoard& u,
+                                          Duration connect_timeout);
+
   // Closes connections idle for too long and forgets upstreams that are gone.
   void Tick();
 
