A request that crashes upstreams is sent nowhere, by any entry

Callers saw: engines ended one after the other, 12 to 19 in a spell, and with each all that ran there; long prompts refused or late (5 of 24 in time in one second), while one request, sent again by its caller under a new id, went on to the next engine as any other.

Cause: nothing that a process knew of a request outlived its answer, and nothing was known of it elsewhere. Class: evidence against a request is kept where it was seen, for as long as the attempt lasts. Our own moves to another engine (hypothesis B) add to it where they are allowed, but the requests of the incident may be sent once only; engines ending by themselves (C) is ruled out by crashed_under lines, which bear the same asks= each time.

Change: quarantine.h joins what processes saw: which upstreams ended while they had a request, and whether it was served since. Entries report to the control process they follow, at once; it reports to the leader; requests beside more than one crash are told down to all with the watch, and kept on disk, so that a process that has just started, or all of them, know before they serve. A request is refused (503, not run, Retry-After) at three crashes in a row that no other request accounts for; a tie is decided by the next crash, at five in any case; crashes at the same moment are one; being served clears. Who waits or has not begun to answer when the verdict falls is answered at once.

Weighed: counting alone (refuses who stood beside three times; its test fails with it); refusing by body or size; running suspects alone on an engine (takes an engine away for each innocent one); through the replicated log (a commit for each crash, and none without a majority; joined records need no order).

It cannot move the log's disk path: what both need is in disk_file.h now.

--- a/fuzz/wire.cc
+++ b/fuzz/wire.cc
@@ -9,6 +9,8 @@
 namespace medlarwalk {
 namespace {
 
+constexpr TimePoint kFuzzTime{std::chrono::hours(1000)};
+
 template <typename Decode, typename Encode>
 void RoundTrip(absl::string_view bytes, Decode decode, Encode encode) {
   auto first = decode(bytes);
@@ -29,7 +31,7 @@
   using namespace medlarwalk;
   if (size < 1) return 0;
   absl::string_view bytes = fuzzing::Text(data + 1, size - 1);
-  switch (data[0] % 4) {
+  switch (data[0] % 5) {
     case 0:
       RoundTrip(bytes, DecodeHello, EncodeHello);
       break;
@@ -40,6 +42,14 @@
       RoundTrip(bytes, DecodeWatchReply,
                 [](const WatchReply& r) { return EncodeWatchReply(r).Rest(); });
       break;
+    case 3:
+      RoundTrip(
+          bytes,
+          [](absl::string_view b) { return DecodeCrashRecords(b, kFuzzTime); },
+          [](const std::vector<CrashRecord>& r) {
+            return EncodeCrashRecords(r, kFuzzTime);
+          });
+      break;
     default:
       RoundTrip(bytes, DecodeMessage, EncodeMessage);
   }
--- a/src/control.cc
+++ b/src/control.cc
@@ -8,6 +8,7 @@
 #include "heap_use.h"
 #include "log.h"
 #include "packed.h"
+#include "quarantine_store.h"
 #include "random_seed.h"
 #include "replica_codec.h"
 
@@ -27,6 +28,8 @@
 // 100 Mbit/s, shared with the other members that pass changes on.
 constexpr size_t kMostForwarded = size_t{1} << 20;
 constexpr auto kStoreRetry = std::chrono::seconds(1);
+// Between two savings of the quarantine: crashes come in clusters.
+constexpr auto kSaveInterval = Millis(200);
 // Changes of the list that are kept, in upstreams: what a fleet of hundreds
 // sees in a minute of replacements. Who was away for longer is told it whole.
 constexpr size_t kListChanges = 256;
@@ -64,6 +67,7 @@
                   Forward(std::move(document), std::move(done));
                 }),
       lister_(loop, clock, options_.list),
+      reports_(quarantine_),
       leader_watch_(
           loop, clock,
           [&] {
@@ -71,6 +75,7 @@
             o.name = options_.name;
             o.data_centre = options_.data_centre;
             o.address = options_.peer.ToString();
+            o.reports = &reports_;
             return o;
           }(),
           {},
@@ -120,6 +125,7 @@
     LogWarn("store_failed", {{"op", "load"}, {"error", st.status().message()}});
     return false;
   }
+  quarantine_known_ = st.ok() || options_.bootstrap;
   if (!st.ok()) {
     StoredState fresh;
     std::string own = options_.peer.ToString();
@@ -142,6 +148,9 @@
     }
     st = std::move(fresh);
   }
+  TimePoint now = clock_.Now();
+  quarantine_.TakeReported(LoadCrashRecords(options_.data_dir, now));
+  saved_quarantine_ = quarantine_.version();
   LogEvent("store_opened", {{"id", st->self.id},
                             {"term", st->term},
                             {"snapshot", st->snapshot.index},
@@ -332,6 +341,7 @@
     Duration age = replica_->StepAge();
     if (age != Duration::max()) s.step_age_s = ToSeconds(age);
   }
+  s.quarantined = quarantine_.refused();
   if (list_read_at_ != TimePoint{})
     s.list_age_s = ToSeconds(now - list_read_at_);
   metrics_.Set(s);
@@ -378,6 +388,9 @@
                                                : std::next(it);
   }
   leader_watch_.state().watchers = DirectServing();
+  quarantine_.Tick(now);
+  SaveQuarantine(now);
+  if (reports_.waiting()) leader_watch_.AskAgain();
   ConfirmForNew();
   AnswerWatchers();
   PollList(now);
@@ -385,6 +398,22 @@
   NoteMemory(now);
 }
 
+// Keeps the quarantine for when every process has ended.
+void Control::SaveQuarantine(TimePoint now) {
+  if (!replica_ || quarantine_.version() == saved_quarantine_ ||
+      now - save_tried_at_ < kSaveInterval) {
+    return;
+  }
+  save_tried_at_ = now;
+  absl::Status s = SaveCrashRecords(options_.data_dir, quarantine_.Shared(),
+                                    now, options_.before_disk_write);
+  if (s.ok()) {
+    saved_quarantine_ = quarantine_.version();
+  } else {
+    LogWarn("store_failed", {{"op", "quarantine"}, {"error", s.message()}});
+  }
+}
+
 // Calls that waited for a leader.
 void Control::ServeWaiting(TimePoint now) {
   std::vector<Waiting> due = std::move(waiting_);
--- a/src/control.h
+++ b/src/control.h
@@ -21,6 +21,7 @@
 #include "link_pool.h"
 #include "lister.h"
 #include "metrics.h"
+#include "quarantine.h"
 #include "replica.h"
 #include "replica_store.h"
 #include "watch_client.h"
@@ -77,7 +78,8 @@
   static constexpr auto kLeaderWait = Millis(850);
 
   struct Watcher {
-    WatchRequest request;
+    WatchRequest request;  // Without what it reported.
+    bool reported = false;
     std::shared_ptr<H2Stream> stream;
     TimePoint since{};
     TimePoint until{};
@@ -123,6 +125,8 @@
   std::vector<ControlPlace> Places() const;
   std::string DataCentreOf(const std::string& address) const;
   void OnLeaderReply(const WatchReply& r, bool in_step);
+  void TakeCrashes(absl::string_view encoded, bool from_leader);
+  void SaveQuarantine(TimePoint now);
   void TakeListFrom(const WatchReply& r);
   bool MayTell(const Watcher& w) const;
   void AnswerWatchers();
@@ -149,6 +153,12 @@
   LinkPool links_;
   NewestGate forwards_;  // Changes passed on to the leader.
   Lister lister_;
+  Quarantine quarantine_;
+  CrashReports reports_;
+  // What is held may lack what was known before this process started anew.
+  bool quarantine_known_ = false;
+  int64_t saved_quarantine_ = 0;
+  TimePoint save_tried_at_{};
   WatchClient leader_watch_;
   ListHistory list_;
   TimePoint list_read_at_{};
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -54,6 +54,7 @@
 }
 
 void Control::OnLeaderReply(const WatchReply& r, bool in_step) {
+  if (r.quarantine) TakeCrashes(*r.quarantine, true);
   if (!in_step || IsLeader()) return;
   serving_from_leader_ = r.serving;
   told_leader_ = r.leader;
@@ -66,9 +67,23 @@
     list_read_at_ = clock_.Now() - Millis(r.list_age_ms);
     list_interval_ = Millis(r.list_interval_ms);
   }
+  quarantine_known_ = true;
   if (r.list) TakeListFrom(r);
 }
 
+// Joins what a follower reports or the leader tells.
+void Control::TakeCrashes(absl::string_view encoded, bool from_leader) {
+  absl::StatusOr<std::vector<CrashRecord>> r =
+      DecodeCrashRecords(encoded, clock_.Now());
+  if (!r.ok()) {
+    LogWarn("bad_crash_records", {{"error", r.status().message()}});
+  } else if (from_leader) {
+    quarantine_.TakeTold(*r);
+  } else {
+    quarantine_.TakeReported(*r);
+  }
+}
+
 void Control::TakeListFrom(const WatchReply& r) {
   absl::StatusOr<ListChange> c = DecodeListChange(*r.list);
   bool fits = c.ok() && list_.Apply(*c);
@@ -100,6 +115,11 @@
   if (list_read_at_ != TimePoint{}) w.list_age_ms = ToMs(now - list_read_at_);
   w.list_interval_ms = ToMs(list_interval_);
   w.serving = TotalServing();
+  w.quarantine_version = quarantine_.version();
+  if (w.quarantine_version != r.quarantine_version) {
+    w.quarantine = std::make_shared<const std::string>(
+        EncodeCrashRecords(quarantine_.Shared(), now));
+  }
   return w;
 }
 
@@ -118,8 +138,11 @@
   f.serves_callers = r->serves_callers;
   f.watchers = r->watchers;
   TimePoint now = clock_.Now();
-  watchers_.push_back(
-      Watcher{*std::move(r), std::move(stream), now, now + kWatchHold});
+  bool reported = !r->crashes.empty();
+  if (reported) TakeCrashes(r->crashes, false);
+  r->crashes.clear();
+  watchers_.push_back(Watcher{*std::move(r), reported, std::move(stream), now,
+                              now + kWatchHold});
   ConfirmForNew();
   AnswerWatchers();
 }
@@ -130,7 +153,7 @@
 // it asked.
 bool Control::MayTell(const Watcher& w) const {
   if (w.request.config_version > 0) return true;
-  return confirmed_from_ >= w.since && replica_ &&
+  return quarantine_known_ && confirmed_from_ >= w.since && replica_ &&
          replica_->config_version() >= confirmed_version_;
 }
 
@@ -148,8 +171,11 @@
     bool fresh =
         told &&
         ((replica_ && replica_->config_version() > w.request.config_version) ||
-         (list_.version() && list_.version() != w.request.list_version));
-    if (!fresh && !lost && now < w.until) {
+         (list_.version() && list_.version() != w.request.list_version) ||
+         quarantine_.version() != w.request.quarantine_version);
+    // Whoever reports waits to hear that it has arrived.
+    bool heard = told && w.reported;
+    if (!fresh && !heard && !lost && now < w.until) {
       keep.push_back(std::move(w));
       continue;
     }
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -13,6 +13,9 @@
 
 namespace {
 
+// Ages beyond it are as good as this one.
+constexpr Millis kOldestCrash = std::chrono::hours(24);
+
 json ToJson(const UpstreamInfo& u) {
   return {u.id,          u.service, u.address.ip, u.address.port,
           u.data_centre, u.leaving, u.slots,      u.born};
@@ -64,6 +67,11 @@
   return out;
 }
 
+Millis AgeFrom(const json& j) {
+  return Millis(
+      std::clamp<int64_t>(WholeNumber<int64_t>(j), 0, kOldestCrash.count()));
+}
+
 // Decodes CBOR and runs `f` on it, turning a malformed value into an error.
 template <typename T, typename F>
 absl::StatusOr<T> Decode(absl::string_view bytes, F f) {
@@ -95,6 +103,45 @@
       bytes, [](const json& j) { return j.get<std::vector<std::string>>(); });
 }
 
+json CrashRecordsToJson(absl::Span<const CrashRecord> records, TimePoint now) {
+  json out = json::array();
+  for (const CrashRecord& r : records) {
+    json crashes = json::array();
+    for (const Crash& c : r.crashes) {
+      crashes.push_back(
+          {c.upstream, ToMs(now - c.sent_at), ToMs(now - c.at), c.cleared});
+    }
+    out.push_back({r.asks, std::move(crashes)});
+  }
+  return out;
+}
+
+std::vector<CrashRecord> CrashRecordsFromJson(const json& j, TimePoint now) {
+  std::vector<CrashRecord> out;
+  for (const json& item : j) {
+    CrashRecord r;
+    r.asks = WholeNumber<uint64_t>(item.at(0));
+    for (const json& c : item.at(1)) {
+      r.crashes.push_back(Crash{WholeNumber<uint64_t>(c.at(0)),
+                                now - AgeFrom(c.at(1)), now - AgeFrom(c.at(2)),
+                                c.at(3).get<bool>()});
+    }
+    out.push_back(std::move(r));
+  }
+  return out;
+}
+
+std::string EncodeCrashRecords(absl::Span<const CrashRecord> records,
+                               TimePoint now) {
+  return ToCbor(CrashRecordsToJson(records, now));
+}
+
+absl::StatusOr<std::vector<CrashRecord>> DecodeCrashRecords(
+    absl::string_view bytes, TimePoint now) {
+  return Decode<std::vector<CrashRecord>>(
+      bytes, [now](const json& j) { return CrashRecordsFromJson(j, now); });
+}
+
 std::string EncodeWatchRequest(const WatchRequest& r) {
   return ToCbor({{"n", r.name},
                  {"z", r.data_centre},
@@ -103,7 +150,10 @@
                  {"w", r.watchers},
                  {"c", r.config_version},
                  {"l", r.list_version},
-                 {"k", r.places_version}});
+                 {"k", r.places_version},
+                 {"q", r.quarantine_version},
+                 {"x", json::binary(std::vector<uint8_t>(r.crashes.begin(),
+                                                         r.crashes.end()))}});
 }
 
 absl::StatusOr<WatchRequest> DecodeWatchRequest(absl::string_view bytes) {
@@ -117,6 +167,8 @@
     r.config_version = WholeNumber<int64_t>(j.at("c"));
     r.list_version = WholeNumber<int64_t>(j.at("l"));
     r.places_version = WholeNumber<int64_t>(j.at("k"));
+    r.quarantine_version = WholeNumber<int64_t>(j, "q", 0);
+    if (Document d = DocumentAt(j, "x")) r.crashes = *d;
     return r;
   });
 }
@@ -125,14 +177,16 @@
   json j = {{"a", r.age_ms},      {"c", r.config_version},
             {"g", r.list_age_ms}, {"i", r.list_interval_ms},
             {"s", r.serving},     {"m", ToJson(r.control)},
-            {"h", r.leader}};
+            {"h", r.leader},      {"q", r.quarantine_version}};
   std::string head = ToCbor(j);
   // The documents are the map's last pairs, so that their bytes may be
   // anyone's. A map's first byte counts its pairs: fewer than 23.
-  head[0] = static_cast<char>(head[0] + (r.config ? 1 : 0) + (r.list ? 1 : 0));
+  head[0] = static_cast<char>(head[0] + (r.config ? 1 : 0) + (r.list ? 1 : 0) +
+                              (r.quarantine ? 1 : 0));
   Payload out(std::move(head));
   for (const auto& [name, document] :
-       {std::make_pair("d", r.config), std::make_pair("l", r.list)}) {
+       {std::make_pair("d", r.config), std::make_pair("l", r.list),
+        std::make_pair("x", r.quarantine)}) {
     if (!document) continue;
     out.Append(absl::StrCat(ToCbor(name), BytesHeader(document->size())));
     out.Append(document);
@@ -152,6 +206,8 @@
     r.leader = j.at("h").get<std::string>();
     r.config = DocumentAt(j, "d");
     r.list = DocumentAt(j, "l");
+    r.quarantine_version = WholeNumber<int64_t>(j, "q", 0);
+    r.quarantine = DocumentAt(j, "x");
     return r;
   });
 }
--- a/src/control_wire.h
+++ b/src/control_wire.h
@@ -10,7 +10,9 @@
 
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
+#include "nlohmann/json.hpp"
 #include "payload.h"
+#include "quarantine.h"
 #include "upstream_list.h"
 
 namespace medlarwalk {
@@ -34,6 +36,9 @@
   int64_t config_version = 0;
   int64_t list_version = 0;
   int64_t places_version = 0;  // Of the control processes it knows.
+  int64_t quarantine_version = 0;
+  // What it reports: an array of crash records, encoded; "" for none.
+  std::string crashes;
 };
 
 // A control process, and where it is; "" where that is not known.
@@ -52,6 +57,9 @@
   int64_t config_version = 0;
   Document config;  // When newer than asked for, else null.
   Document list;    // A ListChange when another than asked for, else null.
+  int64_t quarantine_version = 0;
+  // Crash records, encoded, when others than asked for, else null.
+  Document quarantine;
   // How long ago the list was read, in ms; negative when never. And the time
   // from one reading to the next.
   int64_t list_age_ms = -1;
@@ -66,6 +74,17 @@
 // that keep no state: after a start they know of nobody else.
 std::string EncodeHello(const std::vector<std::string>& control);
 absl::StatusOr<std::vector<std::string>> DecodeHello(absl::string_view bytes);
+// How long ago each crash was goes with the records: clocks differ.
+nlohmann::json CrashRecordsToJson(absl::Span<const CrashRecord> records,
+                                  TimePoint now);
+// Throws nlohmann::json::exception on a malformed value.
+std::vector<CrashRecord> CrashRecordsFromJson(const nlohmann::json& j,
+                                              TimePoint now);
+std::string EncodeCrashRecords(absl::Span<const CrashRecord> records,
+                               TimePoint now);
+// Errors: InvalidArgument.
+absl::StatusOr<std::vector<CrashRecord>> DecodeCrashRecords(
+    absl::string_view bytes, TimePoint now);
 std::string EncodeWatchRequest(const WatchRequest& r);
 absl::StatusOr<WatchRequest> DecodeWatchRequest(absl::string_view bytes);
 // Documents are not copied: all askers' replies share them.
--- a/src/crash_watch.cc
+++ b/src/crash_watch.cc
@@ -15,14 +15,11 @@
 
 }  // namespace
 
-void CrashWatch::NoteCut(const std::string& upstream, RequestPrint asks,
-                         TimePoint now) {
+void CrashWatch::NoteCut(const std::string& upstream, const Cut& cut) {
   const UpstreamBoard* u = pool_.Find(upstream);
   // What leaves may end with work under way, and by no fault of that.
   if (!u || u->info.leaving) return;
-  Doubtful& d = doubtful_[upstream];
-  if (d.cut.empty()) d.since = now;
-  d.cut.push_back(asks);
+  doubtful_[upstream].cut.push_back(cut);
 }
 
 void CrashWatch::NoteEnded(const std::string& upstream, absl::string_view how) {
@@ -32,7 +29,7 @@
   doubtful_.erase(it);
   LogEvent("upstream_crashed",
            {{"upstream", upstream}, {"how", how}, {"cut", d.cut.size()}});
-  on_crash_(upstream, d.cut);
+  on_crash_(upstream, how, d.cut);
 }
 
 void CrashWatch::NoteList() {
@@ -57,8 +54,8 @@
     d.settled = true;
     if (d.check && d.check->refused()) refused.push_back(it->first);
     bool alive = d.check && d.check->established();
-    it = alive || now - d.since > kDoubtFor ? doubtful_.erase(it)
-                                            : std::next(it);
+    it = alive || now - d.cut.front().at > kDoubtFor ? doubtful_.erase(it)
+                                                     : std::next(it);
   }
   for (const std::string& upstream : refused) NoteEnded(upstream, "refused");
 }
--- a/src/crash_watch.h
+++ b/src/crash_watch.h
@@ -20,15 +20,23 @@
 // Thread safety: loop thread only.
 class CrashWatch {
  public:
-  // `upstream` has ended while it had `cut`. Called from the functions below.
-  using OnCrash = std::function<void(const std::string& upstream,
-                                     const std::vector<RequestPrint>& cut)>;
+  // A call that its upstream did not end.
+  struct Cut {
+    RequestPrint asks = 0;
+    TimePoint sent_at{};
+    TimePoint at{};
+  };
+  // `upstream` has ended, and with it the calls `cut`, as `how` showed. Called
+  // from the functions below.
+  using OnCrash =
+      std::function<void(const std::string& upstream, absl::string_view how,
+                         const std::vector<Cut>& cut)>;
   // Precondition: `pool` outlives this.
   CrashWatch(UpstreamPool& pool, OnCrash on_crash)
       : pool_(pool), on_crash_(std::move(on_crash)) {}
 
-  // The connection to `upstream` has ended while it had `asks`.
-  void NoteCut(const std::string& upstream, RequestPrint asks, TimePoint now);
+  // The connection to `upstream` has ended, and with it a call.
+  void NoteCut(const std::string& upstream, const Cut& cut);
   // `upstream` has ended, as `how` showed it.
   void NoteEnded(const std::string& upstream, absl::string_view how);
   // A new reading of the list is in the pool.
@@ -39,8 +47,7 @@
 
  private:
   struct Doubtful {
-    std::vector<RequestPrint> cut;
-    TimePoint since{};
+    std::vector<Cut> cut;
     bool settled = false;                 // Seen at a turn before.
     std::shared_ptr<UpstreamLink> check;  // Opened anew.
   };
--- a/src/errors.cc
+++ b/src/errors.cc
@@ -33,6 +33,7 @@
     {401, "unknown_key", false, true},
     {504, "timed_out", false, false},
     {503, "not_run_in_time", true, true},
+    {503, "quarantined", true, true},
     {500, "internal", false, false},
 }};
 
--- a/src/errors.h
+++ b/src/errors.h
@@ -34,6 +34,7 @@
   kUnknownKey,        // The caller's key is not, or no longer, held.
   kTimedOut,          // Its time is over; it may have run.
   kNotRunInTime,      // Its time is over; no upstream ever received it.
+  kQuarantined,       // It has crashed upstreams that ran it.
   kInternal,          // A fault of ours.
 };
 
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -40,9 +40,9 @@
       pool_(clock,
             options_.open_link ? options_.open_link : Http1Links(loop, clock)),
       crashes_(pool_,
-               [this](const std::string& upstream,
-                      const std::vector<RequestPrint>& cut) {
-                 UpstreamCrashed(upstream, cut);
+               [this](const std::string& upstream, absl::string_view how,
+                      const std::vector<CrashWatch::Cut>& cut) {
+                 UpstreamCrashed(upstream, how, cut);
                }),
       parts_(kPartTrust, kMostParts),
       waiting_(options_.waiting),
@@ -196,6 +196,9 @@
                          : r.facts.most_output_tokens;
     r.shape = ShapeOf(r.facts.prompt_tokens, output, options_.placement);
   }
+  if (quarantine_.Refuses(r.asks)) {
+    return MakeError(ErrorKind::kQuarantined, "crashes upstreams");
+  }
   if (draining_ && r.shape == WorkShape::kDecode) {
     return MakeError(ErrorKind::kDraining, "stopping");
   }
@@ -430,14 +433,6 @@
   requests_.erase(r.seq);
 }
 
-void Gateway::UpstreamCrashed(const std::string& upstream,
-                              const std::vector<RequestPrint>& cut) {
-  for (RequestPrint asks : cut) {
-    LogEvent("crashed_under",
-             {{"upstream", upstream}, {"asks", PrintName(asks)}});
-  }
-}
-
 void Gateway::CallerLeft(uint64_t seq) {
   auto it = requests_.find(seq);
   if (it == requests_.end()) return;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -22,6 +22,7 @@
 #include "metrics.h"
 #include "part_memory.h"
 #include "placement.h"
+#include "quarantine.h"
 #include "reading_gate.h"
 #include "retry_budget.h"
 #include "routing_config.h"
@@ -68,6 +69,8 @@
   void SetUpstreams(absl::Span<const UpstreamInfo> upstreams);
   // How many entry processes share upstreams and allowances.
   void SetServing(int serving);
+  // The requests that are sent nowhere, as far as this process knows.
+  Quarantine& quarantine() { return quarantine_; }
   // What is known of an upstream from elsewhere than its answers.
   void NoteLoad(const std::string& upstream, int running, int waiting);
   void SetReachable(const std::string& upstream, bool reachable);
@@ -113,9 +116,10 @@
   void Fail(Request& r, ErrorKind kind, absl::string_view why);
   void Finish(Request& r, absl::string_view outcome, absl::string_view why);
   void CallerLeft(uint64_t seq);
-  // `upstream` has ended while it had `cut`.
-  void UpstreamCrashed(const std::string& upstream,
-                       const std::vector<RequestPrint>& cut);
+  void UpstreamCrashed(const std::string& upstream, absl::string_view how,
+                       const std::vector<CrashWatch::Cut>& cut);
+  // Ends what was found meanwhile to crash upstreams.
+  void EndQuarantined();
   void CheckStall(Request& r, TimePoint now);
   void ServeWaiting();
   static std::string LabelOf(const Request& r);
@@ -137,6 +141,8 @@
   std::shared_ptr<const RoutingConfig> config_;
   UpstreamPool pool_;
   CrashWatch crashes_;
+  Quarantine quarantine_;
+  uint64_t verdicts_seen_ = 0;
   PartMemory parts_;
   WaitingRoom waiting_;
   int serving_;
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -153,6 +153,7 @@
     return;
   }
   if (u) NoteSuccess(*u, now);
+  if (success) quarantine_.NoteServed(r.asks);
   served_at_[r.service->name] = now;
   ReleaseUpstream(r);
   if (r.stream_started && !r.relaying) {
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -45,6 +45,8 @@
 bool Gateway::MayMove(Request& r, CallEnd end) {
   TimePoint now = clock_.Now();
   if (r.exchange->gone() || r.give_up_at - now < kLeastTime) return false;
+  // Whatever it is sent to ends as well.
+  if (quarantine_.Refuses(r.asks)) return false;
   // Waiting for a place helps only where an upstream is left to try.
   bool anyone_left = AnyLeft(pool_.boards(), AskFor(r));
   if (end == CallEnd::kNotSent) {
@@ -71,10 +73,44 @@
   } else if (end == CallEnd::kNotSent) {
     if (r.connection->refused()) crashes_.NoteEnded(r.upstream, "refused");
   } else if (!answered && !r.connection->open()) {
-    crashes_.NoteCut(r.upstream, r.asks, clock_.Now());
+    crashes_.NoteCut(r.upstream, {r.asks, r.sent_at, clock_.Now()});
   }
 }
 
+void Gateway::UpstreamCrashed(const std::string& upstream,
+                              absl::string_view how,
+                              const std::vector<CrashWatch::Cut>& cut) {
+  metrics_.CountCrash(how);
+  for (const CrashWatch::Cut& c : cut) {
+    quarantine_.NoteCrash(c.asks, upstream, c.sent_at, c.at);
+    LogEvent("crashed_under",
+             {{"upstream", upstream}, {"asks", PrintName(c.asks)}});
+  }
+}
+
+// A request under way that has not begun to answer may wait at an upstream, and
+// would crash that as well.
+void Gateway::EndQuarantined() {
+  if (quarantine_.verdicts() == verdicts_seen_) return;
+  verdicts_seen_ = quarantine_.verdicts();
+  metrics_.SetQuarantined(quarantine_.refused());
+  std::vector<uint64_t> ended;
+  for (const auto& [seq, r] : requests_) {
+    if (!r->stream_started && quarantine_.Refuses(r->asks)) {
+      ended.push_back(seq);
+    }
+  }
+  for (uint64_t seq : ended) {
+    Request& r = *requests_.at(seq);
+    bool sent = !r.upstream.empty() && r.connection->sent();
+    Fail(r,
+         sent || r.maybe_run ? ErrorKind::kOutcomeUnknown
+                             : ErrorKind::kQuarantined,
+         "crashes upstreams");
+  }
+  if (!ended.empty()) ServeWaiting();
+}
+
 void Gateway::AttemptFailed(Request& r, CallEnd end, absl::string_view why) {
   TimePoint now = clock_.Now();
   bool not_run = r.have_head && r.answer_facts.not_run;
@@ -118,6 +154,9 @@
 }
 
 Duration Gateway::RetryAfter(const Request& r, ErrorKind kind) {
+  if (kind == ErrorKind::kQuarantined) {
+    return quarantine_.RefusedFor(r.asks, clock_.Now());
+  }
   // Other entries are there: nothing to wait for.
   if (kind == ErrorKind::kDraining) return kRetryElsewhere;
   std::uniform_real_distribution<double> spread(1 - kRetryAfterSpread,
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -132,6 +132,8 @@
   NoteDemand(now);
   parts_.Tick(now);
   crashes_.Tick(now);
+  quarantine_.Tick(now);
+  EndQuarantined();
   std::vector<uint64_t> due;
   for (auto it = give_up_.begin(); it != give_up_.end() && it->first <= now;
        ++it) {
--- a/src/metrics.cc
+++ b/src/metrics.cc
@@ -43,6 +43,15 @@
                  .Name(prefix + "queued")
                  .Help("Requests waiting, by class")
                  .Register(*registry_);
+  crashes_ = &prometheus::BuildCounter()
+                  .Name(prefix + "upstream_crashes_total")
+                  .Help("Upstreams that ended under requests, by how seen")
+                  .Register(*registry_);
+  quarantined_ = &prometheus::BuildGauge()
+                      .Name(prefix + "quarantined")
+                      .Help("Requests that crash upstreams, sent nowhere")
+                      .Register(*registry_)
+                      .Add({});
   list_updates_ = &prometheus::BuildCounter()
                        .Name(prefix + "list_updates_total")
                        .Help("Updates of the upstream list, by how they came")
@@ -92,6 +101,14 @@
   list_age_->Add({}, LatencyBuckets()).Observe(seconds);
 }
 
+void Metrics::CountCrash(absl::string_view how) {
+  crashes_->Add({{"how", std::string(how)}}).Increment();
+}
+
+void Metrics::SetQuarantined(size_t n) {
+  quarantined_->Set(static_cast<double>(n));
+}
+
 void Metrics::SetQueued(absl::string_view klass, double n) {
   queued_->Add({{"class", std::string(klass)}}).Set(n);
 }
@@ -149,6 +166,7 @@
   set("config_version", static_cast<double>(s.config_version));
   set("voters", static_cast<double>(s.voters));
   set("followers", static_cast<double>(s.followers));
+  set("quarantined", static_cast<double>(s.quarantined));
   set("step_age_seconds", s.step_age_s);
   set("list_age_seconds", s.list_age_s);
   set("config_bytes", static_cast<double>(s.memory.config));
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -37,6 +37,11 @@
   void CountListUpdate(absl::string_view how, size_t bytes);
   // Records how old the list was, in seconds, when this process heard of it.
   void ObserveListAge(double seconds);
+  // Counts one upstream that ended while it had requests of this process, by
+  // how that was seen.
+  void CountCrash(absl::string_view how);
+  // Sets the number of requests that are sent nowhere.
+  void SetQuarantined(size_t n);
   // Sets the queued requests of `klass`.
   void SetQueued(absl::string_view klass, double n);
 
@@ -51,6 +56,8 @@
   prometheus::Family<prometheus::Histogram>* first_token_;
   prometheus::Family<prometheus::Histogram>* duration_;
   prometheus::Family<prometheus::Gauge>* queued_;
+  prometheus::Family<prometheus::Counter>* crashes_;
+  prometheus::Gauge* quarantined_;
   prometheus::Family<prometheus::Counter>* list_updates_;
   prometheus::Family<prometheus::Counter>* list_bytes_;
   prometheus::Family<prometheus::Histogram>* list_age_;
@@ -77,6 +84,7 @@
     int64_t config_version = 0;
     size_t voters = 0;
     size_t followers = 0;
+    size_t quarantined = 0;  // Requests that are sent nowhere.
     double step_age_s = -1;  // Since it was last in step; negative: never.
     double list_age_s = -1;  // Since the list was read; negative: never.
   };
--- /dev/null
+++ b/src/quarantine.h
@@ -0,0 +1,139 @@
+// Requests that crash what runs them, and are therefore sent nowhere.
+//
+// Load pattern: one caller's request ends each engine that begins to run it,
+// with everything else that runs there; its caller comes again under a new id,
+// at any entry, as fast as engines come back. Counted alone, crashes would
+// convict whoever stood beside: so a request is refused only for crashes that
+// no other request accounts for, and is cleared of those before it was served.
+//
+// Records only grow, and are joined: it makes no difference in which order, how
+// often or through whom processes hear of them.
+#ifndef MEDLARWALK_QUARANTINE_H_
+#define MEDLARWALK_QUARANTINE_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+#include "absl/types/span.h"
+#include "request_print.h"
+#include "types.h"
+
+namespace medlarwalk {
+
+// An upstream that ended while it had a request.
+struct Crash {
+  uint64_t upstream = 0;  // Hash of its id.
+  TimePoint sent_at{};    // When it was given the request.
+  TimePoint at{};
+  bool cleared = false;  // The request was served later: not its doing.
+};
+
+// The crashes one request was there at.
+struct CrashRecord {
+  RequestPrint asks = 0;
+  std::vector<Crash> crashes;
+};
+
+struct QuarantinePolicy {
+  int crashes = 3;  // That make a request one that crashes upstreams.
+  // The same where another was at all of them too: which of the two did it is
+  // known as soon as one crash has only one of them.
+  int crashes_if_tied = 5;
+  // A crash is another one only if the request was sent there after the one
+  // before, as far as clocks agree: a loss of power ends many upstreams at
+  // once, whatever they run.
+  Duration clock_slack = Millis(5);
+  Duration memory = std::chrono::hours(1);
+  size_t most_records = 4096;
+  size_t most_crashes = 16;  // Of one record: the newest ones.
+};
+
+// The requests that account for crashes, those for most of them first: each for
+// `policy.crashes` that are not accounted for by those before it.
+std::vector<RequestPrint> CrashingRequests(absl::Span<const CrashRecord> all,
+                                           const QuarantinePolicy& policy);
+
+// Thread safety: loop thread only.
+class Quarantine {
+ public:
+  explicit Quarantine(QuarantinePolicy policy = {}) : policy_(policy) {}
+
+  // `upstream` ended at `at` while it had `asks`, sent at `sent_at`.
+  void NoteCrash(RequestPrint asks, absl::string_view upstream,
+                 TimePoint sent_at, TimePoint at);
+  // `asks` was served: none of the crashes so far was its doing.
+  void NoteServed(RequestPrint asks);
+  // Joins what those who report here have noted. ChangedSince tells it on.
+  void TakeReported(absl::Span<const CrashRecord> records);
+  // Joins what whom this process reports to holds.
+  void TakeTold(absl::Span<const CrashRecord> records);
+  // Forgets what is too old.
+  void Tick(TimePoint now);
+
+  // Whether `asks` is to be sent nowhere, and for how long from `now`.
+  bool Refuses(RequestPrint asks) const { return refused_.count(asks) > 0; }
+  Duration RefusedFor(RequestPrint asks, TimePoint now) const;
+  // Of those refused; grows with each that is added or freed.
+  uint64_t verdicts() const { return verdicts_; }
+  size_t refused() const { return refused_.size(); }
+
+  // Number of the last record noted or reported here.
+  uint64_t seq() const { return seq_; }
+  // Those noted or reported after `seq`, the newest `most`.
+  std::vector<CrashRecord> ChangedSince(uint64_t seq, size_t most) const;
+  // What all processes should know: requests beside more than one crash.
+  std::vector<CrashRecord> Shared() const;
+  // Tells the contents of Shared(); 0 where there are none.
+  int64_t version() const { return version_; }
+
+ private:
+  struct Entry {
+    CrashRecord record;
+    uint64_t seq = 0;
+  };
+  // Joins one record; whether anything was new.
+  bool Join(const CrashRecord& r, bool tell_on);
+  void Take(absl::Span<const CrashRecord> records, bool tell_on);
+  void Bound();
+  void Judge();
+
+  QuarantinePolicy policy_;
+  std::unordered_map<RequestPrint, Entry> entries_;
+  std::set<RequestPrint> refused_;
+  uint64_t verdicts_ = 0;
+  uint64_t seq_ = 0;
+  int64_t version_ = 0;
+  TimePoint looked_at_{};  // For what is too old.
+};
+
+// What of a quarantine is not yet known to the process it is reported to.
+// Thread safety: loop thread only.
+class CrashReports {
+ public:
+  // Precondition: `quarantine` outlives this.
+  explicit CrashReports(const Quarantine& quarantine)
+      : quarantine_(quarantine) {}
+
+  // What to tell `target` next: all that it has not confirmed.
+  std::vector<CrashRecord> For(const std::string& target);
+  // The target has taken what For returned last.
+  void Confirmed() { confirmed_ = sent_; }
+  // The target failed: it may come back with nothing.
+  void Lost() { confirmed_ = 0; }
+  // There is more than For returned last.
+  bool waiting() const { return quarantine_.seq() > sent_; }
+
+ private:
+  const Quarantine& quarantine_;
+  std::string target_;
+  uint64_t sent_ = 0;
+  uint64_t confirmed_ = 0;
+};
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_QUARANTINE_H_
--- a/src/replica_store.cc
+++ b/src/replica_store.cc
@@ -8,6 +8,7 @@
 #include <cstring>
 
 #include "absl/strings/str_cat.h"
+#include "disk_file.h"
 #include "json_numbers.h"
 #include "log.h"
 #include "replica_codec.h"
@@ -22,61 +23,6 @@
 // A length above this is a torn header, not a record.
 constexpr uint32_t kMaxRecordBytes = 64u << 20;
 
-absl::Status Errno(absl::string_view what) {
-  return absl::UnavailableError(absl::StrCat(what, ": ", std::strerror(errno)));
-}
-
-std::string Frame(const json& j) {
-  std::string payload = ToCbor(j);
-  uint32_t n = static_cast<uint32_t>(payload.size());
-  uint64_t sum = StableHash(payload, n);
-  std::string out(kHeaderBytes, '\0');
-  std::memcpy(&out[0], &n, 4);
-  std::memcpy(&out[4], &sum, 8);
-  return out + payload;
-}
-
-absl::Status WriteAll(int fd, absl::string_view data) {
-  while (!data.empty()) {
-    ssize_t n = write(fd, data.data(), data.size());
-    if (n < 0 && errno == EINTR) continue;
-    if (n <= 0) return Errno("write");
-    data.remove_prefix(static_cast<size_t>(n));
-  }
-  return absl::OkStatus();
-}
-
-absl::Status SyncDir(const std::string& dir) {
-  int fd = open(dir.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (fd < 0) return Errno("open dir");
-  int rc = fsync(fd);
-  close(fd);
-  return rc == 0 ? absl::OkStatus() : Errno("sync dir");
-}
-
-absl::StatusOr<std::string> ReadFile(const std::string& path) {
-  int fd = open(path.c_str(), O_RDONLY | O_CLOEXEC);
-  if (fd < 0) {
-    if (errno == ENOENT) return absl::NotFoundError(path);
-    return Errno("open");
-  }
-  std::string out;
-  char buf[64 * 1024];
-  for (;;) {
-    ssize_t n = read(fd, buf, sizeof(buf));
-    if (n < 0 && errno == EINTR) continue;
-    if (n < 0) {
-      absl::Status s = Errno("read");
-      close(fd);
-      return s;
-    }
-    if (n == 0) break;
-    out.append(buf, static_cast<size_t>(n));
-  }
-  close(fd);
-  return out;
-}
-
 json StateRecord(const StoredState& s) {
   return {
       {"r", "state"}, {"self", ToJson(s.self)}, {"snap", ToJson(s.snapshot)}};
@@ -96,6 +42,16 @@
 
 }  // namespace
 
+std::string FrameRecord(const json& j) {
+  std::string payload = ToCbor(j);
+  uint32_t n = static_cast<uint32_t>(payload.size());
+  uint64_t sum = StableHash(payload, n);
+  std::string out(kHeaderBytes, '\0');
+  std::memcpy(&out[0], &n, 4);
+  std::memcpy(&out[4], &sum, 8);
+  return out + payload;
+}
+
 std::vector<json> ReadRecords(absl::string_view bytes, size_t* taken) {
   std::vector<json> out;
   *taken = 0;
@@ -172,13 +128,6 @@
   return s;
 }
 
-absl::Status FileReplicaStore::Write(int fd, absl::string_view bytes) const {
-  absl::Status s = before_write_ ? before_write_() : absl::OkStatus();
-  absl::Status written =
-      WriteAll(fd, s.ok() ? bytes : bytes.substr(0, bytes.size() / 2));
-  return s.ok() ? written : s;
-}
-
 absl::Status FileReplicaStore::WriteRecords(const std::vector<json>& records) {
   if (fd_ < 0) return absl::UnavailableError("store is not open");
   if (dir_unsynced_) {
@@ -194,9 +143,9 @@
     dirty_ = false;
   }
   std::string bytes;
-  for (const json& r : records) bytes += Frame(r);
+  for (const json& r : records) bytes += FrameRecord(r);
   dirty_ = true;
-  absl::Status s = Write(fd_, bytes);
+  absl::Status s = WriteAll(fd_, bytes, before_write_);
   if (!s.ok()) return s;
   if (fdatasync(fd_) != 0) return Errno("sync");
   dirty_ = false;
@@ -220,27 +169,19 @@
 }
 
 absl::Status FileReplicaStore::Rewrite(const StoredState& state) {
-  std::string bytes = Frame(StateRecord(state));
-  bytes += Frame(VoteRecord(state.term, state.voted_for));
-  for (const LogEntry& e : state.log) bytes += Frame(EntryRecord(e));
-  std::string fresh = path_ + ".new";
-  int fd = open(fresh.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
-  if (fd < 0) return Errno("create");
-  absl::Status s = Write(fd, bytes);
-  if (s.ok() && fsync(fd) != 0) s = Errno("sync");
-  if (s.ok() && rename(fresh.c_str(), path_.c_str()) != 0) s = Errno("rename");
-  if (!s.ok()) {
-    close(fd);
-    return s;
-  }
+  std::string bytes = FrameRecord(StateRecord(state));
+  bytes += FrameRecord(VoteRecord(state.term, state.voted_for));
+  for (const LogEntry& e : state.log) bytes += FrameRecord(EntryRecord(e));
+  absl::StatusOr<int> fd = ReplaceFile(path_, bytes, before_write_);
+  if (!fd.ok()) return fd.status();
   // From here the new file is the one in use. Until the folder is synced the
   // older one may come back after a loss of power, so nothing more is written
   // before that has succeeded.
   if (fd_ >= 0) close(fd_);
-  fd_ = fd;
+  fd_ = *fd;
   good_length_ = static_cast<int64_t>(bytes.size());
   dirty_ = false;
-  s = SyncDir(dir_);
+  absl::Status s = SyncDir(dir_);
   dir_unsynced_ = !s.ok();
   return s;
 }
--- a/src/replica_store.h
+++ b/src/replica_store.h
@@ -5,21 +5,17 @@
 #ifndef MEDLARWALK_REPLICA_STORE_H_
 #define MEDLARWALK_REPLICA_STORE_H_
 
-#include <functional>
 #include <string>
 #include <vector>
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
+#include "disk_file.h"
 #include "nlohmann/json.hpp"
 #include "replica.h"
 
 namespace medlarwalk {
 
-// Called before bytes go to the disk; an error stands for one of the disk.
-// May take as long as a slow disk does.
-using BeforeWrite = std::function<absl::Status()>;
-
 // A ReplicaStore in folder `dir`. Calls block until synced.
 class FileReplicaStore : public ReplicaStore {
  public:
@@ -41,8 +37,6 @@
 
  private:
   absl::Status WriteRecords(const std::vector<nlohmann::json>& records);
-  // Writes `bytes` to `fd`, or half of them where the disk fails on the way.
-  absl::Status Write(int fd, absl::string_view bytes) const;
 
   BeforeWrite before_write_;
   std::string dir_;
@@ -56,6 +50,8 @@
   bool dir_unsynced_ = false;
 };
 
+// One record as ReadRecords reads it, with its length and a checksum.
+std::string FrameRecord(const nlohmann::json& j);
 // The records in `bytes`, up to the first that does not check; their length
 // in bytes goes to `*taken`. For tests and fuzzing of the reader too.
 std::vector<nlohmann::json> ReadRecords(absl::string_view bytes, size_t* taken);
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -59,6 +59,7 @@
                         ex->Respond(200, {{"Content-Type", "text/plain"}},
                                     metrics_.Render());
                       }),
+      reports_(gateway_.quarantine()),
       watch_(
           loop, clock,
           [&] {
@@ -66,6 +67,7 @@
             o.name = options_.name;
             o.data_centre = options_.data_centre;
             o.serves_callers = true;
+            o.reports = &reports_;
             return o;
           }(),
           options_.control_seeds,
@@ -105,6 +107,8 @@
 }
 
 void Serving::OnWatch(const WatchReply& r, bool in_step) {
+  // Of whomever: a crash that was noted stays one.
+  if (r.quarantine) TakeCrashes(*r.quarantine);
   // What a control process out of step holds may be old: it is taken only if
   // it is newer than what is in force here, and never as the first one.
   bool first = watch_.state().config_version == 0;
@@ -122,6 +126,16 @@
   metrics_.ObserveListAge(ToSeconds(Millis(r.list_age_ms)));
 }
 
+void Serving::TakeCrashes(absl::string_view encoded) {
+  absl::StatusOr<std::vector<CrashRecord>> r =
+      DecodeCrashRecords(encoded, clock_.Now());
+  if (!r.ok()) {
+    LogWarn("bad_crash_records", {{"error", r.status().message()}});
+    return;
+  }
+  gateway_.quarantine().TakeTold(*r);
+}
+
 void Serving::TakeList(const WatchReply& r) {
   absl::StatusOr<ListChange> c = DecodeListChange(*r.list);
   int64_t before = list_.version();
@@ -227,6 +241,7 @@
 void Serving::Tick() {
   TimePoint now = clock_.Now();
   gateway_.Tick();
+  if (reports_.waiting()) watch_.AskAgain();
   ReadListAlone(now);
   if (draining_) DrainStep(now);
 }
--- a/src/serving.h
+++ b/src/serving.h
@@ -57,6 +57,7 @@
   static void OnTick(struct ev_loop* loop, ev_timer* w, int revents);
   void Tick();
   void OnWatch(const WatchReply& r, bool in_step);
+  void TakeCrashes(absl::string_view encoded);
   void TakeList(const WatchReply& r);
   void ApplyConfig(int64_t version, const std::string& document);
   void ReadListAlone(TimePoint now);
@@ -70,6 +71,7 @@
   CallerServer callers_;
   CallerServer readiness_;
   CallerServer metrics_server_;
+  CrashReports reports_;
   WatchClient watch_;
   Lister lister_;
   UpstreamList list_;
--- a/src/watch_client.cc
+++ b/src/watch_client.cc
@@ -46,21 +46,32 @@
   if (pinned_ == address) return;
   pinned_ = address;
   if (asking_ && target_ != address) {
-    if (stream_) links_.To(target_).Cancel(stream_);
-    asking_ = false;
+    GiveUpAsk();
     not_before_ = {};
   }
 }
 
 void WatchClient::Pause(bool paused) {
-  if (paused && asking_) {
-    if (stream_) links_.To(target_).Cancel(stream_);
-    asking_ = false;
-    stream_ = 0;
-  }
+  if (paused) GiveUpAsk();
   paused_ = paused;
 }
 
+void WatchClient::GiveUpAsk() {
+  if (asking_ && stream_) links_.To(target_).Cancel(stream_);
+  asking_ = false;
+  stream_ = 0;
+}
+
+void WatchClient::AskAgain() {
+  if (!asking_ || began_at_ != TimePoint{}) return;
+  std::string before = target_;
+  TimePoint heard = heard_at_;
+  GiveUpAsk();
+  Ask();
+  // However often it is asked again, a silent process stays silent.
+  if (target_ == before) heard_at_ = heard;
+}
+
 // Those of this data centre first, so that what spreads crosses between two of
 // them once and not for each follower; then in an order of this process's own,
 // so that many followers spread over the control processes.
@@ -100,6 +111,7 @@
 
 void WatchClient::NextTarget(absl::string_view why) {
   ++misses_;
+  if (options_.reports) options_.reports->Lost();
   LogEvent("control_lost", {{"control", target_},
                             {"why", why},
                             {"config_version", state_.config_version}});
@@ -120,6 +132,10 @@
   asking_ = true;
   heard_at_ = now;
   began_at_ = {};
+  if (options_.reports) {
+    std::vector<CrashRecord> due = options_.reports->For(target_);
+    state_.crashes = due.empty() ? "" : EncodeCrashRecords(due, now);
+  }
   uint64_t ask = ++ask_;
   stream_ = links_.Post(
       target_, kWatchPath, Payload(EncodeWatchRequest(state_)),
@@ -142,6 +158,8 @@
     NextTarget("no answer");
     return;
   }
+  if (options_.reports) options_.reports->Confirmed();
+  state_.quarantine_version = r->quarantine_version;
   bool in_step = r->age_ms >= 0 && r->age_ms <= ToMs(options_.max_age);
   if (in_step) misses_ = 0;
   // Also from one out of step: it may know where the others are.
@@ -159,9 +177,7 @@
   auto* self = static_cast<WatchClient*>(w->data);
   TimePoint now = self->clock_.Now();
   if (self->asking_ && now - self->heard_at_ > self->options_.answer_timeout) {
-    if (self->stream_) self->links_.To(self->target_).Cancel(self->stream_);
-    self->asking_ = false;
-    self->stream_ = 0;
+    self->GiveUpAsk();
     self->NextTarget("silent");
   }
   self->Ask();
--- a/src/watch_client.h
+++ b/src/watch_client.h
@@ -26,6 +26,8 @@
   Duration max_age = Millis(800);
   std::string data_centre;  // Control processes there are asked first.
   std::string address;      // Where others may ask this process, if they may.
+  // What goes to the process that is followed; may be null.
+  CrashReports* reports = nullptr;
 };
 
 // Thread safety: loop thread only.
@@ -45,6 +47,9 @@
   void Pin(const std::string& address);
   // Stops or resumes asking: a leader follows nobody.
   void Pause(bool paused);
+  // Asks at once, with what is there to report, where nothing of the answer
+  // under way has come.
+  void AskAgain();
   void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
   // What the asker holds and says of itself, sent with the next watch.
   WatchRequest& state() { return state_; }
@@ -52,6 +57,7 @@
  private:
   static void OnTick(struct ev_loop* loop, ev_timer* w, int revents);
   void Ask();
+  void GiveUpAsk();
   void Answered(uint64_t ask, const std::string& body, bool ok);
   void NextTarget(absl::string_view why);
   std::vector<std::string> Targets() const;
