Who stands beside crashes: three kinds of evidence that was none

A generation was moved, within a millisecond of the cut, to an engine that had ended at the same moment, and cut there: two crashes in a row by the times of its sendings. Ends less than 20 ms apart are of one cause now. 2. One request cannot end engines that did not have it: a crash at the moment of others' is no evidence against it (cleared, and told to all). 3. Long prompts wait at an engine for seconds, generations run for seconds: they are beside most crashes. What ends its engine by beginning has just begun: its answer's head, or without one its sending, is at most 0.5 s old (0.04 to 0.11 s in the incident, each time after the head). Other crashes count only to five.

Not mended: a request that does stand beside three fresh crashes in a row, of which each had only one engine, cannot be told from one that caused them.

--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -108,8 +108,8 @@
   for (const CrashRecord& r : records) {
     json crashes = json::array();
     for (const Crash& c : r.crashes) {
-      crashes.push_back(
-          {c.upstream, ToMs(now - c.sent_at), ToMs(now - c.at), c.cleared});
+      crashes.push_back({c.upstream, ToMs(now - c.sent_at), ToMs(now - c.at),
+                         c.just_begun, c.cleared});
     }
     out.push_back({r.asks, std::move(crashes)});
   }
@@ -124,7 +124,7 @@
     for (const json& c : item.at(1)) {
       r.crashes.push_back(Crash{WholeNumber<uint64_t>(c.at(0)),
                                 now - AgeFrom(c.at(1)), now - AgeFrom(c.at(2)),
-                                c.at(3).get<bool>()});
+                                c.at(3).get<bool>(), c.at(4).get<bool>()});
     }
     out.push_back(std::move(r));
   }
--- a/src/crash_watch.cc
+++ b/src/crash_watch.cc
@@ -54,8 +54,8 @@
     d.settled = true;
     if (d.check && d.check->refused()) refused.push_back(it->first);
     bool alive = d.check && d.check->established();
-    it = alive || now - d.cut.front().at > kDoubtFor ? doubtful_.erase(it)
-                                                     : std::next(it);
+    it = alive || now - d.cut.front().crash.at > kDoubtFor ? doubtful_.erase(it)
+                                                           : std::next(it);
   }
   for (const std::string& upstream : refused) NoteEnded(upstream, "refused");
 }
--- a/src/crash_watch.h
+++ b/src/crash_watch.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "absl/strings/string_view.h"
-#include "request_print.h"
+#include "quarantine.h"
 #include "upstream_pool.h"
 
 namespace medlarwalk {
@@ -23,8 +23,7 @@
   // A call that its upstream did not end.
   struct Cut {
     RequestPrint asks = 0;
-    TimePoint sent_at{};
-    TimePoint at{};
+    Crash crash;  // But for the upstream.
   };
   // `upstream` has ended, and with it the calls `cut`, as `how` showed. Called
   // from the functions below.
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -34,6 +34,7 @@
   r.answer = head;
   r.answer_facts = std::move(f);
   r.have_head = true;
+  r.head_at = now;
   if (!r.answer_facts.not_run) r.maybe_run = true;
   r.relaying = r.stream() && success && r.answer_facts.signed_whole;
   return true;
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -17,6 +17,9 @@
 constexpr double kRetryAfterSeconds = 0.3;
 constexpr double kRetryAfterSpread = 0.5;
 constexpr double kMostRetryAfterSeconds = 3;
+// A request began to run no longer ago than this where its answer's head, or
+// before that the request itself, is no older.
+constexpr auto kJustBegun = Millis(500);
 // Come-back time where another entry can serve at once.
 constexpr auto kRetryElsewhere = Millis(20);
 
@@ -73,7 +76,11 @@
   } else if (end == CallEnd::kNotSent) {
     if (r.connection->refused()) crashes_.NoteEnded(r.upstream, "refused");
   } else if (!answered && !r.connection->open()) {
-    crashes_.NoteCut(r.upstream, {r.asks, r.sent_at, clock_.Now()});
+    TimePoint now = clock_.Now();
+    TimePoint began = r.have_head ? r.head_at : r.sent_at;
+    bool just_begun = now - began < kJustBegun;
+    crashes_.NoteCut(r.upstream,
+                     {r.asks, {0, r.sent_at, now, just_begun, false}});
   }
 }
 
@@ -82,9 +89,11 @@
                               const std::vector<CrashWatch::Cut>& cut) {
   metrics_.CountCrash(how);
   for (const CrashWatch::Cut& c : cut) {
-    quarantine_.NoteCrash(c.asks, upstream, c.sent_at, c.at);
-    LogEvent("crashed_under",
-             {{"upstream", upstream}, {"asks", PrintName(c.asks)}});
+    quarantine_.NoteCrash(c.asks, upstream, c.crash);
+    LogEvent("crashed_under", {{"upstream", upstream},
+                               {"asks", PrintName(c.asks)},
+                               {"sent_ms", ToMs(c.crash.at - c.crash.sent_at)},
+                               {"just_begun", c.crash.just_begun ? 1 : 0}});
   }
 }
 
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -51,6 +51,7 @@
   std::shared_ptr<UpstreamLink> connection;
   TimePoint sent_at{};
   TimePoint progress_at{};
+  TimePoint head_at{};  // Of the answer.
   MessageHead answer;
   AnswerFacts answer_facts;
   std::string held;  // An answer's body until it is whole.
--- a/src/quarantine.cc
+++ b/src/quarantine.cc
@@ -1,6 +1,7 @@
 #include "quarantine.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -29,11 +30,14 @@
 }
 
 // How many of `crashes`, oldest first, came one after the other.
-int InSequence(absl::Span<const Crash> crashes, Duration clock_slack) {
+int InSequence(absl::Span<const Crash> crashes,
+               const QuarantinePolicy& policy) {
   int n = 0;
   TimePoint last{};
   for (const Crash& c : crashes) {
-    if (n > 0 && c.sent_at + clock_slack < last) continue;
+    bool same =
+        c.sent_at + policy.clock_slack < last || c.at - last < policy.apart;
+    if (n > 0 && same) continue;
     ++n;
     last = c.at;
   }
@@ -75,7 +79,7 @@
   std::vector<Suspect> suspects;
   for (const CrashRecord& r : all) {
     std::vector<Crash> open = Open(r);
-    if (InSequence(open, policy.clock_slack) < policy.crashes) continue;
+    if (InSequence(open, policy) < policy.crashes) continue;
     suspects.push_back({&r, std::move(open)});
   }
   std::sort(suspects.begin(), suspects.end(),
@@ -90,8 +94,11 @@
     for (const Crash& c : s.open) {
       if (accounted.count(c.upstream) == 0) left.push_back(c);
     }
-    int n = InSequence(left, policy.clock_slack);
+    int n = InSequence(left, policy);
     if (n < policy.crashes) continue;
+    std::vector<Crash> begun;
+    std::copy_if(left.begin(), left.end(), std::back_inserter(begun),
+                 [](const Crash& c) { return c.just_begun; });
     bool tied =
         std::any_of(suspects.begin(), suspects.end(), [&](const Suspect& o) {
           return o.record != s.record &&
@@ -99,7 +106,8 @@
                    return WasAt(*o.record, c);
                  });
         });
-    if (tied && n < policy.crashes_if_tied) continue;
+    bool sure = !tied && InSequence(begun, policy) >= policy.crashes;
+    if (!sure && n < policy.crashes_if_unsure) continue;
     out.push_back(s.record->asks);
     for (const Crash& c : s.open) accounted.insert(c.upstream);
   }
@@ -107,8 +115,9 @@
 }
 
 void Quarantine::NoteCrash(RequestPrint asks, absl::string_view upstream,
-                           TimePoint sent_at, TimePoint at) {
-  CrashRecord r{asks, {Crash{StableHash(upstream), sent_at, at, false}}};
+                           Crash crash) {
+  crash.upstream = StableHash(upstream);
+  CrashRecord r{asks, {crash}};
   Take(absl::MakeConstSpan(&r, 1), true);
 }
 
@@ -133,15 +142,35 @@
   for (const CrashRecord& r : records) any |= Join(r, tell_on);
   if (!any) return;
   Bound();
+  for (auto& [asks, e] : entries_) {
+    if (e.record.crashes.size() >= kSharedFrom) ClearCommon(e.record);
+  }
   Judge();
 }
 
+void Quarantine::NoteEnd(const Crash& c) {
+  if (ended_.emplace(c.upstream, c.at).second) ends_.emplace(c.at, c.upstream);
+}
+
+void Quarantine::ClearCommon(CrashRecord& r) const {
+  for (Crash& c : r.crashes) {
+    auto end = ends_.upper_bound(c.at + policy_.apart);
+    for (auto it = ends_.lower_bound(c.at - policy_.apart);
+         !c.cleared && it != end; ++it) {
+      c.cleared = std::none_of(
+          r.crashes.begin(), r.crashes.end(),
+          [&](const Crash& own) { return own.upstream == it->second; });
+    }
+  }
+}
+
 bool Quarantine::Join(const CrashRecord& r, bool tell_on) {
   Entry& e = entries_[r.asks];
   e.record.asks = r.asks;
   std::vector<Crash>& known = e.record.crashes;
   bool changed = false;
   for (const Crash& c : r.crashes) {
+    NoteEnd(c);
     auto it = std::find_if(known.begin(), known.end(), [&](const Crash& k) {
       return k.upstream == c.upstream;
     });
@@ -209,6 +238,10 @@
     any |= old;
     it = old ? entries_.erase(it) : std::next(it);
   }
+  auto old_ends = ends_.upper_bound(now - policy_.memory);
+  for (auto it = ends_.begin(); it != old_ends; it = ends_.erase(it)) {
+    ended_.erase(it->second);
+  }
   if (any) Judge();
 }
 
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -12,6 +12,7 @@
 #define MEDLARWALK_QUARANTINE_H_
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -29,7 +30,11 @@
   uint64_t upstream = 0;  // Hash of its id.
   TimePoint sent_at{};    // When it was given the request.
   TimePoint at{};
-  bool cleared = false;  // The request was served later: not its doing.
+  // The request had just begun to run there, as far as could be seen.
+  bool just_begun = false;
+  // Not its doing: it was served later, or another upstream, which did not have
+  // it, ended at the same moment.
+  bool cleared = false;
 };
 
 // The crashes one request was there at.
@@ -41,12 +46,16 @@
 struct QuarantinePolicy {
   int crashes = 3;  // That make a request one that crashes upstreams.
   // The same where another was at all of them too: which of the two did it is
-  // known as soon as one crash has only one of them.
-  int crashes_if_tied = 5;
+  // known as soon as one crash has only one of them. And where it had not just
+  // begun each time, as most of those who stand beside have not.
+  int crashes_if_unsure = 5;
   // A crash is another one only if the request was sent there after the one
   // before, as far as clocks agree: a loss of power ends many upstreams at
   // once, whatever they run.
   Duration clock_slack = Millis(5);
+  // Ends of upstreams closer together than this are of one cause. A request
+  // that was moved from the first may have been under way to the second.
+  Duration apart = Millis(20);
   Duration memory = std::chrono::hours(1);
   size_t most_records = 4096;
   size_t most_crashes = 16;  // Of one record: the newest ones.
@@ -62,9 +71,8 @@
  public:
   explicit Quarantine(QuarantinePolicy policy = {}) : policy_(policy) {}
 
-  // `upstream` ended at `at` while it had `asks`, sent at `sent_at`.
-  void NoteCrash(RequestPrint asks, absl::string_view upstream,
-                 TimePoint sent_at, TimePoint at);
+  // `upstream` ended while it had `asks`, as `crash` tells but for its id.
+  void NoteCrash(RequestPrint asks, absl::string_view upstream, Crash crash);
   // `asks` was served: none of the crashes so far was its doing.
   void NoteServed(RequestPrint asks);
   // Joins what those who report here have noted. ChangedSince tells it on.
@@ -97,12 +105,17 @@
   };
   // Joins one record; whether anything was new.
   bool Join(const CrashRecord& r, bool tell_on);
+  void NoteEnd(const Crash& c);
+  // Clears each crash of `r` of which one request cannot be the cause.
+  void ClearCommon(CrashRecord& r) const;
   void Take(absl::Span<const CrashRecord> records, bool tell_on);
   void Bound();
   void Judge();
 
   QuarantinePolicy policy_;
   std::unordered_map<RequestPrint, Entry> entries_;
+  std::map<uint64_t, TimePoint> ended_;  // By upstream, as first heard.
+  std::multimap<TimePoint, uint64_t> ends_;
   std::set<RequestPrint> refused_;
   uint64_t verdicts_ = 0;
   uint64_t seq_ = 0;
