Agents tell entries which engine ended under a call

The same class on the product's own path: there an entry has no connection to the engine, only to the agent beside it, and a cut call came back as 502 whatever had cut it. Test ARequestThatEndsEnginesIsRefused (real processes, engines killed under the same words three times): the fourth sending was served before, and 503 quarantined now; another request is served.

An agent that loses a call before any byte of its answer asks the engine's /load (it is on the same host: a refusal is immediate) and says with the answer that the engine has ended, under an id for that end, which all calls cut by it share.

--- a/src/agent.cc
+++ b/src/agent.cc
@@ -8,6 +8,7 @@
 #include "errors.h"
 #include "log.h"
 #include "nlohmann/json.hpp"
+#include "random_seed.h"
 
 namespace medlarwalk {
 
@@ -20,6 +21,8 @@
 constexpr double kDrainTickSeconds = 0.05;
 // When a caller whose request this agent turned away does well to come back.
 constexpr int kRetryAfterSeconds = 1;
+// An engine beside this agent answers at once, or does not listen.
+constexpr auto kCheckTimeout = Millis(250);
 constexpr char kEventStreamType[] = "text/event-stream";
 constexpr char kDoneMarker[] = "data: [DONE]";
 constexpr size_t kDoneTail = sizeof(kDoneMarker);
@@ -45,9 +48,12 @@
               ErrorBody(kind, message));
 }
 
+}  // namespace
+
 // State of one forwarded call, shared by its callbacks.
-struct Forwarding {
+struct Agent::Forwarding {
   std::shared_ptr<H2Stream> out;
+  TimePoint sent_at{};
   std::string key;
   bool started = false;
   bool relaying = false;  // Answer headers have gone to the entry.
@@ -58,8 +64,6 @@
   std::string stored;  // The whole answer, for the ledger.
 };
 
-}  // namespace
-
 Agent::Agent(struct ev_loop* loop, const Clock& clock, Settings settings,
              std::string host, std::string data_dir)
     : loop_(loop),
@@ -215,6 +219,7 @@
   if (!key.empty() && Replay(key, StableHash(req.body), out)) return;
   auto f = std::make_shared<Forwarding>();
   f->out = out;
+  f->sent_at = clock_.Now();
   f->key = key;
   HttpCall call;
   call.url = u.url + req.path;
@@ -263,7 +268,7 @@
       LogWarn("upstream_cut",
               {{"upstream", name}, {"error", std::string(r.status.message())}});
       if (!f->relaying) {
-        Refuse(*f->out, ErrorKind::kOutcomeUnknown, r.status.message(), true);
+        TellCut(name, *f, std::string(r.status.message()));
       } else {
         f->out->Reset();
       }
@@ -280,6 +285,33 @@
   }
 }
 
+// Answers a call that was cut, and says with it whether the engine has ended:
+// entries then know what it had.
+void Agent::TellCut(const std::string& upstream, const Forwarding& cut,
+                    std::string why) {
+  const UpstreamSettings* u = settings_.FindUpstream(upstream);
+  HttpCall check;
+  check.method = "GET";
+  check.url = u->url + (u->kind == "engine" ? "/load" : "");
+  check.timeout = check.connect_timeout = kCheckTimeout;
+  check.on_done = [this, upstream, out = cut.out, sent_at = cut.sent_at,
+                   why = std::move(why)](const HttpCallResult& r) {
+    HeaderList headers = ErrorHeaders(ErrorKind::kOutcomeUnknown, true);
+    if (!r.status.ok() && r.never_sent) {
+      End& end = ends_[upstream];
+      // What was sent since the last end was seen is cut by another.
+      if (sent_at >= end.seen_at) {
+        end = {clock_.Now(), absl::StrCat(absl::Hex(RandomSeed()))};
+      }
+      LogEvent("upstream_down", {{"upstream", upstream}, {"end", end.id}});
+      headers.emplace_back(kH2UpstreamEnd, end.id);
+    }
+    out->Respond(AnswerFor(ErrorKind::kOutcomeUnknown).http_status, headers,
+                 ErrorBody(ErrorKind::kOutcomeUnknown, why));
+  };
+  client_.Start(std::move(check));
+}
+
 // Orders carry the fencing number of the control leader that issued them.
 // The agent refuses one lower than the highest it has passed on, whether or
 // not the upstream itself checks: an old leader, cut off and still issuing,
--- a/src/agent.h
+++ b/src/agent.h
@@ -39,6 +39,7 @@
   void Drain();
 
  private:
+  struct Forwarding;
   void Handle(const H2Request& req, std::shared_ptr<H2Stream> out);
   void Forward(const H2Request& req, const UpstreamSettings& u,
                std::shared_ptr<H2Stream> out);
@@ -48,6 +49,8 @@
   void ServeMetrics(const HttpRequest& req, std::shared_ptr<HttpExchange> ex);
   bool Replay(const std::string& key, uint64_t fingerprint,
               std::shared_ptr<H2Stream>& out);
+  void TellCut(const std::string& upstream, const Forwarding& cut,
+               std::string why);
   void CheckDrained();
   static void OnSignal(struct ev_loop* loop, ev_signal* w, int revents);
   static void OnDrainTick(struct ev_loop* loop, ev_timer* w, int revents);
@@ -61,6 +64,12 @@
   H2Server server_;
   HttpServer metrics_server_;
   HttpClient client_;
+  // The last end of an upstream.
+  struct End {
+    TimePoint seen_at{};
+    std::string id;  // Tells it from other ends.
+  };
+  std::map<std::string, End> ends_;  // By upstream.
   std::map<std::string, int64_t> highest_fencing_;
   bool draining_ = false;
   TimePoint drain_started_{};
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -65,7 +65,10 @@
   std::optional<std::string> echoed_id;
   bool not_run = false;         // The upstream states that it did not run it.
   bool other_upstream = false;  // Another than was meant holds the address.
-  bool signed_whole = false;    // Bears the upstream's signature.
+  // It is cut short by the upstream's own end, which this tells from others;
+  // empty where it is not, or nobody saw.
+  std::string upstream_end;
+  bool signed_whole = false;  // Bears the upstream's signature.
   // Its load, where it tells it.
   bool has_load = false;
   int running = 0;
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -71,12 +71,16 @@
 // What the end of an attempt says of its upstream's own end.
 void Gateway::NoteEndOf(const Request& r, CallEnd end) {
   bool answered = r.have_head && end == CallEnd::kWhole;
-  if (answered && r.answer_facts.other_upstream) {
+  TimePoint now = clock_.Now();
+  if (answered && !r.answer_facts.upstream_end.empty()) {
+    bool just_begun = now - r.sent_at < kJustBegun;
+    UpstreamCrashed(absl::StrCat(r.upstream, "/", r.answer_facts.upstream_end),
+                    "told", {{r.asks, {0, r.sent_at, now, just_begun, false}}});
+  } else if (answered && r.answer_facts.other_upstream) {
     crashes_.NoteEnded(r.upstream, "replaced");
   } else if (end == CallEnd::kNotSent) {
     if (r.connection->refused()) crashes_.NoteEnded(r.upstream, "refused");
   } else if (!answered && !r.connection->open()) {
-    TimePoint now = clock_.Now();
     TimePoint began = r.have_head ? r.head_at : r.sent_at;
     bool just_begun = now - began < kJustBegun;
     crashes_.NoteCut(r.upstream,
--- a/src/own_api.cc
+++ b/src/own_api.cc
@@ -193,6 +193,7 @@
   f.not_run = kind == ErrorKind::kNotRun || kind == ErrorKind::kDraining ||
               kind == ErrorKind::kNoUpstream;
   f.signed_whole = head.Find(kH2ErrorKind) == nullptr;
+  f.upstream_end = head.Value(kH2UpstreamEnd);
   return f;
 }
 
--- a/src/types.h
+++ b/src/types.h
@@ -125,6 +125,7 @@
 inline constexpr char kH2IdempotencyKey[] = "mw-idempotency-key";
 inline constexpr char kH2Started[] = "mw-started";
 inline constexpr char kH2ErrorKind[] = "mw-error";
+inline constexpr char kH2UpstreamEnd[] = "mw-upstream-end";
 inline constexpr char kH2Fencing[] = "mw-fencing";
 inline constexpr char kH2NotRepeatable[] = "mw-not-repeatable";
 
--- a/test/path_test.cc
+++ b/test/path_test.cc
@@ -149,6 +149,34 @@
 
 TEST_GROUP(path){};
 
+// Symptom: engines end one after the other. Sequence: a request ends the engine
+// that runs it; its caller sends it again, and so on. Cause: nothing outlived
+// its answer. Each engine here ends while it reads that prompt; the fourth
+// sending is refused as not run, and another request is served.
+TEST(path, ARequestThatEndsEnginesIsRefused) {
+  Fleet f;
+  f.TwoEngines(200);
+  const std::string deadly = Chat("deadly", 8);
+  for (int i = 0; i < 3; ++i) {
+    std::thread end = Later(100, [&] {
+      for (const char* name : {"engine-1", "engine-2"}) {
+        Stop(f.pids[name], SIGKILL, 2000);
+      }
+    });
+    Reply r = Post(f.EntryUrl() + "/v1/chat/completions", deadly, kGate);
+    end.join();
+    LONGS_EQUAL(502, r.status);
+    f.Engine(1, 200);
+    f.Engine(2, 200);
+  }
+  Reply r = Post(f.EntryUrl() + "/v1/chat/completions", deadly, kGate);
+  LONGS_EQUAL(503, r.status);
+  CHECK_TRUE(absl::StrContains(r.body, "quarantined"));
+  Reply other =
+      Post(f.EntryUrl() + "/v1/chat/completions", Chat("other", 2), kGate);
+  CHECK_TRUE(Whole(other, "other"));
+}
+
 // Symptom: a caller gets another caller's answer, or a short one passed as
 // whole. Sequence: many streamed requests at once through two hops.
 // Cause: streams mixed up or ended early. Each answer is checked for its
