An outage that is over keeps no tier out

Callers saw, after all processes were started anew at 303 hosts before 3,000 engines: of 6,153 requests in four seconds 3,120 refused, the last of them when every entry had its list again. no_place lines: upstreams=2994 free=2994 and tier_turned_away=0 or 1 (2,765 of 3,070 between 8.1 and 11 s).

Cause: an entry has its configuration a second before its list and turns all tiers away meanwhile. The tier guard took that for overload, and held the less urgent back until it was forgotten. So after any outage of a whole service.

Ruled out: starts (0.6 s), the election (0.64 s after the kill), configurations (0.7 s at all entries), engines without room.

Change: what is turned away counts only where an upstream of the service is usable: full, loaded or reading enough.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -114,6 +114,7 @@
   void ReleaseUpstream(Request& r);
   HeaderList HeadersOf(const MessageHead& answer) const;
   void Fail(Request& r, ErrorKind kind, absl::string_view why);
+  void NoteTurnedAway(const Request& r);
   void Finish(Request& r, absl::string_view outcome, absl::string_view why);
   void CallerLeft(uint64_t seq);
   void UpstreamCrashed(const std::string& upstream, absl::string_view how,
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -186,6 +186,17 @@
       std::chrono::duration<double>(seconds * spread(random_)));
 }
 
+// Tells the guard of a request that had no place, where there was any to be
+// had: in an outage nobody takes the place of another, and once it is over the
+// less urgent need not wait until it is forgotten.
+void Gateway::NoteTurnedAway(const Request& r) {
+  TimePoint now = clock_.Now();
+  NoPlaceCounts n =
+      CountNoPlace(pool_.boards(), AskFor(r), now, options_.placement);
+  if (n.unusable == n.upstreams) return;
+  GuardFor(r.service->name).NoteTurnedAway(r.tier, now);
+}
+
 // The request's one final answer when it gets none from an upstream.
 void Gateway::Fail(Request& r, ErrorKind kind, absl::string_view why) {
   const Answer& a = AnswerFor(kind);
@@ -195,9 +206,7 @@
     Finish(r, "cut", why);
     return;
   }
-  if (r.sends == 0 && r.service && NoPlace(kind)) {
-    GuardFor(r.service->name).NoteTurnedAway(r.tier, clock_.Now());
-  }
+  if (r.sends == 0 && r.service && NoPlace(kind)) NoteTurnedAway(r);
   metrics_.CountRefusal(a.code);
   Refusal refusal = dialect_.write_refusal(kind, why, RetryAfter(r, kind));
   r.exchange->Respond(a.http_status, refusal.headers, refusal.body);
