What of the quarantine is told to all is bounded

Read over for the landing: requests beside two crashes are kept for an hour, up to 4,096 of them, and each change told all of them to every process; after an hour of crashes that is some 250 KB to each of a hundred entries. 256 are told now, those refused first, then the newest. Verdicts are still taken from all that a process holds. Test WhatIsToldIsBounded (did not compile before: no bound).

--- a/src/quarantine.cc
+++ b/src/quarantine.cc
@@ -200,6 +200,7 @@
 }
 
 void Quarantine::Judge() {
+  Convict(CrashingRequests(BesideMore(), policy_));
   std::vector<CrashRecord> shared = Shared();
   std::string text;
   for (const CrashRecord& r : shared) {
@@ -213,8 +214,10 @@
       shared.empty()
           ? 0
           : std::max<int64_t>(1, static_cast<int64_t>(StableHash(text) >> 1));
-  std::vector<RequestPrint> now = CrashingRequests(shared, policy_);
-  std::set<RequestPrint> refused(now.begin(), now.end());
+}
+
+void Quarantine::Convict(absl::Span<const RequestPrint> crashing) {
+  std::set<RequestPrint> refused(crashing.begin(), crashing.end());
   if (refused == refused_) return;
   for (RequestPrint p : refused) {
     if (Refuses(p)) continue;
@@ -266,13 +269,29 @@
   return out;
 }
 
-std::vector<CrashRecord> Quarantine::Shared() const {
+std::vector<CrashRecord> Quarantine::BesideMore() const {
   std::vector<CrashRecord> out;
   for (const auto& [asks, e] : entries_) {
-    if (e.record.crashes.size() < kSharedFrom) continue;
-    out.push_back(e.record);
+    if (e.record.crashes.size() >= kSharedFrom) out.push_back(e.record);
+  }
+  return out;
+}
+
+std::vector<CrashRecord> Quarantine::Shared() const {
+  std::vector<CrashRecord> out = BesideMore();
+  auto rank = [this](const CrashRecord& r) {
+    return std::make_pair(Refuses(r.asks), Newest(r));
+  };
+  if (out.size() > policy_.most_shared) {
+    std::sort(out.begin(), out.end(),
+              [&](const CrashRecord& a, const CrashRecord& b) {
+                return rank(a) > rank(b);
+              });
+    out.resize(policy_.most_shared);
+  }
+  for (CrashRecord& r : out) {
     std::sort(
-        out.back().crashes.begin(), out.back().crashes.end(),
+        r.crashes.begin(), r.crashes.end(),
         [](const Crash& a, const Crash& b) { return a.upstream < b.upstream; });
   }
   std::sort(out.begin(), out.end(),
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -58,6 +58,7 @@
   Duration apart = Millis(20);
   Duration memory = std::chrono::hours(1);
   size_t most_records = 4096;
+  size_t most_shared = 256;  // Told to all: those refused, then the newest.
   size_t most_crashes = 16;  // Of one record: the newest ones.
 };
 
@@ -93,7 +94,8 @@
   uint64_t seq() const { return seq_; }
   // Those noted or reported after `seq`, the newest `most`.
   std::vector<CrashRecord> ChangedSince(uint64_t seq, size_t most) const;
-  // What all processes should know: requests beside more than one crash.
+  // What all processes should know: requests beside more than one crash. In an
+  // order of its own.
   std::vector<CrashRecord> Shared() const;
   // Tells the contents of Shared(); 0 where there are none.
   int64_t version() const { return version_; }
@@ -110,7 +112,11 @@
   void ClearCommon(CrashRecord& r) const;
   void Take(absl::Span<const CrashRecord> records, bool tell_on);
   void Bound();
+  // Sets who is refused, and the version of what is told.
   void Judge();
+  void Convict(absl::Span<const RequestPrint> crashing);
+  // The records of more than one crash.
+  std::vector<CrashRecord> BesideMore() const;
 
   QuarantinePolicy policy_;
   std::unordered_map<RequestPrint, Entry> entries_;
--- a/test/quarantine_test.cc
+++ b/test/quarantine_test.cc
@@ -205,6 +205,20 @@
   CHECK_TRUE(q.version() != 0);
 }
 
+// After an hour of crashes hundreds stood beside two. What every process is
+// told stays small, and whoever is refused is in it however old.
+TEST(quarantine, WhatIsToldIsBounded) {
+  for (int n = 1; n <= 3; ++n) End(n, {kDeadly});
+  for (RequestPrint p = 10; p < 1000; ++p) {
+    End(static_cast<int>(2 * p), {p});
+    End(static_cast<int>(2 * p + 1), {p});
+  }
+  LONGS_EQUAL(QuarantinePolicy().most_shared, q.Shared().size());
+  Quarantine below;
+  below.TakeTold(q.Shared());
+  CHECK_TRUE(below.Refuses(kDeadly));
+}
+
 TEST(quarantine, ItsSizeIsBoundedAndItForgets) {
   QuarantinePolicy policy;
   policy.most_records = 100;
