--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -357,8 +357,7 @@
 // The engine that most likely holds leading parts of the prompt that `to` may
 // lack: one seen here to have read all that is shared; else another home of
 // these parts, where requests for them go from every entry; else one seen to
-// have read the first of them. Lowers the worth lost by parts read again (0.021
-// to 0.012, 0.024 to 0.016 of a day at the worst load of two deployments).
+// have read the first of them.
 Endpoint Gateway::CopySource(const Request& r, const UpstreamBoard& to,
                              TimePoint now) {
   if (r.facts.parts.size() < 2) return {};
--- a/src/lister.h
+++ b/src/lister.h
@@ -43,11 +43,12 @@
 
 // The time from one reading of a list of that length to the next. Load pattern:
 // one process reads the list for all, and each reading is as long as the list:
-// 3,000 upstreams every 0.6 s were 900 kB a second of its host's link. A small
-// list is read often enough that a leaving upstream is known well within the
-// seconds allowed; a long one less often, so that reading costs the same, but
-// still within half of the least time that operators allow; and never at more
-// than half of the calls that the source takes, as others must reach it, too.
+// of thousands of upstreams, read as often as a small one, it fills the link of
+// its host. A small list is read often enough that a leaving upstream is known
+// well within the seconds allowed; a long one less often, so that reading costs
+// the same, but still within half of the least time that operators allow; and
+// never at more than half of the calls that the source takes, as others must
+// reach it, too.
 Duration ListInterval(const ListLength& length, double calls_per_s);
 
 // Thread safety: loop thread only.
--- a/src/placement.h
+++ b/src/placement.h
@@ -128,13 +128,12 @@
   // Own requests at one engine past which it gets no more long generations, in
   // this process's part of its slots; 0: no limit. When engines are lost, those
   // of all processes meet at the few that are left before any report says so,
-  // and past its slots an engine preempts: 92 to 125 and 76 requests of a day
-  // without it, 1 and 12 with it.
+  // and past its slots an engine preempts.
   double own_generations_share = 0.75;
   // Past it, up to this share, only an engine of which a report no older than
   // this says that it has room: entries differ in what their callers send, and
   // one that has used up its part must not turn the most urgent away while
-  // others leave theirs. 301 of 1,399 in five seconds of such a burst.
+  // others leave theirs.
   double most_own_generations_share = 2;
   double room_load = 0.75;
   Duration room_report_age = Millis(500);
--- a/src/reading_gate.h
+++ b/src/reading_gate.h
@@ -24,16 +24,13 @@
   double least = 2;
   double most = 512;
   // A first event is late past this share of its latency target. An engine that
-  // always has a prompt to read puts a chunk of one into every step: where a
-  // token then takes 57 ms in place of 5, streams end at their deadline. Mean
-  // worth of the days of highest load on three fleets of 38 to 56 engines,
-  // against 0.5: 0.442 to 0.458.
+  // always has a prompt to read puts a chunk of one into every step: tokens
+  // then take ten times as long, and streams end at their deadline.
   double late_share = 0.3;
   double backoff = 0.97;  // Of the limit, for each late first event.
   double step = 0.2;      // Onto the limit, for each in time while it binds.
   // Prompts more urgent than the least urgent under way may fill the limit this
   // many times: when it binds it is the least urgent that wait, not all alike.
-  // Mean worth of 24 bursts of four to ten times the traffic: 0.110 to 0.119.
   double urgent_headroom = 2;
 };
 
--- a/src/waiting.h
+++ b/src/waiting.h
@@ -21,8 +21,7 @@
   // Longest wait for a place, in shares of the request's latency target. In
   // overload everyone served has waited this long, so it is taken off the time
   // that the engine has; a caller told at once to come back has most of its
-  // target left at another entry. Mean worth of the days of highest load on
-  // three fleets of 38 to 56 engines, against 0.5: 0.395 to 0.442.
+  // target left at another entry.
   double most_target_share = 0.1;
   // Most requests that wait for one service.
   size_t most_waiting = 256;
