--- a/src/crash_watch.h
+++ b/src/crash_watch.h
@@ -20,7 +20,7 @@
 // Thread safety: loop thread only.
 class CrashWatch {
  public:
-  // A call that its upstream did not end.
+  // A call whose connection ended before its answer did.
   struct Cut {
     RequestPrint asks = 0;
     Crash crash;  // But for the upstream.
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -56,7 +56,7 @@
   // Ends of upstreams closer together than this are of one cause. A request
   // that was moved from the first may have been under way to the second.
   Duration apart = Millis(20);
-  Duration memory = std::chrono::hours(1);
+  Duration memory = std::chrono::hours(1);  // Since the last crash.
   size_t most_records = 4096;
   size_t most_shared = 256;  // Told to all: those refused, then the newest.
   size_t most_crashes = 16;  // Of one record: the newest ones.
@@ -78,7 +78,7 @@
   void NoteServed(RequestPrint asks);
   // Joins what those who report here have noted. ChangedSince tells it on.
   void TakeReported(absl::Span<const CrashRecord> records);
-  // Joins what whom this process reports to holds.
+  // Joins what the process holds that this one reports to.
   void TakeTold(absl::Span<const CrashRecord> records);
   // Forgets what is too old.
   void Tick(TimePoint now);
@@ -86,7 +86,7 @@
   // Whether `asks` is to be sent nowhere, and for how long from `now`.
   bool Refuses(RequestPrint asks) const { return refused_.count(asks) > 0; }
   Duration RefusedFor(RequestPrint asks, TimePoint now) const;
-  // Of those refused; grows with each that is added or freed.
+  // Grows whenever a request is refused that was not, or freed.
   uint64_t verdicts() const { return verdicts_; }
   size_t refused() const { return refused_.size(); }
 
@@ -94,8 +94,8 @@
   uint64_t seq() const { return seq_; }
   // Those noted or reported after `seq`, the newest `most`.
   std::vector<CrashRecord> ChangedSince(uint64_t seq, size_t most) const;
-  // What all processes should know: requests beside more than one crash. In an
-  // order of its own.
+  // What all processes should know: requests beside more than one crash, sorted
+  // by what they ask.
   std::vector<CrashRecord> Shared() const;
   // Tells the contents of Shared(); 0 where there are none.
   int64_t version() const { return version_; }
