Usage reports: one holder at a time, fixed in the log before they are sent

Two designs were weighed. (1) The group's leader holds the duty and its term is the token. (2) A holder with a lease of its own granted through the log, its number the token. (2) needs an entry at each grant and renewal, a second clock argument, and lets holder and leader be two hosts, so that each report crosses twice; all it buys is that the duty could move away from a busy leader, and a report every five seconds is no load. (1) was built: a term has one leader, so no two hosts send one token, without another agreement.

- A window's report is a record of the replicated log (duty_log); the first one committed under a number stands; only what is committed is sent, by whoever.
- A leader acts from LeaseMs and a second after its election, and only under a confirmation by a quorum not older than 250 ms, asked for once the connection stands (duty_turn).
- Entries count requests that begin to run (a request once, with its first token, or an answer that says it failed) and tell what has changed with the watch, at most every 0.8 s; counts are joined by the greatest under each process start.
What a killed entry had not told is lost: 0.8 s of its part and a watch.
- A window is fixed four tenths of the time allowed after its end, so that a new leader can still have its turn.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -137,6 +137,10 @@
                 .Name("medlarwalk_control_state")
                 .Help("What the process holds and believes")
                 .Register(*registry_);
+  duties_ = &prometheus::BuildCounter()
+                 .Name("medlarwalk_control_duties_total")
+                 .Help("Steps of duties, by what they came to")
+                 .Register(*registry_);
 }
 
 void ControlMetrics::ObserveCall(absl::string_view call,
@@ -157,6 +161,12 @@
   list_bytes_->Add(labels).Increment(static_cast<double>(bytes));
 }
 
+void ControlMetrics::CountDuty(absl::string_view step,
+                               absl::string_view outcome) {
+  duties_->Add({{"step", std::string(step)}, {"outcome", std::string(outcome)}})
+      .Increment();
+}
+
 void ControlMetrics::Set(const State& s) {
   auto set = [this](const char* what, double value) {
     state_->Add({{"what", what}}).Set(value);
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -96,6 +96,8 @@
   void CountWatch(absl::string_view what);
   // Counts one list told, "whole" or as a "difference", and its bytes.
   void CountListTold(absl::string_view how, size_t bytes);
+  // Counts one step of a duty by what it came to.
+  void CountDuty(absl::string_view step, absl::string_view outcome);
   void Set(const State& s);
   std::string Render() const;
 
@@ -106,6 +108,7 @@
   prometheus::Family<prometheus::Counter>* lists_;
   prometheus::Family<prometheus::Counter>* list_bytes_;
   prometheus::Family<prometheus::Gauge>* state_;
+  prometheus::Family<prometheus::Counter>* duties_;
 };
 
 // `registry` in the Prometheus text format, with the log lines dropped.
--- a/src/control.cc
+++ b/src/control.cc
@@ -52,7 +52,7 @@
 }
 
 Control::Control(struct ev_loop* loop, const Clock& clock,
-                 ControlOptions options)
+                 const WallClock& wall, ControlOptions options)
     : loop_(loop),
       clock_(clock),
       options_(std::move(options)),
@@ -67,7 +67,10 @@
                   Forward(std::move(document), std::move(done));
                 }),
       lister_(loop, clock, options_.list),
-      reports_(quarantine_),
+      usage_(
+          loop, clock, wall, options_.usage, [this] { return replica_.get(); },
+          metrics_),
+      reports_(quarantine_, usage_.book(), wall),
       leader_watch_(
           loop, clock,
           [&] {
@@ -390,7 +393,8 @@
   leader_watch_.state().watchers = DirectServing();
   quarantine_.Tick(now);
   SaveQuarantine(now);
-  if (reports_.waiting()) leader_watch_.AskAgain();
+  usage_.Tick();
+  if (reports_.urgent()) leader_watch_.AskAgain();
   ConfirmForNew();
   AnswerWatchers();
   PollList(now);
--- a/src/control.h
+++ b/src/control.h
@@ -24,7 +24,9 @@
 #include "quarantine.h"
 #include "replica.h"
 #include "replica_store.h"
+#include "usage_reporter.h"
 #include "watch_client.h"
+#include "watch_reports.h"
 
 namespace medlarwalk {
 
@@ -41,6 +43,7 @@
   BeforeWrite before_disk_write;  // May be empty.
   int tolerate = 1;               // Hosts that may be lost at once.
   ListSource list;
+  UsageOptions usage;
   // Checks a document and returns its version. Errors: InvalidArgument.
   std::function<absl::StatusOr<int64_t>(absl::string_view)> validate;
 };
@@ -51,7 +54,8 @@
 // Thread safety: loop thread only.
 class Control {
  public:
-  Control(struct ev_loop* loop, const Clock& clock, ControlOptions options);
+  Control(struct ev_loop* loop, const Clock& clock, const WallClock& wall,
+          ControlOptions options);
   ~Control();
   Control(const Control&) = delete;
   Control& operator=(const Control&) = delete;
@@ -154,7 +158,8 @@
   NewestGate forwards_;  // Changes passed on to the leader.
   Lister lister_;
   Quarantine quarantine_;
-  CrashReports reports_;
+  UsageReporter usage_;
+  WatchReports reports_;
   // What is held may lack what was known before this process started anew.
   bool quarantine_known_ = false;
   int64_t saved_quarantine_ = 0;
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -59,6 +59,7 @@
   serving_from_leader_ = r.serving;
   told_leader_ = r.leader;
   told_at_ = clock_.Now();
+  usage_.TakeTold(r);
   if (!r.control.empty()) data_centres_.clear();
   for (const ControlPlace& p : r.control) {
     data_centres_[p.address] = p.data_centre;
@@ -115,6 +116,7 @@
   if (list_read_at_ != TimePoint{}) w.list_age_ms = ToMs(now - list_read_at_);
   w.list_interval_ms = ToMs(list_interval_);
   w.serving = TotalServing();
+  usage_.Fill(&w);
   w.quarantine_version = quarantine_.version();
   if (w.quarantine_version != r.quarantine_version) {
     w.quarantine = std::make_shared<const std::string>(
@@ -141,6 +143,8 @@
   bool reported = !r->crashes.empty();
   if (reported) TakeCrashes(r->crashes, false);
   r->crashes.clear();
+  usage_.TakeReport(*r);
+  r->usage.clear();
   watchers_.push_back(Watcher{*std::move(r), reported, std::move(stream), now,
                               now + kWatchHold});
   ConfirmForNew();
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -1,6 +1,8 @@
 #include "control_wire.h"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "json_numbers.h"
@@ -57,6 +59,10 @@
   return std::make_shared<const std::string>(b.begin(), b.end());
 }
 
+json Binary(const std::string& bytes) {
+  return json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
+}
+
 // What stands before `n` bytes in CBOR: their type and number, in the form of
 // four bytes whatever the number (RFC 8949, 3.1).
 std::string BytesHeader(size_t n) {
@@ -142,6 +148,39 @@
       bytes, [now](const json& j) { return CrashRecordsFromJson(j, now); });
 }
 
+// Records of one process and window stand together: accounts, each followed by
+// its count.
+std::string EncodeUsageRecords(absl::Span<const UsageRecord> records) {
+  std::map<std::pair<uint64_t, int64_t>, json> groups;
+  for (const UsageRecord& r : records) {
+    json& g = groups[{r.process, r.window}];
+    g.push_back(r.account);
+    g.push_back(r.count);
+  }
+  json out = json::array();
+  for (auto& [key, g] : groups) {
+    out.push_back({key.first, key.second, std::move(g)});
+  }
+  return ToCbor(out);
+}
+
+absl::StatusOr<std::vector<UsageRecord>> DecodeUsageRecords(
+    absl::string_view bytes) {
+  return Decode<std::vector<UsageRecord>>(bytes, [](const json& j) {
+    std::vector<UsageRecord> out;
+    for (const json& g : j) {
+      const json& counts = g.at(2);
+      for (size_t i = 0; i + 1 < counts.size(); i += 2) {
+        out.push_back({WholeNumber<uint64_t>(g.at(0)),
+                       WholeNumber<int64_t>(g.at(1)),
+                       counts.at(i).get<std::string>(),
+                       WholeNumber<int64_t>(counts.at(i + 1))});
+      }
+    }
+    return out;
+  });
+}
+
 std::string EncodeWatchRequest(const WatchRequest& r) {
   return ToCbor({{"n", r.name},
                  {"z", r.data_centre},
@@ -152,8 +191,9 @@
                  {"l", r.list_version},
                  {"k", r.places_version},
                  {"q", r.quarantine_version},
-                 {"x", json::binary(std::vector<uint8_t>(r.crashes.begin(),
-                                                         r.crashes.end()))}});
+                 {"x", Binary(r.crashes)},
+                 {"t", r.unix_ms},
+                 {"u", Binary(r.usage)}});
 }
 
 absl::StatusOr<WatchRequest> DecodeWatchRequest(absl::string_view bytes) {
@@ -169,6 +209,8 @@
     r.places_version = WholeNumber<int64_t>(j.at("k"));
     r.quarantine_version = WholeNumber<int64_t>(j, "q", 0);
     if (Document d = DocumentAt(j, "x")) r.crashes = *d;
+    r.unix_ms = WholeNumber<int64_t>(j, "t", 0);
+    if (Document d = DocumentAt(j, "u")) r.usage = *d;
     return r;
   });
 }
@@ -177,7 +219,8 @@
   json j = {{"a", r.age_ms},      {"c", r.config_version},
             {"g", r.list_age_ms}, {"i", r.list_interval_ms},
             {"s", r.serving},     {"m", ToJson(r.control)},
-            {"h", r.leader},      {"q", r.quarantine_version}};
+            {"h", r.leader},      {"q", r.quarantine_version},
+            {"t", r.unix_ms},     {"f", r.usage_fixed}};
   std::string head = ToCbor(j);
   // The documents are the map's last pairs, so that their bytes may be
   // anyone's. A map's first byte counts its pairs: fewer than 23.
@@ -208,6 +251,8 @@
     r.list = DocumentAt(j, "l");
     r.quarantine_version = WholeNumber<int64_t>(j, "q", 0);
     r.quarantine = DocumentAt(j, "x");
+    r.unix_ms = WholeNumber<int64_t>(j, "t", 0);
+    r.usage_fixed = WholeNumber<int64_t>(j, "f", 0);
     return r;
   });
 }
--- a/src/control_wire.h
+++ b/src/control_wire.h
@@ -14,6 +14,7 @@
 #include "payload.h"
 #include "quarantine.h"
 #include "upstream_list.h"
+#include "usage_book.h"
 
 namespace medlarwalk {
 
@@ -39,6 +40,10 @@
   int64_t quarantine_version = 0;
   // What it reports: an array of crash records, encoded; "" for none.
   std::string crashes;
+  // Its time of day, in ms since the start of 1970; 0: not told.
+  int64_t unix_ms = 0;
+  // Its usage records, encoded; "" for none.
+  std::string usage;
 };
 
 // A control process, and where it is; "" where that is not known.
@@ -68,6 +73,10 @@
   // All that are known, when others than the asker knows, else none.
   std::vector<ControlPlace> control;
   std::string leader;  // Address of the leader, if known.
+  // The group's time, in ms since the start of 1970; 0: not known.
+  int64_t unix_ms = 0;
+  // Usage of windows through this one is fixed; 0: none.
+  int64_t usage_fixed = 0;
 };
 
 // The addresses of the group's members, told to processes that seeds name but
@@ -85,6 +94,10 @@
 // Errors: InvalidArgument.
 absl::StatusOr<std::vector<CrashRecord>> DecodeCrashRecords(
     absl::string_view bytes, TimePoint now);
+std::string EncodeUsageRecords(absl::Span<const UsageRecord> records);
+// Errors: InvalidArgument.
+absl::StatusOr<std::vector<UsageRecord>> DecodeUsageRecords(
+    absl::string_view bytes);
 std::string EncodeWatchRequest(const WatchRequest& r);
 absl::StatusOr<WatchRequest> DecodeWatchRequest(absl::string_view bytes);
 // Documents are not copied: all askers' replies share them.
--- /dev/null
+++ b/src/duty/duty_log.cc
@@ -0,0 +1,43 @@
+#include "duty_log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace medlarwalk {
+
+size_t DutyLog::Subject::Bytes() const {
+  size_t n = 0;
+  for (const auto& [number, content] : open) n += content->size();
+  return n;
+}
+
+bool DutyLog::Apply(const DutyRecord& r) {
+  Subject& s = subjects_[r.subject];
+  bool first = r.number > s.fixed_through;
+  if (first) {
+    s.fixed_through = r.number;
+    s.open[r.number] = r.content;
+  }
+  s.done_through = std::max(s.done_through, r.done_through);
+  s.open.erase(s.open.begin(), s.open.upper_bound(s.done_through));
+  while (s.open.size() > kMostOpen) s.open.erase(s.open.begin());
+  return first;
+}
+
+const DutyLog::Subject& DutyLog::Of(const std::string& subject) const {
+  static const Subject kNothing;
+  auto it = subjects_.find(subject);
+  return it == subjects_.end() ? kNothing : it->second;
+}
+
+void DutyLog::Restore(const std::string& subject, Subject s) {
+  subjects_[subject] = std::move(s);
+}
+
+size_t DutyLog::Bytes() const {
+  size_t n = 0;
+  for (const auto& [name, s] : subjects_) n += s.Bytes();
+  return n;
+}
+
+}  // namespace medlarwalk
--- /dev/null
+++ b/src/duty/usage_book.cc
@@ -0,0 +1,104 @@
+#include "usage_book.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace medlarwalk {
+
+bool UsageBook::Key::operator<(const Key& o) const {
+  return std::tie(window, process, account) <
+         std::tie(o.window, o.process, o.account);
+}
+
+void UsageBook::Raise(Key key, int64_t count) {
+  if (key.window <= dropped_through_) return;
+  auto it = cells_.find(key);
+  if (it == cells_.end()) {
+    if (cells_.size() >= most_) return;
+    it = cells_.emplace(key, Cell{}).first;
+  } else if (count <= it->second.count) {
+    return;
+  }
+  by_seq_.erase(it->second.seq);
+  it->second = {count, ++seq_};
+  by_seq_[seq_] = std::move(key);
+}
+
+void UsageBook::Count(uint64_t process, int64_t window,
+                      const std::string& account) {
+  Key key{window, process, account};
+  auto it = cells_.find(key);
+  int64_t before = it == cells_.end() ? 0 : it->second.count;
+  Raise(std::move(key), before + 1);
+}
+
+void UsageBook::Join(absl::Span<const UsageRecord> records) {
+  for (const UsageRecord& r : records) {
+    Raise({r.window, r.process, r.account}, r.count);
+  }
+}
+
+void UsageBook::DropThrough(int64_t window) {
+  dropped_through_ = std::max(dropped_through_, window);
+  while (!cells_.empty() && cells_.begin()->first.window <= dropped_through_) {
+    by_seq_.erase(cells_.begin()->second.seq);
+    cells_.erase(cells_.begin());
+  }
+}
+
+UsageCounts UsageBook::Sum(int64_t window) const {
+  UsageCounts sum;
+  for (auto it = cells_.lower_bound({window, 0, ""});
+       it != cells_.end() && it->first.window == window; ++it) {
+    sum[it->first.account] += it->second.count;
+  }
+  return sum;
+}
+
+size_t UsageBook::Processes(int64_t window) const {
+  std::set<uint64_t> seen;
+  for (auto it = cells_.lower_bound({window, 0, ""});
+       it != cells_.end() && it->first.window == window; ++it) {
+    seen.insert(it->first.process);
+  }
+  return seen.size();
+}
+
+std::optional<int64_t> UsageBook::first_window() const {
+  if (cells_.empty()) return std::nullopt;
+  return cells_.begin()->first.window;
+}
+
+std::vector<UsageRecord> UsageBook::ChangedSince(uint64_t seq, size_t most,
+                                                 uint64_t* through) const {
+  std::vector<UsageRecord> out;
+  *through = seq;
+  for (auto it = by_seq_.upper_bound(seq);
+       it != by_seq_.end() && out.size() < most; ++it) {
+    const Key& k = it->second;
+    out.push_back({k.process, k.window, k.account, cells_.at(k).count});
+    *through = it->first;
+  }
+  return out;
+}
+
+std::vector<UsageRecord> UsageReports::For(const std::string& target,
+                                           TimePoint now) {
+  if (target != target_) Lost();
+  target_ = target;
+  sent_ = confirmed_;
+  if (told_at_ && now - *told_at_ < interval_) return {};
+  std::vector<UsageRecord> due =
+      book_.ChangedSince(confirmed_, kMostTold, &sent_);
+  if (!due.empty()) told_at_ = now;
+  return due;
+}
+
+void UsageReports::Lost() {
+  confirmed_ = sent_ = 0;
+  told_at_.reset();
+}
+
+}  // namespace medlarwalk
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -47,6 +47,9 @@
   // (NoteInStep), an entry refuses for good what that does not allow. Zero: it
   // always does.
   Duration config_trust{};
+  // A request of `account` has begun to run at an upstream, as far as its
+  // answer tells. May be empty.
+  std::function<void(const std::string& account)> on_run;
   // How upstreams are reached; HTTP/1.1 connections when empty.
   LinkOpener open_link;
 };
@@ -101,6 +104,7 @@
   bool OnHead(Request& r, const MessageHead& head);
   void OnBody(Request& r, absl::string_view data);
   void OnEnd(Request& r, CallEnd end, absl::string_view why);
+  void NoteRun(Request& r);
   void PromptRead(Request& r, TimePoint now);
   bool RelayEvent(Request& r, absl::string_view event);
   void NotePauseOf(Request& r, TimePoint now);
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -37,9 +37,20 @@
   r.head_at = now;
   if (!r.answer_facts.not_run) r.maybe_run = true;
   r.relaying = r.stream() && success && r.answer_facts.signed_whole;
+  bool first_token_follows = r.service->engine && success;
+  if (!r.answer_facts.not_run && !first_token_follows) NoteRun(r);
   return true;
 }
 
+// Counts a request of an account that has begun to run, once however often it
+// is sent. An engine begins it with its first token, or when it answers that it
+// failed; a plain service before it answers at all.
+void Gateway::NoteRun(Request& r) {
+  if (r.run_noted || !options_.on_run || r.account.empty()) return;
+  r.run_noted = true;
+  options_.on_run(r.account);
+}
+
 void Gateway::OnBody(Request& r, absl::string_view data) {
   TimePoint now = clock_.Now();
   r.progress_at = now;
@@ -96,6 +107,7 @@
   if (r.service->engine && r.events == 0) {
     parts_.Note(r.facts.parts, r.upstream, clock_.Now());
   }
+  if (r.service->engine) NoteRun(r);
   if (!r.stream_started) {
     r.exchange->StartAnswer(r.answer.status, r.answer.reason,
                             HeadersOf(r.answer));
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -136,7 +136,11 @@
     }
   }
   NoteEndOf(r, end);
-  if (end != CallEnd::kNotSent && !not_run) r.maybe_run = true;
+  if (end != CallEnd::kNotSent && !not_run) {
+    r.maybe_run = true;
+    // A plain service whose answer is lost has run it, as a rule.
+    if (!r.service->engine) NoteRun(r);
+  }
   LogEvent("attempt_failed",
            {{"request", r.facts.id},
             {"asks", PrintName(r.asks)},
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -42,6 +42,7 @@
   bool waiting = false;
   TimePoint starves_at{};       // While waiting.
   bool maybe_run = false;       // Some upstream may have run it.
+  bool run_noted = false;       // It was counted as one that began to run.
   int sends = 0;                // Upstreams it was sent to.
   size_t connect_failures = 0;  // Connections not established.
   std::vector<std::string> tried;
--- a/src/replica.cc
+++ b/src/replica.cc
@@ -20,7 +20,10 @@
 // Rounds whose sending time is kept; more than a link can hold under way.
 constexpr size_t kRoundsKept = 256;
 
-size_t BytesOf(const LogEntry& e) { return (e.data ? e.data->size() : 0) + 64; }
+size_t BytesOf(const LogEntry& e) {
+  size_t content = e.duty.content ? e.duty.content->size() : 0;
+  return (e.data ? e.data->size() : 0) + content + 64;
+}
 
 }  // namespace
 
@@ -48,6 +51,7 @@
   commit_ = applied_ = snapshot_.index;
   config_version_ = snapshot_.version;
   config_ = snapshot_.config;
+  duties_ = snapshot_.duties;
   RefreshMembers();
   first_wait_ = options_.first_election;
   ResetElectionTimer(first_wait_);
@@ -243,14 +247,26 @@
 }
 
 void Replica::AppendProposal(int64_t version, Document config, Done done) {
-  if (role_ != ReplicaRole::kLeader) {
-    done(absl::UnavailableError("not the leader"));
-    return;
-  }
   LogEntry e;
   e.kind = EntryKind::kConfig;
   e.version = version;
   e.data = std::move(config);
+  AppendAwaited(std::move(e), std::move(done));
+}
+
+void Replica::ProposeDuty(DutyRecord record, Done done) {
+  LogEntry e;
+  e.kind = EntryKind::kDuty;
+  e.duty = std::move(record);
+  AppendAwaited(std::move(e), std::move(done));
+}
+
+// Appends an entry of this leader's; `done` once it is committed.
+void Replica::AppendAwaited(LogEntry e, Done done) {
+  if (role_ != ReplicaRole::kLeader) {
+    done(absl::UnavailableError("not the leader"));
+    return;
+  }
   Waiter w;
   w.index = LastIndex() + 1;
   w.term = term_;
@@ -427,6 +443,7 @@
     log_bytes_ = 0;
     applied_bytes_ = 0;
     commit_ = applied_ = snapshot_.index;
+    duties_ = snapshot_.duties;
     RefreshMembers();
     if (snapshot_.version > config_version_) {
       config_version_ = snapshot_.version;
@@ -501,6 +518,7 @@
   while (applied_ < to) {
     const LogEntry& e = At(++applied_);
     applied_bytes_ += BytesOf(e);
+    if (e.kind == EntryKind::kDuty) duties_.Apply(e.duty);
     if (e.kind != EntryKind::kConfig || e.version <= config_version_) continue;
     config_version_ = e.version;
     config_ = e.data;
@@ -526,6 +544,7 @@
   st.snapshot.term = TermAt(applied_);
   st.snapshot.version = config_version_;
   st.snapshot.config = config_;
+  st.snapshot.duties = duties_;
   st.snapshot.members = snapshot_.members;
   for (const LogEntry& e : log_) {
     if (e.index <= applied_) {
--- a/src/replica.h
+++ b/src/replica.h
@@ -1,8 +1,8 @@
-// Consensus among the control hosts: a replicated log of configurations and
-// of the group's own membership. Terms, pre-vote, quorum commit, leader check
-// of its quorum, read barriers, single-step membership change. Pure: messages
-// in, messages out; the store and the clock are passed in, so tests drive
-// whole groups by hand.
+// Consensus among the control hosts: a replicated log of configurations, of
+// what is fixed of duties, and of the group's own membership. Terms, pre-vote,
+// quorum commit, leader check of its quorum, read barriers, single-step
+// membership change. Pure: messages in, messages out; the store and the clock
+// are passed in, so tests drive whole groups by hand.
 #ifndef MEDLARWALK_REPLICA_H_
 #define MEDLARWALK_REPLICA_H_
 
@@ -17,6 +17,7 @@
 
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
+#include "duty_log.h"
 #include "newest_gate.h"
 #include "payload.h"
 #include "types.h"
@@ -33,7 +34,7 @@
   }
 };
 
-enum class EntryKind { kNoop = 0, kConfig = 1, kMembers = 2 };
+enum class EntryKind { kNoop = 0, kConfig = 1, kMembers = 2, kDuty = 3 };
 
 struct LogEntry {
   uint64_t index = 0;
@@ -42,6 +43,7 @@
   Document data;                // kConfig: packed, never null there.
   int64_t version = 0;          // kConfig: its version.
   std::vector<Member> members;  // kMembers.
+  DutyRecord duty;              // kDuty.
 };
 
 // Everything up to and including `index`, folded together.
@@ -51,6 +53,7 @@
   std::vector<Member> members;
   int64_t version = 0;
   Document config;  // Null: none yet.
+  DutyLog duties;
 };
 
 // What a replica keeps on its disk.
@@ -156,6 +159,9 @@
   // Errors: Unavailable when this replica is not a leader in office.
   using Done = std::function<void(absl::Status)>;
   void Propose(int64_t version, Document config, Done done);
+  // The same for what is to be sent on a duty. What was committed under its
+  // number before stands: see duties() once `done` is called.
+  void ProposeDuty(DutyRecord record, Done done);
   // Calls `done` with Ok once a quorum has confirmed, after this call, that
   // this replica still leads and all committed before is applied here.
   void ReadBarrier(Done done);
@@ -177,6 +183,8 @@
   // The newest committed configuration, packed; null when there is none yet.
   const Document& config() const { return config_; }
   const std::vector<Member>& members() const { return members_; }
+  // What is committed of duties.
+  const DutyLog& duties() const { return duties_; }
   // Entries kept beside the snapshot, and their bytes in memory.
   size_t log_entries() const { return log_.size(); }
   size_t log_bytes() const { return log_bytes_; }
@@ -213,6 +221,7 @@
   };
 
   void AppendProposal(int64_t version, Document config, Done done);
+  void AppendAwaited(LogEntry e, Done done);
   void StepDown(uint64_t term, absl::string_view why);
   bool SetTerm(uint64_t term, const std::string& vote);
   void StartElection(bool pre_vote);
@@ -277,6 +286,7 @@
   TimePoint compact_from_{};  // Not before: the store has just refused it.
   int64_t config_version_ = 0;
   Document config_;
+  DutyLog duties_;
 
   ReplicaRole role_ = ReplicaRole::kFollower;
   std::optional<Member> leader_;
--- a/src/replica_codec.cc
+++ b/src/replica_codec.cc
@@ -59,6 +59,45 @@
   int depth_ = 0;
 };
 
+json DutyToJson(const DutyRecord& r) {
+  return {r.subject, r.number, Bytes(r.content), r.done_through};
+}
+
+DutyRecord DutyFromJson(const json& j) {
+  DutyRecord r;
+  r.subject = j.at(0).get<std::string>();
+  r.number = WholeNumber<int64_t>(j.at(1));
+  r.content = BytesFrom(j.at(2));
+  r.done_through = WholeNumber<int64_t>(j.at(3));
+  return r;
+}
+
+json DutiesToJson(const DutyLog& duties) {
+  json out = json::array();
+  for (const auto& [subject, s] : duties.subjects()) {
+    json open = json::array();
+    for (const auto& [number, content] : s.open) {
+      open.push_back({number, Bytes(content)});
+    }
+    out.push_back({subject, s.fixed_through, s.done_through, std::move(open)});
+  }
+  return out;
+}
+
+DutyLog DutiesFromJson(const json& j) {
+  DutyLog out;
+  for (const json& item : j) {
+    DutyLog::Subject s;
+    s.fixed_through = WholeNumber<int64_t>(item.at(1));
+    s.done_through = WholeNumber<int64_t>(item.at(2));
+    for (const json& o : item.at(3)) {
+      s.open[WholeNumber<int64_t>(o.at(0))] = BytesFrom(o.at(1));
+    }
+    out.Restore(item.at(0).get<std::string>(), std::move(s));
+  }
+  return out;
+}
+
 }  // namespace
 
 json ToJson(const Member& m) { return json::array({m.id, m.address}); }
@@ -74,6 +113,7 @@
     j["d"] = Bytes(e.data);
   }
   if (e.kind == EntryKind::kMembers) j["m"] = MembersToJson(e.members);
+  if (e.kind == EntryKind::kDuty) j["u"] = DutyToJson(e.duty);
   return j;
 }
 
@@ -82,7 +122,7 @@
   e.index = WholeNumber<uint64_t>(j.at("i"));
   e.term = WholeNumber<uint64_t>(j.at("t"));
   int kind = WholeNumber<int>(j.at("k"));
-  if (kind < 0 || kind > static_cast<int>(EntryKind::kMembers)) {
+  if (kind < 0 || kind > static_cast<int>(EntryKind::kDuty)) {
     throw json::other_error::create(501, "unknown entry kind", nullptr);
   }
   e.kind = static_cast<EntryKind>(kind);
@@ -91,15 +131,18 @@
     e.data = BytesFrom(j.at("d"));
   }
   if (e.kind == EntryKind::kMembers) e.members = MembersFromJson(j.at("m"));
+  if (e.kind == EntryKind::kDuty) e.duty = DutyFromJson(j.at("u"));
   return e;
 }
 
 json ToJson(const Snapshot& s) {
-  return {{"i", s.index},
-          {"t", s.term},
-          {"v", s.version},
-          {"d", Bytes(s.config)},
-          {"m", MembersToJson(s.members)}};
+  json j = {{"i", s.index},
+            {"t", s.term},
+            {"v", s.version},
+            {"d", Bytes(s.config)},
+            {"m", MembersToJson(s.members)}};
+  if (!s.duties.subjects().empty()) j["u"] = DutiesToJson(s.duties);
+  return j;
 }
 
 Snapshot SnapshotFromJson(const json& j) {
@@ -109,6 +152,7 @@
   s.version = WholeNumber<int64_t>(j.at("v"));
   if (s.version > 0) s.config = BytesFrom(j.at("d"));
   s.members = MembersFromJson(j.at("m"));
+  if (j.contains("u")) s.duties = DutiesFromJson(j["u"]);
   return s;
 }
 
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -32,7 +32,7 @@
 }  // namespace
 
 Serving::Serving(struct ev_loop* loop, const Clock& clock,
-                 ServingOptions options)
+                 const WallClock& wall, ServingOptions options)
     : loop_(loop),
       clock_(clock),
       options_(std::move(options)),
@@ -42,6 +42,11 @@
           [&] {
             GatewayOptions o = options_.gateway;
             o.config_trust = kConfigTrust;
+            if (options_.usage.window > Duration::zero()) {
+              o.on_run = [this](const std::string& account) {
+                CountRun(account);
+              };
+            }
             return o;
           }(),
           options_.dialect, metrics_, RandomSeed()),
@@ -59,7 +64,8 @@
                         ex->Respond(200, {{"Content-Type", "text/plain"}},
                                     metrics_.Render());
                       }),
-      reports_(gateway_.quarantine()),
+      process_(RandomSeed()),
+      reports_(gateway_.quarantine(), usage_, wall),
       watch_(
           loop, clock,
           [&] {
@@ -80,6 +86,8 @@
   ev_timer_init(&tick_, OnTick, kTickSeconds, kTickSeconds);
   tick_.data = this;
   callers_.set_most_connections(CallersFor(options_.descriptors));
+  // Until the group's time is told.
+  time_.NoteSample(options_.name, wall.UnixNow().count(), clock_.Now());
 }
 
 Serving::~Serving() { ev_timer_stop(loop_, &tick_); }
@@ -115,6 +123,8 @@
   if (r.config && (in_step || !first)) ApplyConfig(r.config_version, *r.config);
   if (!in_step) return;
   gateway_.NoteInStep(clock_.Now() - Millis(r.age_ms));
+  if (r.unix_ms > 0) time_.NoteTold(r.unix_ms, clock_.Now());
+  usage_.DropThrough(r.usage_fixed);
   if (r.serving > 0) {
     serving_ = r.serving;
     gateway_.SetServing(r.serving);
@@ -136,6 +146,13 @@
   gateway_.quarantine().TakeTold(*r);
 }
 
+void Serving::CountRun(const std::string& account) {
+  std::optional<int64_t> unix_ms = time_.UnixMs(clock_.Now());
+  if (unix_ms) {
+    usage_.Count(process_, WindowAt(*unix_ms, options_.usage), account);
+  }
+}
+
 void Serving::TakeList(const WatchReply& r) {
   absl::StatusOr<ListChange> c = DecodeListChange(*r.list);
   int64_t before = list_.version();
@@ -241,7 +258,7 @@
 void Serving::Tick() {
   TimePoint now = clock_.Now();
   gateway_.Tick();
-  if (reports_.waiting()) watch_.AskAgain();
+  if (reports_.urgent()) watch_.AskAgain();
   ReadListAlone(now);
   if (draining_) DrainStep(now);
 }
--- a/src/serving.h
+++ b/src/serving.h
@@ -15,7 +15,9 @@
 #include "gateway.h"
 #include "lister.h"
 #include "metrics.h"
+#include "usage_schedule.h"
 #include "watch_client.h"
+#include "watch_reports.h"
 
 namespace medlarwalk {
 
@@ -33,6 +35,7 @@
   GatewayOptions gateway;
   Dialect dialect;
   ListSource list;
+  UsagePolicy usage;  // No window: requests are not counted.
   // Reads a configuration document. Errors: InvalidArgument.
   std::function<absl::StatusOr<RoutingConfig>(absl::string_view)> decode;
 };
@@ -40,7 +43,8 @@
 // Thread safety: loop thread only.
 class Serving {
  public:
-  Serving(struct ev_loop* loop, const Clock& clock, ServingOptions options);
+  Serving(struct ev_loop* loop, const Clock& clock, const WallClock& wall,
+          ServingOptions options);
   ~Serving();
   Serving(const Serving&) = delete;
   Serving& operator=(const Serving&) = delete;
@@ -58,6 +62,7 @@
   void Tick();
   void OnWatch(const WatchReply& r, bool in_step);
   void TakeCrashes(absl::string_view encoded);
+  void CountRun(const std::string& account);
   void TakeList(const WatchReply& r);
   void ApplyConfig(int64_t version, const std::string& document);
   void ReadListAlone(TimePoint now);
@@ -71,7 +76,10 @@
   CallerServer callers_;
   CallerServer readiness_;
   CallerServer metrics_server_;
-  CrashReports reports_;
+  const uint64_t process_;  // Drawn at each start.
+  GroupTime time_;
+  UsageBook usage_;
+  WatchReports reports_;
   WatchClient watch_;
   Lister lister_;
   UpstreamList list_;
--- a/src/watch_client.cc
+++ b/src/watch_client.cc
@@ -132,10 +132,7 @@
   asking_ = true;
   heard_at_ = now;
   began_at_ = {};
-  if (options_.reports) {
-    std::vector<CrashRecord> due = options_.reports->For(target_);
-    state_.crashes = due.empty() ? "" : EncodeCrashRecords(due, now);
-  }
+  if (options_.reports) options_.reports->Fill(target_, now, &state_);
   uint64_t ask = ++ask_;
   stream_ = links_.Post(
       target_, kWatchPath, Payload(EncodeWatchRequest(state_)),
--- a/src/watch_client.h
+++ b/src/watch_client.h
@@ -12,6 +12,7 @@
 #include "control_wire.h"
 #include "link_pool.h"
 #include "types.h"
+#include "watch_reports.h"
 
 namespace medlarwalk {
 
@@ -27,7 +28,7 @@
   std::string data_centre;  // Control processes there are asked first.
   std::string address;      // Where others may ask this process, if they may.
   // What goes to the process that is followed; may be null.
-  CrashReports* reports = nullptr;
+  WatchReports* reports = nullptr;
 };
 
 // Thread safety: loop thread only.
--- a/test/control_test.cc
+++ b/test/control_test.cc
@@ -56,7 +56,7 @@
         return absl::InvalidArgumentError("no number");
       return v;
     };
-    auto c = std::make_unique<Control>(loop_, clock_, std::move(o));
+    auto c = std::make_unique<Control>(loop_, clock_, wall_, std::move(o));
     CHECK_TRUE(c->Start().ok());
     processes_[static_cast<size_t>(i)] = std::move(c);
   }
@@ -102,6 +102,7 @@
  private:
   struct ev_loop* loop_;
   BootClock clock_;
+  SystemWallClock wall_;
   std::string dir_;
   int base_;
   int core_;
--- a/test/large_config_test.cc
+++ b/test/large_config_test.cc
@@ -71,7 +71,7 @@
     o.list.decode = [](absl::string_view) { return ListPage{}; };
     o.validate = VersionOf;
     at_ = o.peer;
-    control_ = std::make_unique<Control>(loop_, clock_, std::move(o));
+    control_ = std::make_unique<Control>(loop_, clock_, wall_, std::move(o));
     CHECK_TRUE(control_->Start().ok());
   }
   ~LoneControl() {
@@ -157,6 +157,7 @@
 
   struct ev_loop* loop_;
   BootClock clock_;
+  SystemWallClock wall_;
   Endpoint at_;
   std::unique_ptr<Control> control_;
   std::vector<int> askers_;
