--- a/fuzz/wire.cc
+++ b/fuzz/wire.cc
@@ -9,6 +9,8 @@
 namespace medlarwalk {
 namespace {
 
+// First byte of usage records; all others are told apart by their remainder.
+constexpr uint8_t kUsage = 'u';
 constexpr TimePoint kFuzzTime{std::chrono::hours(1000)};
 
 template <typename Decode, typename Encode>
@@ -31,6 +33,12 @@
   using namespace medlarwalk;
   if (size < 1) return 0;
   absl::string_view bytes = fuzzing::Text(data + 1, size - 1);
+  if (data[0] == kUsage) {
+    RoundTrip(bytes, DecodeUsageRecords, [](const std::vector<UsageRecord>& r) {
+      return EncodeUsageRecords(r);
+    });
+    return 0;
+  }
   switch (data[0] % 5) {
     case 0:
       RoundTrip(bytes, DecodeHello, EncodeHello);
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -72,19 +72,6 @@
   if (r.list) TakeListFrom(r);
 }
 
-// Joins what a follower reports or the leader tells.
-void Control::TakeCrashes(absl::string_view encoded, bool from_leader) {
-  absl::StatusOr<std::vector<CrashRecord>> r =
-      DecodeCrashRecords(encoded, clock_.Now());
-  if (!r.ok()) {
-    LogWarn("bad_crash_records", {{"error", r.status().message()}});
-  } else if (from_leader) {
-    quarantine_.TakeTold(*r);
-  } else {
-    quarantine_.TakeReported(*r);
-  }
-}
-
 void Control::TakeListFrom(const WatchReply& r) {
   absl::StatusOr<ListChange> c = DecodeListChange(*r.list);
   bool fits = c.ok() && list_.Apply(*c);
--- a/src/duty/usage_schedule.h
+++ b/src/duty/usage_schedule.h
@@ -23,8 +23,8 @@
   Duration window{};  // Length; zero: no usage is reported.
   Duration due{};     // After a window's end its report must have been sent.
   // A window is fixed this share of `due` after its end: late enough for what
-  // entries tell late, early enough for a new leader to wait for its turn. Until
-  // then its counts are in the memory of processes alone.
+  // entries tell late, early enough for a new leader to wait for its turn.
+  // Until then its counts are in the memory of processes alone.
   double fix_share = 0.25;
   // Windows that are made up for after the group was away.
   int64_t most_behind = 32;
