--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -314,14 +314,7 @@
   double band = policy.decode_band;
   int n = std::clamp(current, static_cast<int>(std::ceil(need - band)),
                      static_cast<int>(std::ceil(need + band)));
-  double kept = policy.least_kept;
-  if (demand.pausing) {
-    kept +=
-        (1 - demand.pressure) * (policy.least_kept_pausing - policy.least_kept);
-  }
-  // A hair more: a third of nine is three.
-  constexpr double kRounding = 1e-9;
-  int least = std::max(1, static_cast<int>(engines * kept + kRounding));
+  int least = std::max(1, demand.pausing ? engines / 3 : engines / 6);
   return std::clamp(n, least, std::max(least, engines / 2));
 }
 
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -97,14 +97,10 @@
   // for a place and every engine is needed.
   double decode_fill_calm = 0.25;
   double decode_fill_pressed = 0.6;
-  // Shares of the engines that are kept at least: the second from when the
-  // longest pause of late (it fades over pause_memory) is over pausing_above of
-  // its target until it is under pausing_below. Every entry with a generation
-  // at an engine sees its pauses, so they agree without talking. Where long
-  // prompts wait all the time it falls back to the first: what is kept beyond
-  // the need is then taken from those who are turned away.
-  double least_kept = 1.0 / 6;
-  double least_kept_pausing = 1.0 / 3;
+  // A third of the engines, at least, from when the longest pause of late (it
+  // fades over pause_memory) is over the first share of its target until it
+  // is under the second. Every entry with a generation at an engine sees its
+  // pauses, so they agree without talking.
   double pausing_above = 0.85;
   double pausing_below = 0.4;
   double pause_memory_s = 8;
@@ -213,7 +209,7 @@
                DecodeDemand* demand);
 
 // How many of `engines` engines to keep for long generations, where `current`
-// were kept so far: half of them at most.
+// were kept so far: between a sixth and a half of them.
 int DecodeEngines(const DecodeDemand& demand, int current, int slots,
                   int engines, const PlacementPolicy& policy);
 
--- a/test/policy/placement_test.cc
+++ b/test/policy/placement_test.cc
@@ -234,22 +234,6 @@
   LONGS_EQUAL(2, DecodeEngines(d, 3, 64, 9, kPolicy));
 }
 
-// Symptom: long prompts are turned away while a third of the engines, kept for
-// long generations, is half idle. Load pattern: 2.6 times the long prompts for
-// nine seconds, all entries turn some away; the generations under way would
-// fill six of 56 engines, and their pauses are near the limit. Cause: the
-// engines kept while pauses are long did not depend on what waits for them.
-TEST(placement, EnginesKeptForPausesGiveWayToPromptsThatWait) {
-  DecodeDemand d;
-  d.in_flight = 100;
-  NotePause(0.95, kNow, kPolicy, &d);
-  LONGS_EQUAL(18, DecodeEngines(d, 18, 64, 56, kPolicy));
-  d.pressure = 1;
-  LONGS_EQUAL(9, DecodeEngines(d, 18, 64, 56, kPolicy));
-  d.pressure = 0.5;
-  LONGS_EQUAL(14, DecodeEngines(d, 18, 64, 56, kPolicy));
-}
-
 // Symptom: an engine preempts requests while less urgent ones run on. Load
 // pattern: ten of 40 engines are lost in a burst of long generations; twelve of
 // each of 24 entries go elsewhere within half a second, before any report.
