--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -26,8 +26,8 @@
 // Quicker than this share of the pace known, events were held up on their way
 // and came together.
 constexpr double kHeldUpShare = 0.5;
-// Engines whose pace is known before any is slow, and the share of them that is
-// quicker than the one all are measured against.
+// Engines whose pace is known before any is slow, and the inverse of the share
+// that is quicker than the one whose pace the others are compared with.
 constexpr size_t kPacesNeeded = 4;
 constexpr size_t kQuickShareInverse = 4;
 // The most a pause counts: an upstream that broke off says nothing of others.
