Slow engines are marked when a pace or the list has changed

Seen in the reading before the stop: every tick (20 ms) looked at all upstreams to mark the slow ones, two passes and a look-up each, whether anything was new or not.

Change: marked only after a pace was noted or a list came; the marks depend on nothing else, so behaviour is the same. Ruled out: less often by time (marks would lag).

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -72,6 +72,7 @@
 void Gateway::SetUpstreams(absl::Span<const UpstreamInfo> upstreams) {
   for (const std::string& id : pool_.Update(upstreams)) parts_.Forget(id);
   crashes_.NoteList();
+  paces_changed_ = true;
   ServeWaiting();
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -169,6 +169,7 @@
   TimePoint ticked_at_{};
   uint64_t next_seq_ = 1;
   bool serving_waiting_ = false;
+  bool paces_changed_ = false;  // Or the engines: slow ones are to be marked.
   bool draining_ = false;
 };
 
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -154,6 +154,7 @@
   if (++r.pace_events < kEventsInRow) return;
   if (UpstreamBoard* u = pool_.Find(r.upstream)) {
     NotePace(*u, (now - r.pace_from) / kEventsInRow);
+    paces_changed_ = true;
   }
   r.pace_from = now;
   r.pace_events = 0;
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -165,7 +165,9 @@
     if (it != requests_.end()) CheckStall(*it->second, now);
   }
   pool_.Tick();
-  MarkSlow(absl::MakeSpan(pool_.boards()), options_.placement);
+  if (std::exchange(paces_changed_, false)) {
+    MarkSlow(absl::MakeSpan(pool_.boards()), options_.placement);
+  }
   if (options_.placement.straggler_factor > 0) {
     MarkStragglers(absl::MakeSpan(pool_.boards()), options_.placement);
   }
