--- a/tools/play-days.sh
+++ b/tools/play-days.sh
@@ -3,7 +3,7 @@
 # broke a rule. Needs the users' kit. Usage: tools/play-days.sh SITE [PATTERN]
 set -euo pipefail
 cd "$(dirname "$0")/.."
-bench=../given/kit/more/system/bin/fleetbench
+bench=../given/kit/more/system/more/bench-cc6490/bin/fleetbench
 site=$1
 pattern=${2:-}
 out=$(mktemp -d)
