Limits that upstreams name can be seen: log line, metric, in each sending

- an answer's limit is read into typed facts (a value that is no number of requests a second is none), kept on the upstream's board;
- sent tells the limit known at that moment; limits_told_total counts.
Nothing decides by it yet.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -47,6 +47,11 @@
                   .Name(prefix + "upstream_crashes_total")
                   .Help("Upstreams that ended under requests, by how seen")
                   .Register(*registry_);
+  limits_told_ = &prometheus::BuildCounter()
+                      .Name(prefix + "limits_told_total")
+                      .Help("Answers that name a limit on their upstream")
+                      .Register(*registry_)
+                      .Add({});
   quarantined_ = &prometheus::BuildGauge()
                       .Name(prefix + "quarantined")
                       .Help("Requests that crash upstreams, sent nowhere")
@@ -105,6 +110,8 @@
   crashes_->Add({{"how", std::string(how)}}).Increment();
 }
 
+void Metrics::CountLimitTold() { limits_told_->Increment(); }
+
 void Metrics::SetQuarantined(size_t n) {
   quarantined_->Set(static_cast<double>(n));
 }
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -40,6 +40,8 @@
   // Counts one upstream that ended while it had requests of this process, by
   // how that was seen.
   void CountCrash(absl::string_view how);
+  // Counts one answer that names a limit on its upstream's requests.
+  void CountLimitTold();
   // Sets the number of requests that are sent nowhere.
   void SetQuarantined(size_t n);
   // Sets the queued requests of `klass`.
@@ -57,6 +59,7 @@
   prometheus::Family<prometheus::Histogram>* duration_;
   prometheus::Family<prometheus::Gauge>* queued_;
   prometheus::Family<prometheus::Counter>* crashes_;
+  prometheus::Counter* limits_told_;
   prometheus::Gauge* quarantined_;
   prometheus::Family<prometheus::Counter>* list_updates_;
   prometheus::Family<prometheus::Counter>* list_bytes_;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -68,6 +68,9 @@
   bool has_load = false;
   int running = 0;
   int waiting = 0;
+  // Requests a second that it takes from all processes together, where it
+  // says so.
+  std::optional<double> limit_per_s;
 };
 
 // A refusal or failure of our own, as the caller gets it.
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -335,6 +335,7 @@
             {"load_age_ms",
              u.reported_at == TimePoint{} ? -1 : ToMs(now - u.reported_at)},
             {"own", u.in_flight},
+            {"limit", u.limit_per_s.value_or(-1)},
             {"copy_from", f.copy_from.ip},
             {"left_ms", ToMs(f.patience)}});
   uint64_t seq = r.seq;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -104,6 +104,7 @@
   bool OnHead(Request& r, const MessageHead& head);
   void OnBody(Request& r, absl::string_view data);
   void OnEnd(Request& r, CallEnd end, absl::string_view why);
+  void NoteLimit(const Request& r, UpstreamBoard& u, const AnswerFacts& f);
   void NoteRun(Request& r);
   void PromptRead(Request& r, TimePoint now);
   bool RelayEvent(Request& r, absl::string_view event);
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -31,6 +31,9 @@
   int reported = 0;
   int reported_in_flight = 0;
   TimePoint reported_at{};
+  // Requests a second that it takes from all processes together; nullopt where
+  // its newest answer names no limit.
+  std::optional<double> limit_per_s;
   // Refused connections and broken answers put it aside for a while.
   int failures = 0;  // In a row.
   TimePoint aside_until{};
