An upstream that names a limit gets no more from all entries together

Ruled out: that each entry keeps to it alone, and that it is overridden by homes or the fallback; nothing read it.

Change - What is named is known: an entry notes another value, or the end, and tells it up to the leader and down to all with the watch (LimitBook; the reports are those of the quarantine, made a template). Only a signed answer ends a limit; a value within 5% is no news, as each change goes to all. - Who may send: turn k begins at k / limit in the group's time, turns go round by a place that control processes count out; one request a turn, within a second of its beginning: 5 N + 1 in any 4 s, 6 N + 5 are allowed. Nothing for the first 3 s, as what was sent just before counts. - The group's time is kept and told also where no duty needs it.

Why not a bucket of N / entries each: all are full at the same moment; 33 entries may send 33 where 11 are allowed. Parts leased by the leader: a message for each upstream, entry and change, and nothing without a leader.

Control: each of nine entries has a place of its own at five processes. Fuzz: limit records.

--- a/fuzz/wire.cc
+++ b/fuzz/wire.cc
@@ -9,8 +9,10 @@
 namespace medlarwalk {
 namespace {
 
-// First byte of usage records; all others are told apart by their remainder.
+// First bytes of usage and limit records; all others are told apart by their
+// remainder.
 constexpr uint8_t kUsage = 'u';
+constexpr uint8_t kLimits = 'y';
 constexpr TimePoint kFuzzTime{std::chrono::hours(1000)};
 
 template <typename Decode, typename Encode>
@@ -39,6 +41,15 @@
     });
     return 0;
   }
+  if (data[0] == kLimits) {
+    RoundTrip(
+        bytes,
+        [](absl::string_view b) { return DecodeLimitRecords(b, kFuzzTime); },
+        [](const std::vector<LimitRecord>& r) {
+          return EncodeLimitRecords(r, kFuzzTime);
+        });
+    return 0;
+  }
   switch (data[0] % 5) {
     case 0:
       RoundTrip(bytes, DecodeHello, EncodeHello);
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -52,6 +52,11 @@
                       .Help("Answers that name a limit on their upstream")
                       .Register(*registry_)
                       .Add({});
+  limited_ = &prometheus::BuildGauge()
+                  .Name(prefix + "limited_upstreams")
+                  .Help("Upstreams whose own limit is in force")
+                  .Register(*registry_)
+                  .Add({});
   quarantined_ = &prometheus::BuildGauge()
                       .Name(prefix + "quarantined")
                       .Help("Requests that crash upstreams, sent nowhere")
@@ -112,6 +117,8 @@
 
 void Metrics::CountLimitTold() { limits_told_->Increment(); }
 
+void Metrics::SetLimited(size_t n) { limited_->Set(static_cast<double>(n)); }
+
 void Metrics::SetQuarantined(size_t n) {
   quarantined_->Set(static_cast<double>(n));
 }
--- a/src/control.cc
+++ b/src/control.cc
@@ -63,7 +63,7 @@
       usage_(
           loop, clock, wall, options_.usage, [this] { return replica_.get(); },
           metrics_),
-      reports_(quarantine_, usage_.book(), wall),
+      reports_(quarantine_, limits_, usage_.book(), wall),
       leader_watch_(
           loop, clock,
           [&] {
@@ -386,6 +386,11 @@
   leader_watch_.state().watchers = DirectServing();
   quarantine_.Tick(now);
   SaveQuarantine(now);
+  limits_.Keep(
+      [this](const std::string& id) {
+        return list_.list().Find(id) != nullptr;
+      },
+      now);
   usage_.Tick();
   if (reports_.urgent()) leader_watch_.AskAgain();
   ConfirmForNew();
--- a/src/control.h
+++ b/src/control.h
@@ -18,6 +18,7 @@
 #include "absl/status/statusor.h"
 #include "control_wire.h"
 #include "h2.h"
+#include "limit_book.h"
 #include "link_pool.h"
 #include "lister.h"
 #include "metrics.h"
@@ -130,6 +131,7 @@
   std::string DataCentreOf(const std::string& address) const;
   void OnLeaderReply(const WatchReply& r, bool in_step);
   void TakeCrashes(absl::string_view encoded, bool from_leader);
+  void TakeLimits(absl::string_view encoded, bool from_leader);
   void SaveQuarantine(TimePoint now);
   void TakeListFrom(const WatchReply& r);
   bool MayTell(const Watcher& w) const;
@@ -144,6 +146,7 @@
   void FollowLeader();
   int DirectServing() const;
   int TotalServing() const;
+  int PlaceOf(const std::string& follower) const;
 
   struct ev_loop* loop_;
   const Clock& clock_;
@@ -158,6 +161,7 @@
   NewestGate forwards_;  // Changes passed on to the leader.
   Lister lister_;
   Quarantine quarantine_;
+  LimitBook limits_;
   UsageReporter usage_;
   WatchReports reports_;
   // What is held may lack what was known before this process started anew.
@@ -172,6 +176,7 @@
   std::vector<Watcher> watchers_;
   std::map<std::string, Follower> followers_;
   int serving_from_leader_ = 0;
+  int place_from_leader_ = -1;
   // Where the control processes are, as the leader told it.
   std::map<std::string, std::string> data_centres_;  // By address.
   // Without a disk: the members as last told; the leader, and when.
--- a/src/control_quarantine.cc
+++ b/src/control_quarantine.cc
@@ -1,5 +1,5 @@
-// The control process's part that keeps and passes on which requests crash
-// upstreams.
+// The control process's part that keeps and passes on what entries have seen of
+// upstreams: which requests crash them, and the limits they name.
 #include "absl/status/statusor.h"
 #include "control.h"
 #include "log.h"
@@ -26,6 +26,18 @@
   }
 }
 
+void Control::TakeLimits(absl::string_view encoded, bool from_leader) {
+  absl::StatusOr<std::vector<LimitRecord>> r =
+      DecodeLimitRecords(encoded, clock_.Now());
+  if (!r.ok()) {
+    LogWarn("bad_limit_records", {{"error", r.status().message()}});
+  } else if (from_leader) {
+    limits_.TakeTold(*r);
+  } else {
+    limits_.TakeReported(*r);
+  }
+}
+
 // Keeps the quarantine for when every process has ended.
 void Control::SaveQuarantine(TimePoint now) {
   if (!replica_ || quarantine_.version() == saved_quarantine_ ||
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -28,6 +28,24 @@
   return n;
 }
 
+// Counted through: at the leader first those who follow it in person, then
+// those of each follower in turn; elsewhere from what the leader has told.
+int Control::PlaceOf(const std::string& follower) const {
+  int place = IsLeader() ? 0 : place_from_leader_;
+  if (place < 0) return -1;
+  bool serves = followers_.at(follower).serves_callers;
+  if (!serves) place += DirectServing();
+  for (const auto& [name, f] : followers_) {
+    if (name == follower) break;
+    if (serves) {
+      place += f.serves_callers;
+    } else {
+      place += f.watchers;
+    }
+  }
+  return place;
+}
+
 std::string Control::DataCentreOf(const std::string& address) const {
   if (address == options_.peer.ToString()) return options_.data_centre;
   for (const auto& [name, f] : followers_) {
@@ -55,8 +73,10 @@
 
 void Control::OnLeaderReply(const WatchReply& r, bool in_step) {
   if (r.quarantine) TakeCrashes(*r.quarantine, true);
+  if (r.limits) TakeLimits(*r.limits, true);
   if (!in_step || IsLeader()) return;
   serving_from_leader_ = r.serving;
+  place_from_leader_ = r.place;
   told_leader_ = r.leader;
   told_at_ = clock_.Now();
   usage_.TakeTold(r);
@@ -103,12 +123,18 @@
   if (list_read_at_ != TimePoint{}) w.list_age_ms = ToMs(now - list_read_at_);
   w.list_interval_ms = ToMs(list_interval_);
   w.serving = TotalServing();
+  w.place = PlaceOf(r.name);
   usage_.Fill(&w);
   w.quarantine_version = quarantine_.version();
   if (w.quarantine_version != r.quarantine_version) {
     w.quarantine = std::make_shared<const std::string>(
         EncodeCrashRecords(quarantine_.Shared(), now));
   }
+  w.limits_version = limits_.version();
+  if (w.limits_version != r.limits_version) {
+    w.limits = std::make_shared<const std::string>(
+        EncodeLimitRecords(limits_.All(), now));
+  }
   return w;
 }
 
@@ -127,9 +153,11 @@
   f.serves_callers = r->serves_callers;
   f.watchers = r->watchers;
   TimePoint now = clock_.Now();
-  bool reported = !r->crashes.empty();
-  if (reported) TakeCrashes(r->crashes, false);
+  bool reported = !r->crashes.empty() || !r->limits.empty();
+  if (!r->crashes.empty()) TakeCrashes(r->crashes, false);
   r->crashes.clear();
+  if (!r->limits.empty()) TakeLimits(r->limits, false);
+  r->limits.clear();
   usage_.TakeReport(*r);
   r->usage.clear();
   watchers_.push_back(Watcher{*std::move(r), reported, std::move(stream), now,
@@ -163,7 +191,8 @@
         told &&
         ((replica_ && replica_->config_version() > w.request.config_version) ||
          (list_.version() && list_.version() != w.request.list_version) ||
-         quarantine_.version() != w.request.quarantine_version);
+         quarantine_.version() != w.request.quarantine_version ||
+         limits_.version() != w.request.limits_version);
     // Whoever reports waits to hear that it has arrived.
     bool heard = told && w.reported;
     if (!fresh && !heard && !lost && now < w.until) {
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -16,7 +16,7 @@
 namespace {
 
 // Ages beyond it are as good as this one.
-constexpr Millis kOldestCrash = std::chrono::hours(24);
+constexpr Millis kOldestAge = std::chrono::hours(24);
 
 json ToJson(const UpstreamInfo& u) {
   return {u.id,          u.service, u.address.ip, u.address.port,
@@ -75,7 +75,7 @@
 
 Millis AgeFrom(const json& j) {
   return Millis(
-      std::clamp<int64_t>(WholeNumber<int64_t>(j), 0, kOldestCrash.count()));
+      std::clamp<int64_t>(WholeNumber<int64_t>(j), 0, kOldestAge.count()));
 }
 
 // Decodes CBOR and runs `f` on it, turning a malformed value into an error.
@@ -148,6 +148,33 @@
       bytes, [now](const json& j) { return CrashRecordsFromJson(j, now); });
 }
 
+std::string EncodeLimitRecords(absl::Span<const LimitRecord> records,
+                               TimePoint now) {
+  json out = json::array();
+  for (const LimitRecord& r : records) {
+    json per_s = r.per_s ? json(*r.per_s) : json();
+    out.push_back(
+        {r.upstream, std::move(per_s), ToMs(now - r.at), ToMs(now - r.since)});
+  }
+  return ToCbor(out);
+}
+
+absl::StatusOr<std::vector<LimitRecord>> DecodeLimitRecords(
+    absl::string_view bytes, TimePoint now) {
+  return Decode<std::vector<LimitRecord>>(bytes, [now](const json& j) {
+    std::vector<LimitRecord> out;
+    for (const json& item : j) {
+      LimitRecord r;
+      r.upstream = item.at(0).get<std::string>();
+      if (!item.at(1).is_null()) r.per_s = item.at(1).get<double>();
+      r.at = now - AgeFrom(item.at(2));
+      r.since = now - AgeFrom(item.at(3));
+      out.push_back(std::move(r));
+    }
+    return out;
+  });
+}
+
 // Records of one process and window stand together: accounts, each followed by
 // its count.
 std::string EncodeUsageRecords(absl::Span<const UsageRecord> records) {
@@ -192,6 +219,8 @@
                  {"k", r.places_version},
                  {"q", r.quarantine_version},
                  {"x", Binary(r.crashes)},
+                 {"b", r.limits_version},
+                 {"y", Binary(r.limits)},
                  {"t", r.unix_ms},
                  {"u", Binary(r.usage)}});
 }
@@ -209,6 +238,8 @@
     r.places_version = WholeNumber<int64_t>(j.at("k"));
     r.quarantine_version = WholeNumber<int64_t>(j, "q", 0);
     if (Document d = DocumentAt(j, "x")) r.crashes = *d;
+    r.limits_version = WholeNumber<int64_t>(j, "b", 0);
+    if (Document d = DocumentAt(j, "y")) r.limits = *d;
     r.unix_ms = WholeNumber<int64_t>(j, "t", 0);
     if (Document d = DocumentAt(j, "u")) r.usage = *d;
     return r;
@@ -216,20 +247,21 @@
 }
 
 Payload EncodeWatchReply(const WatchReply& r) {
-  json j = {{"a", r.age_ms},      {"c", r.config_version},
-            {"g", r.list_age_ms}, {"i", r.list_interval_ms},
-            {"s", r.serving},     {"m", ToJson(r.control)},
-            {"h", r.leader},      {"q", r.quarantine_version},
-            {"t", r.unix_ms},     {"f", r.usage_fixed}};
+  json j = {{"a", r.age_ms},         {"c", r.config_version},
+            {"g", r.list_age_ms},    {"i", r.list_interval_ms},
+            {"s", r.serving},        {"m", ToJson(r.control)},
+            {"h", r.leader},         {"q", r.quarantine_version},
+            {"t", r.unix_ms},        {"f", r.usage_fixed},
+            {"b", r.limits_version}, {"r", r.place}};
   std::string head = ToCbor(j);
   // The documents are the map's last pairs, so that their bytes may be
   // anyone's. A map's first byte counts its pairs: fewer than 23.
   head[0] = static_cast<char>(head[0] + (r.config ? 1 : 0) + (r.list ? 1 : 0) +
-                              (r.quarantine ? 1 : 0));
+                              (r.quarantine ? 1 : 0) + (r.limits ? 1 : 0));
   Payload out(std::move(head));
   for (const auto& [name, document] :
        {std::make_pair("d", r.config), std::make_pair("l", r.list),
-        std::make_pair("x", r.quarantine)}) {
+        std::make_pair("x", r.quarantine), std::make_pair("y", r.limits)}) {
     if (!document) continue;
     out.Append(absl::StrCat(ToCbor(name), BytesHeader(document->size())));
     out.Append(document);
@@ -251,6 +283,9 @@
     r.list = DocumentAt(j, "l");
     r.quarantine_version = WholeNumber<int64_t>(j, "q", 0);
     r.quarantine = DocumentAt(j, "x");
+    r.limits_version = WholeNumber<int64_t>(j, "b", 0);
+    r.limits = DocumentAt(j, "y");
+    r.place = WholeNumber<int>(j, "r", -1);
     r.unix_ms = WholeNumber<int64_t>(j, "t", 0);
     r.usage_fixed = WholeNumber<int64_t>(j, "f", 0);
     return r;
--- a/src/control_wire.h
+++ b/src/control_wire.h
@@ -10,6 +10,7 @@
 
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
+#include "limit_book.h"
 #include "nlohmann/json.hpp"
 #include "payload.h"
 #include "quarantine.h"
@@ -40,6 +41,9 @@
   int64_t quarantine_version = 0;
   // What it reports: an array of crash records, encoded; "" for none.
   std::string crashes;
+  int64_t limits_version = 0;
+  // Limits of upstreams that it heard of, encoded; "" for none.
+  std::string limits;
   // Its time of day, in ms since the start of 1970; 0: not told.
   int64_t unix_ms = 0;
   // Its usage records, encoded; "" for none.
@@ -65,11 +69,17 @@
   int64_t quarantine_version = 0;
   // Crash records, encoded, when others than asked for, else null.
   Document quarantine;
+  int64_t limits_version = 0;
+  // Limits of upstreams, encoded, when others than asked for, else null.
+  Document limits;
   // How long ago the list was read, in ms; negative when never. And the time
   // from one reading to the next.
   int64_t list_age_ms = -1;
   int64_t list_interval_ms = 0;
   int serving = 0;  // Processes that serve callers, as far as known.
+  // The asker's place among these, or the first of those that follow it;
+  // negative: not known.
+  int place = -1;
   // All that are known, when others than the asker knows, else none.
   std::vector<ControlPlace> control;
   std::string leader;  // Address of the leader, if known.
@@ -94,6 +104,11 @@
 // Errors: InvalidArgument.
 absl::StatusOr<std::vector<CrashRecord>> DecodeCrashRecords(
     absl::string_view bytes, TimePoint now);
+std::string EncodeLimitRecords(absl::Span<const LimitRecord> records,
+                               TimePoint now);
+// Errors: InvalidArgument.
+absl::StatusOr<std::vector<LimitRecord>> DecodeLimitRecords(
+    absl::string_view bytes, TimePoint now);
 std::string EncodeUsageRecords(absl::Span<const UsageRecord> records);
 // Errors: InvalidArgument.
 absl::StatusOr<std::vector<UsageRecord>> DecodeUsageRecords(
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -46,7 +46,8 @@
                }),
       parts_(kPartTrust, kMostParts),
       waiting_(options_.waiting),
-      serving_(kAssumedServing) {}
+      serving_(kAssumedServing),
+      turn_place_{kAssumedServing, 0} {}
 
 Gateway::~Gateway() = default;
 
@@ -70,14 +71,16 @@
 }
 
 void Gateway::SetUpstreams(absl::Span<const UpstreamInfo> upstreams) {
-  for (const std::string& id : pool_.Update(upstreams)) parts_.Forget(id);
+  for (const std::string& id : pool_.Update(upstreams)) {
+    parts_.Forget(id);
+    limits_.Note(id, std::nullopt, clock_.Now());
+  }
   crashes_.NoteList();
+  ApplyLimits();
   paces_changed_ = true;
   ServeWaiting();
 }
 
-void Gateway::SetServing(int serving) { serving_ = std::max(1, serving); }
-
 void Gateway::NoteLoad(const std::string& upstream, int running, int waiting) {
   UpstreamBoard* u = pool_.Find(upstream);
   if (u) NoteReport(*u, running, waiting, clock_.Now());
@@ -273,6 +276,7 @@
   TimePoint now = clock_.Now();
   for (UpstreamBoard& b : pool_.boards()) {
     if (b.info.service != r.service->name) continue;
+    b.no_turn = b.limit_per_s && !HasTurn(b, now);
     // Each own request there holds a connection: below the limit none can be
     // in the way, and the look through the kept ones is saved.
     b.full = b.in_flight >= limit && pool_.Full(b, limit);
@@ -311,6 +315,7 @@
   r.splitter.Reset();
   if (u.in_flight == 0) u.quiet_since = now;
   ++u.in_flight;
+  if (u.limit_per_s) TakeTurn(u, now);
   r.reading = r.shape == WorkShape::kPrefill;
   u.reading += r.reading;
   if (r.reading) GateFor(r.service->name).Sent(r.tier);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -19,6 +19,8 @@
 #include "dialect.h"
 #include "errors.h"
 #include "event_stream.h"
+#include "limit_book.h"
+#include "limit_turns.h"
 #include "metrics.h"
 #include "part_memory.h"
 #include "placement.h"
@@ -50,6 +52,9 @@
   // A request of `account` has begun to run at an upstream, as far as its
   // answer tells. May be empty.
   std::function<void(const std::string& account)> on_run;
+  // The time that all processes share, since any one moment. When empty: the
+  // clock's.
+  std::function<Millis(TimePoint now)> shared_time;
   // How upstreams are reached; HTTP/1.1 connections when empty.
   LinkOpener open_link;
 };
@@ -70,10 +75,14 @@
   // The configuration in force here was the newest one at `as_of`.
   void NoteInStep(TimePoint as_of);
   void SetUpstreams(absl::Span<const UpstreamInfo> upstreams);
-  // How many entry processes share upstreams and allowances.
-  void SetServing(int serving);
+  // How many entry processes share upstreams and allowances, and this one's
+  // place among them (negative: not known).
+  void SetServing(int serving, int place = -1);
   // The requests that are sent nowhere, as far as this process knows.
   Quarantine& quarantine() { return quarantine_; }
+  // The limits that upstreams name, as far as this process knows.
+  const LimitBook& limits() const { return limits_; }
+  void TakeLimits(absl::Span<const LimitRecord> told);
   // What is known of an upstream from elsewhere than its answers.
   void NoteLoad(const std::string& upstream, int running, int waiting);
   void SetReachable(const std::string& upstream, bool reachable);
@@ -104,7 +113,13 @@
   bool OnHead(Request& r, const MessageHead& head);
   void OnBody(Request& r, absl::string_view data);
   void OnEnd(Request& r, CallEnd end, absl::string_view why);
-  void NoteLimit(const Request& r, UpstreamBoard& u, const AnswerFacts& f);
+  void NoteLimit(const Request& r, const UpstreamBoard& u,
+                 const AnswerFacts& f);
+  void ApplyLimits();
+  void KeepLimits(TimePoint now);
+  TurnAsk TurnAskFor(const UpstreamBoard& u, TimePoint now) const;
+  bool HasTurn(const UpstreamBoard& u, TimePoint now) const;
+  void TakeTurn(UpstreamBoard& u, TimePoint now);
   void NoteRun(Request& r);
   void PromptRead(Request& r, TimePoint now);
   bool RelayEvent(Request& r, absl::string_view event);
@@ -149,10 +164,16 @@
   UpstreamPool pool_;
   CrashWatch crashes_;
   Quarantine quarantine_;
+  LimitBook limits_;
+  uint64_t limits_applied_ = 0;
   uint64_t verdicts_seen_ = 0;
   PartMemory parts_;
   WaitingRoom waiting_;
   int serving_;
+  // Of late the most, and since when: while control processes change, some are
+  // not counted for a moment, and too many turns would be taken.
+  TurnPlace turn_place_;
+  TimePoint turn_place_at_{};
   // Requests that wait for a configuration, the first or a newer one.
   std::vector<uint64_t> early_;
   TimePoint in_step_at_{};
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -43,21 +43,6 @@
   return true;
 }
 
-// Only what bears the upstream's signature ends a limit: an answer that was
-// spoiled on its way may lack more than that.
-void Gateway::NoteLimit(const Request& r, UpstreamBoard& u,
-                        const AnswerFacts& f) {
-  if (f.other_upstream || (!f.limit_per_s && !f.signed_whole)) return;
-  if (f.limit_per_s) metrics_.CountLimitTold();
-  if (u.limit_per_s == f.limit_per_s) return;
-  LogEvent("upstream_limit", {{"upstream", u.info.id},
-                              {"request", r.facts.id},
-                              {"per_s", f.limit_per_s.value_or(-1)},
-                              {"before", u.limit_per_s.value_or(-1)},
-                              {"own", u.in_flight}});
-  u.limit_per_s = f.limit_per_s;
-}
-
 // Counts a request of an account that has begun to run, once however often it
 // is sent. An engine begins it with its first token, or when it answers that it
 // failed; a plain service before it answers at all.
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -93,6 +93,7 @@
                         {"upstreams", n.upstreams},
                         {"unusable", n.unusable},
                         {"full", n.full},
+                        {"limited", n.limited},
                         {"loaded", n.loaded},
                         {"reads", n.reading},
                         {"free", n.free}});
@@ -134,6 +135,7 @@
   crashes_.Tick(now);
   quarantine_.Tick(now);
   EndQuarantined();
+  KeepLimits(now);
   std::vector<uint64_t> due;
   for (auto it = give_up_.begin(); it != give_up_.end() && it->first <= now;
        ++it) {
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -186,6 +186,7 @@
 bool Usable(const UpstreamBoard& u, TimePoint now,
             const PlacementPolicy& policy) {
   if (!u.listed || u.info.leaving || u.full || u.ended) return false;
+  if (u.no_turn) return false;
   if (!u.reachable) return false;
   if (now < u.aside_until) return false;
   return !(u.in_flight > 0 && u.quiet_since != TimePoint{} &&
@@ -204,7 +205,7 @@
     const UpstreamBoard& u = boards[i];
     if (u.info.service != ask.service || !u.listed || u.info.leaving) continue;
     if (Contains(ask.avoid, u.info.id) || u.full || u.ended) continue;
-    if (!u.reachable) continue;
+    if (!u.reachable || u.no_turn) continue;
     if (!Usable(u, now, policy)) {
       if (!fallback || u.aside_until < boards[*fallback].aside_until) {
         fallback = i;
@@ -248,6 +249,8 @@
     ++n.upstreams;
     if (u.full) {
       ++n.full;
+    } else if (u.no_turn) {
+      ++n.limited;
     } else if (Contains(ask.avoid, u.info.id) || !Usable(u, now, policy)) {
       ++n.unusable;
     } else if (LoadShare(u, now, policy) >= ask.most_load) {
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -31,9 +31,12 @@
   int reported = 0;
   int reported_in_flight = 0;
   TimePoint reported_at{};
-  // Requests a second that it takes from all processes together; nullopt where
-  // its newest answer names no limit.
+  // Requests a second that it takes from all processes together, where it names
+  // such a limit; since when; and the last turn this process has used.
   std::optional<double> limit_per_s;
+  TimePoint limit_since{};
+  std::optional<Millis> turn_taken;
+  bool no_turn = false;  // By its limit it is not for this process to send now.
   // Refused connections and broken answers put it aside for a while.
   int failures = 0;  // In a row.
   TimePoint aside_until{};
@@ -255,6 +258,7 @@
   int upstreams = 0;  // Listed and staying.
   int unusable = 0;   // Tried, aside, quiet, ended or out of reach.
   int full = 0;       // As many own requests or connections as allowed.
+  int limited = 0;    // By the limit it names, others' turn or nobody's.
   int loaded = 0;     // As busy as allowed, by estimate.
   int reading = 0;    // As many own prompts being read as allowed.
   int free = 0;       // Would take it, but are no home of its part.
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -12,8 +12,6 @@
 
 // A request at one crash is one of many; at two it is worth everyone's notice.
 constexpr size_t kSharedFrom = 2;
-// Records told at once: what a rack of engines leaves behind.
-constexpr size_t kMostTold = 512;
 // From one look for what is too old to the next.
 constexpr auto kLookInterval = std::chrono::seconds(1);
 
@@ -301,11 +299,4 @@
   return out;
 }
 
-std::vector<CrashRecord> CrashReports::For(const std::string& target) {
-  if (target != target_) confirmed_ = 0;
-  target_ = target;
-  sent_ = quarantine_.seq();
-  return quarantine_.ChangedSince(confirmed_, kMostTold);
-}
-
 }  // namespace medlarwalk
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -20,6 +20,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/types/span.h"
+#include "change_reports.h"
 #include "request_print.h"
 #include "types.h"
 
@@ -129,29 +130,7 @@
   TimePoint looked_at_{};  // For what is too old.
 };
 
-// What of a quarantine is not yet known to the process it is reported to.
-// Thread safety: loop thread only.
-class CrashReports {
- public:
-  // Precondition: `quarantine` outlives this.
-  explicit CrashReports(const Quarantine& quarantine)
-      : quarantine_(quarantine) {}
-
-  // What to tell `target` next: all that it has not confirmed.
-  std::vector<CrashRecord> For(const std::string& target);
-  // The target has taken what For returned last.
-  void Confirmed() { confirmed_ = sent_; }
-  // The target failed: it may come back with nothing.
-  void Lost() { confirmed_ = 0; }
-  // There is more than For returned last.
-  bool waiting() const { return quarantine_.seq() > sent_; }
-
- private:
-  const Quarantine& quarantine_;
-  std::string target_;
-  uint64_t sent_ = 0;
-  uint64_t confirmed_ = 0;
-};
+using CrashReports = ChangeReports<Quarantine>;
 
 }  // namespace medlarwalk
 
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -42,6 +42,9 @@
           [&] {
             GatewayOptions o = options_.gateway;
             o.config_trust = kConfigTrust;
+            o.shared_time = [this](TimePoint now) {
+              return Millis(time_.UnixMs(now).value_or(0));
+            };
             if (options_.usage.window > Duration::zero()) {
               o.on_run = [this](const std::string& account) {
                 CountRun(account);
@@ -65,7 +68,7 @@
                                     metrics_.Render());
                       }),
       process_(RandomSeed()),
-      reports_(gateway_.quarantine(), usage_, wall),
+      reports_(gateway_.quarantine(), gateway_.limits(), usage_, wall),
       watch_(
           loop, clock,
           [&] {
@@ -117,6 +120,7 @@
 void Serving::OnWatch(const WatchReply& r, bool in_step) {
   // Of whomever: a crash that was noted stays one.
   if (r.quarantine) TakeCrashes(*r.quarantine);
+  if (r.limits) TakeLimits(*r.limits);
   // What a control process out of step holds may be old: it is taken only if
   // it is newer than what is in force here, and never as the first one.
   bool first = watch_.state().config_version == 0;
@@ -127,7 +131,7 @@
   usage_.DropThrough(r.usage_fixed);
   if (r.serving > 0) {
     serving_ = r.serving;
-    gateway_.SetServing(r.serving);
+    gateway_.SetServing(r.serving, r.place);
   }
   if (r.list) TakeList(r);
   if (r.list_age_ms < 0) return;
@@ -146,6 +150,16 @@
   gateway_.quarantine().TakeTold(*r);
 }
 
+void Serving::TakeLimits(absl::string_view encoded) {
+  absl::StatusOr<std::vector<LimitRecord>> r =
+      DecodeLimitRecords(encoded, clock_.Now());
+  if (!r.ok()) {
+    LogWarn("bad_limit_records", {{"error", r.status().message()}});
+    return;
+  }
+  gateway_.TakeLimits(*r);
+}
+
 void Serving::CountRun(const std::string& account) {
   std::optional<int64_t> unix_ms = time_.UnixMs(clock_.Now());
   if (unix_ms) {
--- a/src/serving.h
+++ b/src/serving.h
@@ -62,6 +62,7 @@
   void Tick();
   void OnWatch(const WatchReply& r, bool in_step);
   void TakeCrashes(absl::string_view encoded);
+  void TakeLimits(absl::string_view encoded);
   void CountRun(const std::string& account);
   void TakeList(const WatchReply& r);
   void ApplyConfig(int64_t version, const std::string& document);
--- a/src/usage_reporter.cc
+++ b/src/usage_reporter.cc
@@ -57,9 +57,8 @@
 }
 
 void UsageReporter::TakeReport(const WatchRequest& r) {
-  if (!reports()) return;
   if (r.unix_ms > 0) time_.NoteSample(r.name, r.unix_ms, clock_.Now());
-  if (r.usage.empty()) return;
+  if (!reports() || r.usage.empty()) return;
   absl::StatusOr<std::vector<UsageRecord>> records =
       DecodeUsageRecords(r.usage);
   if (!records.ok()) {
@@ -76,8 +75,8 @@
 }
 
 void UsageReporter::Fill(WatchReply* r) const {
-  if (!reports()) return;
   r->unix_ms = time_.UnixMs(clock_.Now()).value_or(0);
+  if (!reports()) return;
   r->usage_fixed = told_fixed_;
 }
 
@@ -88,9 +87,9 @@
 }
 
 void UsageReporter::Tick() {
-  if (!reports()) return;
   TimePoint now = clock_.Now();
   NoteOwnTime(now);
+  if (!reports()) return;
   if (Replica* any = replica_()) {
     told_fixed_ =
         std::max(told_fixed_, any->duties().Of(kUsageSubject).fixed_through);
--- a/src/watch_client.cc
+++ b/src/watch_client.cc
@@ -157,6 +157,7 @@
   }
   if (options_.reports) options_.reports->Confirmed();
   state_.quarantine_version = r->quarantine_version;
+  state_.limits_version = r->limits_version;
   bool in_step = r->age_ms >= 0 && r->age_ms <= ToMs(options_.max_age);
   if (in_step) misses_ = 0;
   // Also from one out of step: it may know where the others are.
--- a/test/control_test.cc
+++ b/test/control_test.cc
@@ -3,7 +3,9 @@
 #include "control.h"
 
 #include <filesystem>
+#include <map>
 #include <optional>
+#include <set>
 
 #include "CppUTest/TestHarness.h"
 #include "absl/strings/numbers.h"
@@ -93,6 +95,17 @@
     Await([&] { return answer->has_value(); }, 3000);
     return answer->has_value() && (*answer)->ok() ? ***answer : "";
   }
+  // A serving process that follows them.
+  std::unique_ptr<WatchClient> Follow(int n, WatchClient::OnReply on_reply) {
+    WatchOptions o;
+    o.name = absl::StrCat("entry-", n);
+    o.serves_callers = true;
+    auto w = std::make_unique<WatchClient>(
+        loop_, clock_, o, Addresses(0, static_cast<int>(processes_.size())),
+        std::move(on_reply));
+    w->Start();
+    return w;
+  }
   bool Await(const std::function<bool()>& done, int ms) {
     TimePoint until = clock_.Now() + Millis(ms);
     while (!done() && clock_.Now() < until) ev_run(loop_, EVRUN_ONCE);
@@ -185,3 +198,28 @@
     STRCMP_EQUAL(absl::StrCat(acked).c_str(), c.Read(dead).c_str());
   }
 }
+
+// Guards against two entries that take each other's turn at an upstream, and a
+// turn that nobody takes: wherever they ask, each has a place of its own.
+TEST(control, EachServingProcessHasAPlaceOfItsOwn) {
+  constexpr int kServing = 9;
+  Controls c(3, 2);
+  for (int i = 0; i < 5; ++i) c.Start(i, c.Addresses(0, 3), true);
+  std::map<int, WatchReply> told;
+  std::vector<std::unique_ptr<WatchClient>> serving;
+  for (int n = 0; n < kServing; ++n) {
+    serving.push_back(c.Follow(n, [&told, n](const WatchReply& r, bool ok) {
+      if (ok) told[n] = r;
+    }));
+  }
+  CHECK_TRUE(c.Await(
+      [&] {
+        std::set<int> places;
+        for (const auto& [n, r] : told) {
+          if (r.serving == kServing) places.insert(r.place);
+        }
+        return places.size() == kServing && *places.begin() == 0 &&
+               *places.rbegin() == kServing - 1;
+      },
+      10000));
+}
