--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -52,6 +52,11 @@
                       .Help("Answers that name a limit on their upstream")
                       .Register(*registry_)
                       .Add({});
+  rests_ = &prometheus::BuildCounter()
+                .Name(prefix + "rests_asked_total")
+                .Help("Answers by which an upstream asks for rest")
+                .Register(*registry_)
+                .Add({});
   limited_ = &prometheus::BuildGauge()
                   .Name(prefix + "limited_upstreams")
                   .Help("Upstreams whose own limit is in force")
@@ -117,6 +122,8 @@
 
 void Metrics::CountLimitTold() { limits_told_->Increment(); }
 
+void Metrics::CountRest() { rests_->Increment(); }
+
 void Metrics::SetLimited(size_t n) { limited_->Set(static_cast<double>(n)); }
 
 void Metrics::SetQuarantined(size_t n) {
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -42,6 +42,8 @@
   void CountCrash(absl::string_view how);
   // Counts one answer that names a limit on its upstream's requests.
   void CountLimitTold();
+  // Counts one answer that asks this process for rest.
+  void CountRest();
   // Sets the number of upstreams whose limit is in force.
   void SetLimited(size_t n);
   // Sets the number of requests that are sent nowhere.
@@ -62,6 +64,7 @@
   prometheus::Family<prometheus::Gauge>* queued_;
   prometheus::Family<prometheus::Counter>* crashes_;
   prometheus::Counter* limits_told_;
+  prometheus::Counter* rests_;
   prometheus::Gauge* limited_;
   prometheus::Gauge* quarantined_;
   prometheus::Family<prometheus::Counter>* list_updates_;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -115,6 +115,7 @@
   void OnEnd(Request& r, CallEnd end, absl::string_view why);
   void NoteLimit(const Request& r, const UpstreamBoard& u,
                  const AnswerFacts& f);
+  void NoteRest(const Request& r, UpstreamBoard& u, Duration rest);
   void ApplyLimits();
   void KeepLimits(TimePoint now);
   TurnAsk TurnAskFor(const UpstreamBoard& u, TimePoint now) const;
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -31,6 +31,7 @@
     u->quiet_since = now;
     if (f.has_load) NoteReport(*u, f.running, f.waiting, now);
     NoteLimit(r, *u, f);
+    if (!f.other_upstream) NoteRest(r, *u, f.rest);
   }
   r.answer = head;
   r.answer_facts = std::move(f);
--- a/src/gateway_limits.cc
+++ b/src/gateway_limits.cc
@@ -42,6 +42,20 @@
   ApplyLimits();
 }
 
+void Gateway::NoteRest(const Request& r, UpstreamBoard& u, Duration rest) {
+  if (rest == Duration::zero()) return;
+  TimePoint now = clock_.Now();
+  metrics_.CountRest();
+  LogEvent("upstream_rest",
+           {{"upstream", u.info.id},
+            {"request", r.facts.id},
+            {"rest_ms", ToMs(rest)},
+            {"left_ms", u.rest_until > now ? ToMs(u.rest_until - now) : 0},
+            {"load", u.reported},
+            {"own", u.in_flight}});
+  u.rest_until = std::max(u.rest_until, now + rest);
+}
+
 void Gateway::TakeLimits(absl::Span<const LimitRecord> told) {
   uint64_t before = limits_.changes();
   limits_.TakeTold(told);
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -36,6 +36,8 @@
   std::optional<double> limit_per_s;
   TimePoint limit_since{};
   std::optional<Millis> turn_taken;
+  // It has asked this process to send nothing until then.
+  TimePoint rest_until{};
   bool no_turn = false;  // By its limit it is not for this process to send now.
   // Refused connections and broken answers put it aside for a while.
   int failures = 0;  // In a row.
