An upstream that asks for rest is left to rest

What callers saw: engines that had turned an entry away and asked for three seconds of rest got the next requests of that entry all the same; season-digest, which may be sent to one engine only, was refused by over a tenth in a second while eight of twelve engines served.

Change: a board that rests is not usable, and no last resort either, until the longest rest it asked for is over; no_place counts such upstreams by themselves.

--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -186,8 +186,13 @@
     seconds = std::clamp(ToSeconds(clock_.Now() - it->second),
                          kRetryAfterSeconds, kMostRetryAfterSeconds);
   }
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds * spread(random_)));
+  // Sooner there is nobody to send it to; not all at the first moment either.
+  Duration rest{};
+  if (r.service) {
+    rest = RestLeft(pool_.boards(), r.service->name, clock_.Now());
+  }
+  if (rest > Duration::zero()) seconds = kRetryAfterSeconds;
+  return rest + BoundedSeconds(seconds * spread(random_));
 }
 
 // Tells the guard of a request that had no place, where there was any to be
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -93,6 +93,7 @@
                         {"upstreams", n.upstreams},
                         {"unusable", n.unusable},
                         {"full", n.full},
+                        {"resting", n.resting},
                         {"limited", n.limited},
                         {"loaded", n.loaded},
                         {"reads", n.reading},
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -186,7 +186,7 @@
 bool Usable(const UpstreamBoard& u, TimePoint now,
             const PlacementPolicy& policy) {
   if (!u.listed || u.info.leaving || u.full || u.ended) return false;
-  if (u.no_turn) return false;
+  if (u.no_turn || now < u.rest_until) return false;
   if (!u.reachable) return false;
   if (now < u.aside_until) return false;
   return !(u.in_flight > 0 && u.quiet_since != TimePoint{} &&
@@ -205,7 +205,8 @@
     const UpstreamBoard& u = boards[i];
     if (u.info.service != ask.service || !u.listed || u.info.leaving) continue;
     if (Contains(ask.avoid, u.info.id) || u.full || u.ended) continue;
-    if (!u.reachable || u.no_turn) continue;
+    // What an upstream has asked for holds also where nothing else is left.
+    if (!u.reachable || u.no_turn || now < u.rest_until) continue;
     if (!Usable(u, now, policy)) {
       if (!fallback || u.aside_until < boards[*fallback].aside_until) {
         fallback = i;
@@ -249,6 +250,8 @@
     ++n.upstreams;
     if (u.full) {
       ++n.full;
+    } else if (now < u.rest_until) {
+      ++n.resting;
     } else if (u.no_turn) {
       ++n.limited;
     } else if (Contains(ask.avoid, u.info.id) || !Usable(u, now, policy)) {
@@ -264,6 +267,18 @@
   return n;
 }
 
+Duration RestLeft(absl::Span<const UpstreamBoard> boards,
+                  absl::string_view service, TimePoint now) {
+  std::optional<TimePoint> first;
+  for (const UpstreamBoard& u : boards) {
+    if (u.info.service != service || !u.listed || u.info.leaving || u.ended) {
+      continue;
+    }
+    if (!first || u.rest_until < *first) first = u.rest_until;
+  }
+  return first && *first > now ? *first - now : Duration::zero();
+}
+
 std::optional<size_t> FirstHome(absl::Span<const UpstreamBoard> boards,
                                 absl::string_view service, uint64_t part,
                                 int decode_engines, absl::string_view except,
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -260,6 +260,7 @@
   int upstreams = 0;  // Listed and staying.
   int unusable = 0;   // Tried, aside, quiet, ended or out of reach.
   int full = 0;       // As many own requests or connections as allowed.
+  int resting = 0;    // They have asked for rest.
   int limited = 0;    // By the limit it names, others' turn or nobody's.
   int loaded = 0;     // As busy as allowed, by estimate.
   int reading = 0;    // As many own prompts being read as allowed.
@@ -269,6 +270,11 @@
                            const PlacementAsk& ask, TimePoint now,
                            const PlacementPolicy& policy);
 
+// How long until the first upstream of `service` has rested; zero where one
+// that stays does not rest.
+Duration RestLeft(absl::Span<const UpstreamBoard> boards,
+                  absl::string_view service, TimePoint now);
+
 // The engine of `service`, other than `except`, that a part would be kept at
 // first, or nullopt.
 std::optional<size_t> FirstHome(absl::Span<const UpstreamBoard> boards,
