An upstream that says it leaves gets nothing new, whatever the list says

The users' new rule (DRAIN): later than DrainMs after an entry has passed on an answer that says so, no new request from it may reach that upstream. The list lags, and each reading set the state anew.

Change: the board keeps that the upstream has said it; every reading of the list is joined with it, until another incarnation is listed. All that treats a leaving upstream (placement, ranks, homes, crash watch) treats this one so.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -71,6 +71,7 @@
   // Requests a second that it takes from all processes together, where it
   // says so.
   std::optional<double> limit_per_s;
+  bool leaving = false;  // It is about to stop.
   // It turns the request away and wants nothing from this process for so long;
   // zero where it doesn't say so.
   Duration rest{};
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -32,6 +32,11 @@
     if (f.has_load) NoteReport(*u, f.running, f.waiting, now);
     NoteLimit(r, *u, f);
     if (!f.other_upstream) NoteRest(r, *u, f.rest);
+    if (!f.other_upstream && f.leaving && pool_.NoteLeaving(r.upstream)) {
+      LogEvent("upstream_says_leaving", {{"upstream", r.upstream},
+                                         {"request", r.facts.id},
+                                         {"in_flight", u->in_flight}});
+    }
   }
   r.answer = head;
   r.answer_facts = std::move(f);
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -23,6 +23,8 @@
 struct UpstreamBoard {
   UpstreamInfo info;
   bool listed = true;  // In the newest list; others only finish their work.
+  // It has said itself that it leaves, whatever the list still says.
+  bool said_leaving = false;
   // Another incarnation answers at its address: this one is gone for good,
   // whatever the list still says.
   bool ended = false;
--- a/src/upstream_pool.cc
+++ b/src/upstream_pool.cc
@@ -63,6 +63,7 @@
                {{"upstream", u.id}, {"in_flight", b.in_flight}});
     }
     b.info = u;
+    b.info.leaving |= b.said_leaving;
   }
   RankUpstreams(absl::MakeSpan(boards_));
   Tick();
@@ -74,6 +75,15 @@
   return it == index_.end() ? nullptr : &boards_[it->second];
 }
 
+bool UpstreamPool::NoteLeaving(const std::string& id) {
+  UpstreamBoard* b = Find(id);
+  if (!b || b->said_leaving) return false;
+  b->said_leaving = true;
+  b->info.leaving = true;
+  RankUpstreams(absl::MakeSpan(boards_));
+  return true;
+}
+
 bool UpstreamPool::Full(const UpstreamBoard& u, int limit) const {
   auto it = connections_.find(u.info.id);
   if (it == connections_.end()) return limit <= 0;
--- a/src/upstream_pool.h
+++ b/src/upstream_pool.h
@@ -31,6 +31,10 @@
   // The board of upstream `id`, or nullptr.
   UpstreamBoard* Find(const std::string& id);
 
+  // Upstream `id` has said that it leaves: it gets no new work, from now on and
+  // whatever the list says. Returns whether that is new.
+  bool NoteLeaving(const std::string& id);
+
   // A connection for one call, kept or new; a new one must be established
   // within `connect_timeout`.
   std::shared_ptr<UpstreamLink> Take(const UpstreamBoard& u,
