A control process that stood still answers the watches it held

It ended with std::out_of_range, taking operators' calls with it; callers would have seen entries without control for a moment, more than once where many hosts freeze.

Cause: the place was looked up as if each watch had a follower. One that is forgotten now has no place, and keeps the one it had until its next watch.

Test: WatchesAreAnsweredAfterALongStandstill (ended the process before); the fuzz of headers checks the new facts of answers.

--- a/fuzz/headers.cc
+++ b/fuzz/headers.cc
@@ -34,5 +34,7 @@
   }
   AnswerFacts a = dialect.read_answer(head);
   if (a.has_load) MEDLARWALK_EXPECT(a.running >= 0 && a.waiting >= 0);
+  if (a.limit_per_s) MEDLARWALK_EXPECT(*a.limit_per_s >= 0);
+  MEDLARWALK_EXPECT(a.rest >= Duration::zero());
   return 0;
 }
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -32,8 +32,10 @@
 // those of each follower in turn; elsewhere from what the leader has told.
 int Control::PlaceOf(const std::string& follower) const {
   int place = IsLeader() ? 0 : place_from_leader_;
-  if (place < 0) return -1;
-  bool serves = followers_.at(follower).serves_callers;
+  // Forgotten while its watch is open: this process stood still.
+  auto asker = followers_.find(follower);
+  if (place < 0 || asker == followers_.end()) return -1;
+  bool serves = asker->second.serves_callers;
   if (!serves) place += DirectServing();
   for (const auto& [name, f] : followers_) {
     if (name == follower) break;
--- a/test/control_test.cc
+++ b/test/control_test.cc
@@ -2,6 +2,8 @@
 // calls at any of them, restarts, lost disks, hosts without a disk.
 #include "control.h"
 
+#include <unistd.h>
+
 #include <filesystem>
 #include <map>
 #include <optional>
@@ -223,3 +225,17 @@
       },
       10000));
 }
+
+// Guards against a control process that ends when it wakes: it stood still
+// until its followers counted as gone, and their watches were still open.
+TEST(control, WatchesAreAnsweredAfterALongStandstill) {
+  Controls c(1, 0);
+  c.Start(0, c.Addresses(0, 1), true);
+  int told = 0;
+  auto w = c.Follow(0, [&told](const WatchReply&, bool ok) { told += ok; });
+  CHECK_TRUE(c.Await([&] { return told > 0; }, 5000));
+  c.Await([] { return false; }, 50);
+  usleep(3'300'000);
+  int before = told;
+  CHECK_TRUE(c.Await([&] { return told > before; }, 5000));
+}
