The time of a loop's turns can be seen

Sight for entries that stay without control after an overload, before any logic changes: a histogram of turns in entries and control processes, a bounded line for turns over 250 ms, and with control_lost how long nothing had come and the longest turn of this process's own loop of late.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -14,6 +14,15 @@
   return kBuckets;
 }
 
+prometheus::Histogram* TurnHistogram(const std::string& prefix,
+                                     prometheus::Registry& registry) {
+  return &prometheus::BuildHistogram()
+              .Name(prefix + "loop_turn_seconds")
+              .Help("Time of one turn of the loop, without its wait")
+              .Register(registry)
+              .Add({}, LatencyBuckets());
+}
+
 }  // namespace
 
 Metrics::Metrics(absl::string_view role)
@@ -79,6 +88,7 @@
                    .Name(prefix + "list_age_seconds")
                    .Help("Age of the upstream list when heard of")
                    .Register(*registry_);
+  turns_ = TurnHistogram(prefix, *registry_);
 }
 
 void Metrics::CountRefusal(absl::string_view reason) {
@@ -162,6 +172,7 @@
                  .Name("medlarwalk_control_duties_total")
                  .Help("Steps of duties, by what they came to")
                  .Register(*registry_);
+  turns_ = TurnHistogram("medlarwalk_control_", *registry_);
 }
 
 void ControlMetrics::ObserveCall(absl::string_view call,
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -37,6 +37,8 @@
   void CountListUpdate(absl::string_view how, size_t bytes);
   // Records how old the list was, in seconds, when this process heard of it.
   void ObserveListAge(double seconds);
+  // Records how long one turn of the loop took, in seconds.
+  void ObserveTurn(double seconds) { turns_->Observe(seconds); }
   // Counts one upstream that ended while it had requests of this process, by
   // how that was seen.
   void CountCrash(absl::string_view how);
@@ -70,6 +72,7 @@
   prometheus::Family<prometheus::Counter>* list_updates_;
   prometheus::Family<prometheus::Counter>* list_bytes_;
   prometheus::Family<prometheus::Histogram>* list_age_;
+  prometheus::Histogram* turns_;
 };
 
 // The metrics of a control process. Thread safety: loop thread only.
@@ -107,6 +110,8 @@
   void CountListTold(absl::string_view how, size_t bytes);
   // Counts one step of a duty by what it came to.
   void CountDuty(absl::string_view step, absl::string_view outcome);
+  // Records how long one turn of the loop took, in seconds.
+  void ObserveTurn(double seconds) { turns_->Observe(seconds); }
   void Set(const State& s);
   std::string Render() const;
 
@@ -118,6 +123,7 @@
   prometheus::Family<prometheus::Counter>* list_bytes_;
   prometheus::Family<prometheus::Gauge>* state_;
   prometheus::Family<prometheus::Counter>* duties_;
+  prometheus::Histogram* turns_;
 };
 
 // `registry` in the Prometheus text format, with the log lines dropped.
--- a/src/control.cc
+++ b/src/control.cc
@@ -54,6 +54,8 @@
               [this](const H2Request& r, std::shared_ptr<H2Stream> s) {
                 HandlePeer(r, std::move(s));
               }),
+      turns_(loop, clock,
+             [this](Duration d) { metrics_.ObserveTurn(ToSeconds(d)); }),
       links_(loop, clock),
       forwards_(kMostForwarded,
                 [this](int64_t, Document document, SubmitDone done) {
@@ -72,6 +74,7 @@
             o.data_centre = options_.data_centre;
             o.address = options_.peer.ToString();
             o.reports = &reports_;
+            o.longest_turn = [this] { return turns_.longest(); };
             return o;
           }(),
           {},
--- a/src/control.h
+++ b/src/control.h
@@ -21,6 +21,7 @@
 #include "limit_book.h"
 #include "link_pool.h"
 #include "lister.h"
+#include "loop_watch.h"
 #include "metrics.h"
 #include "quarantine.h"
 #include "replica.h"
@@ -155,6 +156,7 @@
   std::unique_ptr<Replica> replica_;
   H2Server server_;
   ControlMetrics metrics_;
+  LoopWatch turns_;
   // Members to whom entries or a snapshot are on their way.
   std::set<std::string> load_under_way_;
   LinkPool links_;
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -37,6 +37,8 @@
       clock_(clock),
       options_(std::move(options)),
       metrics_("entry"),
+      turns_(loop, clock,
+             [this](Duration d) { metrics_.ObserveTurn(ToSeconds(d)); }),
       gateway_(
           loop, clock,
           [&] {
@@ -77,6 +79,7 @@
             o.data_centre = options_.data_centre;
             o.serves_callers = true;
             o.reports = &reports_;
+            o.longest_turn = [this] { return turns_.longest(); };
             return o;
           }(),
           options_.control_seeds,
--- a/src/serving.h
+++ b/src/serving.h
@@ -14,6 +14,7 @@
 #include "caller_server.h"
 #include "gateway.h"
 #include "lister.h"
+#include "loop_watch.h"
 #include "metrics.h"
 #include "usage_schedule.h"
 #include "watch_client.h"
@@ -73,6 +74,7 @@
   const Clock& clock_;
   ServingOptions options_;
   Metrics metrics_;
+  LoopWatch turns_;
   Gateway gateway_;
   CallerServer callers_;
   CallerServer readiness_;
--- a/src/watch_client.cc
+++ b/src/watch_client.cc
@@ -112,9 +112,13 @@
 void WatchClient::NextTarget(absl::string_view why) {
   ++misses_;
   if (options_.reports) options_.reports->Lost();
-  LogEvent("control_lost", {{"control", target_},
-                            {"why", why},
-                            {"config_version", state_.config_version}});
+  LogEvent(
+      "control_lost",
+      {{"control", target_},
+       {"why", why},
+       {"waited_ms", ToMs(clock_.Now() - heard_at_)},
+       {"turn_ms", options_.longest_turn ? ToMs(options_.longest_turn()) : -1},
+       {"config_version", state_.config_version}});
   std::vector<std::string> all = Targets();
   if (all.empty()) return;
   auto it = std::find(all.begin(), all.end(), target_);
--- a/src/watch_client.h
+++ b/src/watch_client.h
@@ -27,6 +27,8 @@
   Duration max_age = Millis(800);
   std::string data_centre;  // Control processes there are asked first.
   std::string address;      // Where others may ask this process, if they may.
+  // The longest turn of the loop of late, for the log; may be empty.
+  std::function<Duration()> longest_turn;
   // What goes to the process that is followed; may be null.
   WatchReports* reports = nullptr;
 };
