What has arrived is read before a time limit is judged

Among its causes: an entry that was late itself took every control process for silent.

Cause: libev calls, of the watchers of one priority, those that became ready last first; timers become ready after sockets. After a turn longer than a limit (1 to 8 s in the overload) each link was given up with its answer in the socket, and an established connection counted as timed out.

Change: a turn has an order (loop_order.h): links of our own processes, then callers and upstreams, then time limits. It holds for entries, control processes (elections asked for by one that has just woken) and agents.

Tests: ALateProcessReadsBeforeItJudgesALink and ALateProcessFindsIts- ConnectionEstablished, both failed before.

--- a/src/agent.cc
+++ b/src/agent.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "errors.h"
 #include "log.h"
+#include "loop_order.h"
 #include "nlohmann/json.hpp"
 #include "random_seed.h"
 
@@ -87,8 +88,7 @@
   sigterm_.data = this;
   ev_signal_init(&sigint_, OnSignal, SIGINT);
   sigint_.data = this;
-  ev_timer_init(&drain_timer_, OnDrainTick, kDrainTickSeconds,
-                kDrainTickSeconds);
+  InitTimer(&drain_timer_, OnDrainTick, kDrainTickSeconds, kDrainTickSeconds);
   drain_timer_.data = this;
 }
 
--- a/src/caller_server.cc
+++ b/src/caller_server.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "log.h"
+#include "loop_order.h"
 
 namespace medlarwalk {
 namespace {
@@ -299,9 +300,9 @@
         c->Start();
         MakeRoom();
       }) {
-  ev_timer_init(&room_, OnRoom, kRoomSeconds, kRoomSeconds);
+  InitTimer(&room_, OnRoom, kRoomSeconds, kRoomSeconds);
   room_.data = this;
-  ev_timer_init(&sweep_, OnSweep, kSweepSeconds, kSweepSeconds);
+  InitTimer(&sweep_, OnSweep, kSweepSeconds, kSweepSeconds);
   sweep_.data = this;
   ev_timer_start(loop_, &sweep_);
 }
--- a/src/control.cc
+++ b/src/control.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "heap_use.h"
 #include "log.h"
+#include "loop_order.h"
 #include "packed.h"
 #include "quarantine_store.h"
 #include "random_seed.h"
@@ -84,7 +85,7 @@
       list_(kListChanges, EncodeListChange) {
   // Configurations come through the log, not through this watch.
   leader_watch_.state().config_version = std::numeric_limits<int64_t>::max();
-  ev_timer_init(&tick_, OnTick, kTickSeconds, kTickSeconds);
+  InitTimer(&tick_, OnTick, kTickSeconds, kTickSeconds);
   tick_.data = this;
 }
 
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -4,6 +4,7 @@
 
 #include "agent_link.h"
 #include "log.h"
+#include "loop_order.h"
 #include "nlohmann/json.hpp"
 #include "own_api.h"
 
@@ -88,9 +89,9 @@
   gateway_.SetServing(1);
   gateway_.SetConfig(std::move(routing));
   gateway_.SetUpstreams(upstreams_);
-  ev_timer_init(&tick_, OnTick, kTickSeconds, kTickSeconds);
+  InitTimer(&tick_, OnTick, kTickSeconds, kTickSeconds);
   tick_.data = this;
-  ev_timer_init(&load_tick_, OnLoadTick, kLoadTickSeconds, kLoadTickSeconds);
+  InitTimer(&load_tick_, OnLoadTick, kLoadTickSeconds, kLoadTickSeconds);
   load_tick_.data = this;
   ev_signal_init(&sigterm_, OnSignal, SIGTERM);
   sigterm_.data = this;
--- a/src/h2.cc
+++ b/src/h2.cc
@@ -12,6 +12,7 @@
 #include "absl/strings/str_cat.h"
 #include "h2_connection.h"
 #include "log.h"
+#include "loop_order.h"
 
 namespace medlarwalk {
 
@@ -67,7 +68,8 @@
 H2Server::H2Server(struct ev_loop* loop, H2Handler handler)
     : loop_(loop),
       handler_(std::move(handler)),
-      acceptor_(loop, [this](int fd) { Accepted(fd); }) {}
+      acceptor_(
+          loop, [this](int fd) { Accepted(fd); }, kLinkPriority) {}
 
 H2Server::~H2Server() {
   acceptor_.Stop();
@@ -118,7 +120,7 @@
       std::chrono::duration<double>(std::min(ping_interval_, ping_timeout_))
           .count() /
       4;
-  ev_timer_init(&ping_timer_, OnPingTimer, tick, tick);
+  InitTimer(&ping_timer_, OnPingTimer, tick, tick);
   ping_timer_.data = this;
   ev_timer_start(loop_, &ping_timer_);
 }
--- a/src/h2_connection.h
+++ b/src/h2_connection.h
@@ -21,6 +21,7 @@
 #include "absl/strings/str_cat.h"
 #include "h2.h"
 #include "log.h"
+#include "loop_order.h"
 #include "tcp.h"
 
 namespace medlarwalk {
@@ -64,8 +65,10 @@
         {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, 1 << 20}};
     nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, settings, 2);
     ev_io_init(&read_io_, OnReadable, fd_, EV_READ);
+    ev_set_priority(&read_io_, kLinkPriority);
     read_io_.data = this;
     ev_io_init(&write_io_, OnWritable, fd_, EV_WRITE);
+    ev_set_priority(&write_io_, kLinkPriority);
     write_io_.data = this;
     ev_io_start(loop_, &read_io_);
     if (connecting) ev_io_start(loop_, &write_io_);
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -1,6 +1,7 @@
 #include "http_client.h"
 
 #include "absl/strings/str_cat.h"
+#include "loop_order.h"
 
 namespace medlarwalk {
 
@@ -38,9 +39,9 @@
   curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
   curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &OnTimerChange);
   curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
-  ev_timer_init(&timer_, OnTimer, 0., 0.);
+  InitTimer(&timer_, OnTimer, 0., 0.);
   timer_.data = this;
-  ev_timer_init(&reap_, OnReap, 0., 0.);
+  InitTimer(&reap_, OnReap, 0., 0.);
   reap_.data = this;
 }
 
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
+#include "loop_order.h"
 #include "types.h"
 
 namespace medlarwalk {
@@ -91,7 +92,7 @@
 
 HttpServer::HttpServer(struct ev_loop* loop, HttpHandler handler)
     : loop_(loop), handler_(std::move(handler)) {
-  ev_timer_init(&timer_, OnTimer, 0., 0.);
+  InitTimer(&timer_, OnTimer, 0., 0.);
   timer_.data = this;
 }
 
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "log.h"
+#include "loop_order.h"
 #include "packed.h"
 #include "random_seed.h"
 
@@ -89,7 +90,7 @@
       // control processes have a list within a moment, but not if every entry
       // asks its source beside them.
       list_at_(clock.Now()) {
-  ev_timer_init(&tick_, OnTick, kTickSeconds, kTickSeconds);
+  InitTimer(&tick_, OnTick, kTickSeconds, kTickSeconds);
   tick_.data = this;
   callers_.set_most_connections(CallersFor(options_.descriptors));
   // Until the group's time is told.
--- a/src/tcp.cc
+++ b/src/tcp.cc
@@ -12,6 +12,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "log.h"
+#include "loop_order.h"
 
 namespace medlarwalk {
 namespace {
@@ -82,6 +83,7 @@
   ev_io_init(&io_, OnIo, fd, EV_READ);
   io_.data = this;
   ev_init(&timer_, OnTimer);
+  ev_set_priority(&timer_, kTimerPriority);
   timer_.data = this;
 }
 
@@ -226,9 +228,10 @@
   return fd_ >= 0 && recv(fd_, &c, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-Acceptor::Acceptor(struct ev_loop* loop, std::function<void(int fd)> on_accept)
-    : loop_(loop), on_accept_(std::move(on_accept)) {
-  ev_timer_init(&retry_, OnRetry, kAcceptAgainSeconds, 0.);
+Acceptor::Acceptor(struct ev_loop* loop, std::function<void(int fd)> on_accept,
+                   int priority)
+    : loop_(loop), on_accept_(std::move(on_accept)), priority_(priority) {
+  InitTimer(&retry_, OnRetry, kAcceptAgainSeconds, 0.);
   retry_.data = this;
 }
 
@@ -250,6 +253,7 @@
   }
   SetNonBlocking(fd_);
   ev_io_init(&io_, OnIo, fd_, EV_READ);
+  ev_set_priority(&io_, priority_);
   io_.data = this;
   Update();
   return absl::OkStatus();
--- a/src/tcp.h
+++ b/src/tcp.h
@@ -97,7 +97,9 @@
 // Takes connections in as they come. Thread safety: loop thread only.
 class Acceptor {
  public:
-  Acceptor(struct ev_loop* loop, std::function<void(int fd)> on_accept);
+  // `priority`: of newcomers within a turn (loop_order.h).
+  Acceptor(struct ev_loop* loop, std::function<void(int fd)> on_accept,
+           int priority = 0);
   ~Acceptor();
   Acceptor(const Acceptor&) = delete;
   Acceptor& operator=(const Acceptor&) = delete;
@@ -119,6 +121,7 @@
 
   struct ev_loop* loop_;
   std::function<void(int fd)> on_accept_;
+  int priority_;
   int fd_ = -1;
   bool paused_ = false;
   ev_io io_{};
--- a/src/watch_client.cc
+++ b/src/watch_client.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "log.h"
+#include "loop_order.h"
 
 namespace medlarwalk {
 namespace {
@@ -31,7 +32,7 @@
   state_.data_centre = options_.data_centre;
   state_.address = options_.address;
   state_.serves_callers = options_.serves_callers;
-  ev_timer_init(&tick_, OnTick, kTickSeconds, kTickSeconds);
+  InitTimer(&tick_, OnTick, kTickSeconds, kTickSeconds);
   tick_.data = this;
 }
 
--- a/test/h2_test.cc
+++ b/test/h2_test.cc
@@ -75,3 +75,80 @@
   }
   ev_loop_destroy(loop);
 }
+
+namespace {
+
+// Two processes: each runs only when its own loop does.
+struct TwoLoops {
+  TwoLoops()
+      : ours(ev_loop_new(EVFLAG_AUTO)),
+        theirs(ev_loop_new(EVFLAG_AUTO)),
+        port(testing::FreeBase()) {}
+  ~TwoLoops() {
+    ev_loop_destroy(ours);
+    ev_loop_destroy(theirs);
+  }
+  struct ev_loop* ours;
+  struct ev_loop* theirs;
+  int port;
+};
+
+constexpr Millis kPingEvery(100);
+constexpr Millis kPingWait(300);
+
+}  // namespace
+
+// Guards against a process that was late itself and takes its peer for silent:
+// the answer to its ping lies in the socket, unread, when it wakes and judges.
+TEST(h2, ALateProcessReadsBeforeItJudgesALink) {
+  TwoLoops l;
+  BootClock clock;
+  H2Server server(
+      l.theirs, [](const H2Request&, auto s) { s->Respond(200, {}, "whole"); });
+  CHECK_TRUE(server.Listen("127.0.0.1", l.port).ok());
+  {
+    H2Client client(l.ours, clock, "127.0.0.1", l.port, kPingEvery, kPingWait);
+    std::string body;
+    bool closed = false;
+    client.Submit(Get("/a", &body, &closed));
+    CHECK_TRUE(Await(
+        l.ours,
+        [&] {
+          ev_run(l.theirs, EVRUN_NOWAIT);
+          return closed;
+        },
+        2000));
+    for (int i = 0; i < 5; ++i) {
+      // A ping goes out, and is answered; the answer is read late.
+      Await(
+          l.ours, [] { return false; }, 150);
+      Await(
+          l.theirs, [] { return false; }, 50);
+      usleep(500'000);
+      Await(
+          l.ours, [] { return false; }, 2);
+      LONGS_EQUAL(0, client.dead_connections());
+      CHECK_TRUE(client.usable());
+    }
+  }
+}
+
+// The same for a connection that was established while the process was late.
+TEST(h2, ALateProcessFindsItsConnectionEstablished) {
+  TwoLoops l;
+  TcpListener listener(l.theirs, [](std::shared_ptr<TcpConnection>) {});
+  CHECK_TRUE(listener.Listen({"127.0.0.1", l.port}).ok());
+  auto c = TcpConnection::Connect(l.ours, {"127.0.0.1", l.port}, kPingWait);
+  bool failed = false;
+  bool connected = false;
+  TcpEvents e;
+  e.on_connected = [&] { connected = true; };
+  e.on_closed = [&](absl::Status) { failed = true; };
+  c->set_events(std::move(e));
+  usleep(500'000);
+  Await(
+      l.ours, [&] { return connected || failed; }, 100);
+  CHECK_TRUE(connected);
+  CHECK_FALSE(failed);
+  c->Close();
+}
