A time limit on connecting counts from when it is set

What callers saw: requests refused during and after an overload, since no upstream and no control process could be connected to.

Cause: the loop's time is that of the turn's beginning. In a turn of a second a limit of 0.25 s was over before the loop looked at the socket for the first time, so that every new connection failed, to whomever.

Test: ATimeLimitCountsFromWhenItIsSet, failed before.

--- a/src/tcp.cc
+++ b/src/tcp.cc
@@ -72,6 +72,9 @@
   c->refused_ = named && !ok && errno == ECONNREFUSED;
   // An immediate failure is told through the timer, so that the caller has
   // set its events by then.
+  // The loop's time is that of the turn's beginning: late in a long turn the
+  // limit would be over before the loop looks at the socket again.
+  ev_now_update(loop);
   ev_timer_set(&c->timer_, ok ? ToSeconds(timeout) : 0., 0.);
   ev_timer_start(loop, &c->timer_);
   if (ok) c->UpdateIo();
--- a/test/h2_test.cc
+++ b/test/h2_test.cc
@@ -4,9 +4,11 @@
 #include <unistd.h>
 
 #include "CppUTest/TestHarness.h"
+#include "platform/test/gateway_rig.h"
 #include "procs.h"
 
 using namespace medlarwalk;
+using testing::DarkAddress;
 
 namespace {
 
@@ -152,3 +154,22 @@
   CHECK_FALSE(failed);
   c->Close();
 }
+
+// Guards against a time limit that is set late in a long turn and counts from
+// the turn's beginning: it is over before the loop looks at the socket again.
+TEST(h2, ATimeLimitCountsFromWhenItIsSet) {
+  TwoLoops l;
+  DarkAddress dark;
+  ev_run(l.ours, EVRUN_NOWAIT);
+  usleep(500'000);
+  auto c = TcpConnection::Connect(l.ours, dark.at, kPingWait);
+  bool failed = false;
+  TcpEvents e;
+  e.on_closed = [&](absl::Status) { failed = true; };
+  c->set_events(std::move(e));
+  Await(
+      l.ours, [&] { return failed; }, 50);
+  CHECK_FALSE(failed);
+  CHECK_TRUE(Await(
+      l.ours, [&] { return failed; }, 2000));
+}
