Attempts to connect to our own processes are given longer each time

What callers saw: 14 s after an overload, with turns of 0.1 s, an entry was still without control and refused by an old configuration.

Cause: packets queued at its slow link, a round trip was longer than the 0.3 s that an attempt to connect may take, so none ended well, to no one; each was followed by another after 0.2 s.

Change: an attempt that ended in nothing doubles the limit of the next one, to 1.2 s; a connection sets it back. The first is as short as ever, since a lost first packet and a dark host must not cost more, and a call still waits for its own limit only.

Test: AttemptsToConnectAreGivenLongerEachTime, failed before.

--- a/src/h2.cc
+++ b/src/h2.cc
@@ -23,8 +23,12 @@
 constexpr auto kReconnectBackoff = std::chrono::milliseconds(200);
 
 // A host that is there answers within a round trip; a lost first packet is
-// sent again sooner by a new connection than by the kernel's second.
+// sent again sooner by a new connection than by the kernel's second. Where that
+// ends in nothing the limit is doubled: behind a link at which packets queue,
+// the host's own perhaps, a round trip may be longer, and attempts that are
+// given up sooner each time lengthen the queue and never end well.
 constexpr auto kConnectTimeout = std::chrono::milliseconds(300);
+constexpr auto kMostConnectTimeout = std::chrono::milliseconds(1200);
 
 }  // namespace
 
@@ -114,6 +118,8 @@
       clock_(clock),
       address_(std::move(address)),
       port_(port),
+      first_connect_limit_(std::min<Millis>(ping_timeout, kConnectTimeout)),
+      connect_limit_(first_connect_limit_),
       ping_interval_(ping_interval),
       ping_timeout_(ping_timeout) {
   double tick =
@@ -234,12 +240,14 @@
   if (!c) return;
   if (!c->connected()) {
     // A host without power or behind a cut answers nothing at all.
-    if (now - c->opened_at() >
-        std::min<Duration>(self->ping_timeout_, kConnectTimeout)) {
+    if (now - c->opened_at() > self->connect_limit_) {
+      self->connect_limit_ =
+          std::min<Millis>(2 * self->connect_limit_, kMostConnectTimeout);
       self->DropSilent("connect timed out");
     }
     return;
   }
+  self->connect_limit_ = self->first_connect_limit_;
   if (c->ping_outstanding()) {
     if (self->Silent()) self->DropSilent("ping unanswered");
     return;
--- a/src/h2.h
+++ b/src/h2.h
@@ -157,6 +157,9 @@
   const Clock& clock_;
   std::string address_;
   int port_;
+  // How long an attempt to connect may take, at first and now.
+  const Millis first_connect_limit_;
+  Millis connect_limit_;
   Millis ping_interval_;
   Millis ping_timeout_;
   std::unique_ptr<H2Connection> connection_;
--- a/test/h2_test.cc
+++ b/test/h2_test.cc
@@ -173,3 +173,25 @@
   CHECK_TRUE(Await(
       l.ours, [&] { return failed; }, 2000));
 }
+
+// Guards against attempts to connect that are all given up sooner than a round
+// trip takes while packets queue at a link: none ever ends well.
+TEST(h2, AttemptsToConnectAreGivenLongerEachTime) {
+  TwoLoops l;
+  BootClock clock;
+  DarkAddress dark;
+  H2Client client(l.ours, clock, "127.0.0.1", dark.at.port, Millis(300),
+                  Millis(900));
+  std::string body;
+  bool closed = false;
+  client.Submit(Get("/a", &body, &closed));
+  // The first is as short as ever: others may be there.
+  CHECK_TRUE(Await(
+      l.ours, [&] { return closed; }, 500));
+  TimePoint until = clock.Now() + Millis(5000);
+  while (clock.Now() < until) {
+    Await(
+        l.ours, [] { return false; }, 20);
+  }
+  CHECK_TRUE(client.dead_connections() <= 5);
+}
