--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -357,10 +357,7 @@
   call.on_end = [this, seq, attempt](CallEnd end, absl::string_view why) {
     if (Request* q = Find(seq, attempt)) OnEnd(*q, end, why);
   };
-  size_t patience = r.connect_failures;
-  if (OwnLinkSlow()) patience = std::max(patience, kPatientConnects);
-  r.connection = pool_.Take(u, kConnectTimeouts[patience]);
-  r.fresh_connection = !r.connection->established();
+  r.connection = pool_.Take(u, kConnectTimeouts[r.connect_failures]);
   r.connection->Start(std::move(call));
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -55,9 +55,6 @@
   // The time that all processes share, since any one moment. When empty: the
   // clock's.
   std::function<Millis(TimePoint now)> shared_time;
-  // Whether this host's own link is known to be as quick as ever. May be empty:
-  // it always is.
-  std::function<bool()> link_prompt;
   // How upstreams are reached; HTTP/1.1 connections when empty.
   LinkOpener open_link;
 };
@@ -135,9 +132,6 @@
   void AttemptFailed(Request& r, CallEnd end, absl::string_view why);
   bool MayMove(Request& r, CallEnd end);
   void NoteEndOf(const Request& r, CallEnd end);
-  // Whether it is this host's own link that keeps connections from being
-  // established.
-  bool OwnLinkSlow() const;
   void DropAttempt(Request& r);
   void ReleaseUpstream(Request& r);
   HeaderList HeadersOf(const MessageHead& answer) const;
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -27,7 +27,6 @@
     return false;
   }
   r.progress_at = now;
-  if (r.fresh_connection) pool_.NoteConnected();
   if (UpstreamBoard* u = pool_.Find(r.upstream)) {
     u->quiet_since = now;
     if (f.has_load) NoteReport(*u, f.running, f.waiting, now);
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -68,11 +68,6 @@
   return true;
 }
 
-bool Gateway::OwnLinkSlow() const {
-  return pool_.unreached() >= kUnreachedByLink && options_.link_prompt &&
-         !options_.link_prompt();
-}
-
 // What the end of an attempt says of its upstream's own end.
 void Gateway::NoteEndOf(const Request& r, CallEnd end) {
   bool answered = r.have_head && end == CallEnd::kWhole;
@@ -132,13 +127,8 @@
 void Gateway::AttemptFailed(Request& r, CallEnd end, absl::string_view why) {
   TimePoint now = clock_.Now();
   bool not_run = r.have_head && r.answer_facts.not_run;
-  if (end == CallEnd::kNotSent && !r.connection->refused()) {
-    pool_.NoteUnreached(r.upstream);
-  }
   if (UpstreamBoard* u = pool_.Find(r.upstream)) {
-    bool by_link = end == CallEnd::kNotSent && OwnLinkSlow();
-    NoteFailure(*u, now, end != CallEnd::kWhole && !by_link,
-                options_.placement);
+    NoteFailure(*u, now, end != CallEnd::kWhole, options_.placement);
     if (r.have_head && r.answer_facts.other_upstream && !u->ended) {
       u->ended = true;
       parts_.Forget(u->info.id);
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -21,11 +21,6 @@
 inline constexpr std::array<Millis, 4> kConnectTimeouts = {
     Millis(250), Millis(250), Millis(600), Millis(1200)};
 
-// The first of those that outlast a link at which packets queue.
-inline constexpr size_t kPatientConnects = 2;
-// So many upstreams not reached in a row are no chance.
-inline constexpr size_t kUnreachedByLink = 3;
-
 // One request, from its arrival to its final answer.
 struct Gateway::Request {
   uint64_t seq = 0;
@@ -55,7 +50,6 @@
   int attempt = 0;
   std::string upstream;  // Empty when none.
   std::shared_ptr<UpstreamLink> connection;
-  bool fresh_connection = false;  // Opened for this attempt.
   TimePoint sent_at{};
   TimePoint progress_at{};
   TimePoint head_at{};  // Of the answer.
--- a/src/h2.cc
+++ b/src/h2.cc
@@ -258,12 +258,6 @@
   }
 }
 
-void H2Client::PingAnswered(TimePoint sent_at) {
-  suspect_ = false;
-  answered_at_ = clock_.Now();
-  round_trip_ = answered_at_ - sent_at;
-}
-
 void H2Client::DropSilent(absl::string_view why) {
   ++dead_connections_;
   last_failure_ = clock_.Now();
--- a/src/h2.h
+++ b/src/h2.h
@@ -140,9 +140,6 @@
   int open_streams() const;
   // Bytes of requests that the peer has not taken yet.
   size_t queued_bytes() const;
-  // How long the last answered ping took, and when it was answered; zero: none.
-  Duration round_trip() const { return round_trip_; }
-  TimePoint answered_at() const { return answered_at_; }
   // Connections declared dead because a ping went unanswered.
   int dead_connections() const { return dead_connections_; }
 
@@ -153,7 +150,6 @@
   void Drop(H2Connection* c);
   // Whether the current connection has said nothing for too long.
   bool Silent() const;
-  void PingAnswered(TimePoint sent_at);
   // Gives up the current connection, which answers nothing.
   void DropSilent(absl::string_view why);
 
@@ -178,8 +174,6 @@
   // they carry run to their end (a draining agent finishes its answers).
   std::vector<std::unique_ptr<H2Connection>> retiring_;
   ev_timer ping_timer_{};
-  Duration round_trip_{};
-  TimePoint answered_at_{};
   int dead_connections_ = 0;
   std::optional<TimePoint> last_failure_;
   bool suspect_ = false;
--- a/src/h2_connection.h
+++ b/src/h2_connection.h
@@ -368,7 +368,7 @@
     if (frame->hd.type == NGHTTP2_PING &&
         (frame->hd.flags & NGHTTP2_FLAG_ACK)) {
       c->ping_outstanding_ = false;
-      if (c->client_) c->client_->PingAnswered(c->ping_sent_at_);
+      if (c->client_) c->client_->suspect_ = false;
       return 0;
     }
     if (c->server_) {
--- a/src/link_pool.cc
+++ b/src/link_pool.cc
@@ -1,7 +1,5 @@
 #include "link_pool.h"
 
-#include <algorithm>
-
 #include "log.h"
 #include "tcp.h"
 
@@ -46,13 +44,6 @@
   return To(address).Submit(std::move(call));
 }
 
-bool LinkPool::Prompt(Duration limit, Duration of_late) const {
-  TimePoint since = clock_.Now() - of_late;
-  return std::any_of(clients_.begin(), clients_.end(), [&](const auto& c) {
-    return c.second->answered_at() >= since && c.second->round_trip() <= limit;
-  });
-}
-
 size_t LinkPool::queued_bytes() const {
   size_t n = 0;
   for (const auto& [address, c] : clients_) n += c->queued_bytes();
--- a/src/link_pool.h
+++ b/src/link_pool.h
@@ -32,8 +32,6 @@
   // called whenever a part of the answer has come.
   int32_t Post(const std::string& address, absl::string_view path, Payload body,
                Done done, std::function<void()> progress = nullptr);
-  // Whether a peer has answered a ping of late, and within `limit`.
-  bool Prompt(Duration limit, Duration of_late) const;
   // Bytes of calls that wait on all links for their peers to take them.
   size_t queued_bytes() const;
 
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -45,7 +45,6 @@
           [&] {
             GatewayOptions o = options_.gateway;
             o.config_trust = kConfigTrust;
-            o.link_prompt = [this] { return watch_.LinkPrompt(); };
             o.shared_time = [this](TimePoint now) {
               return Millis(time_.UnixMs(now).value_or(0));
             };
--- a/src/upstream_pool.h
+++ b/src/upstream_pool.h
@@ -5,7 +5,6 @@
 
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -46,13 +45,6 @@
   void Give(const std::string& upstream_id,
             const std::shared_ptr<UpstreamLink>& c);
 
-  // A new connection to upstream `id` was established, or was not within its
-  // time.
-  void NoteConnected() { unreached_.clear(); }
-  void NoteUnreached(const std::string& id) { unreached_.insert(id); }
-  // Upstreams that were not reached since one was.
-  size_t unreached() const { return unreached_.size(); }
-
   // A connection to `u` that is not in use: a kept one, or one that is being
   // opened and kept from now on, and shows whether `u` still listens.
   std::shared_ptr<UpstreamLink> Reconnect(const UpstreamBoard& u,
@@ -74,7 +66,6 @@
   std::vector<UpstreamBoard> boards_;
   std::unordered_map<std::string, size_t> index_;
   std::unordered_map<std::string, Connections> connections_;
-  std::set<std::string> unreached_;
 };
 
 }  // namespace medlarwalk
--- a/src/watch_client.cc
+++ b/src/watch_client.cc
@@ -13,9 +13,6 @@
 // Pause before the next control process is asked after a failure, so that a
 // fleet without control does not hammer what is left of it.
 constexpr auto kRetryPause = Millis(40);
-// A ping answered within this is no sign of packets that queue at a link.
-constexpr auto kPromptRoundTrip = Millis(200);
-constexpr auto kPromptOfLate = std::chrono::seconds(1);
 // A process nearer than the one that is followed is asked again this long after
 // the last failure: it may have been the one that failed.
 constexpr auto kReturnAfter = std::chrono::seconds(3);
@@ -55,10 +52,6 @@
   }
 }
 
-bool WatchClient::LinkPrompt() const {
-  return links_.Prompt(kPromptRoundTrip, kPromptOfLate);
-}
-
 void WatchClient::Pause(bool paused) {
   if (paused) GiveUpAsk();
   paused_ = paused;
--- a/src/watch_client.h
+++ b/src/watch_client.h
@@ -54,8 +54,6 @@
   // under way has come.
   void AskAgain();
   void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
-  // Whether the way to some control process is as quick as ever.
-  bool LinkPrompt() const;
   // What the asker holds and says of itself, sent with the next watch.
   WatchRequest& state() { return state_; }
 
