Reads of the upstream list without control are paced for all entries together

Cause: an overload that outlasts its cause. An entry whose list is old reads it from the source every 2 s, or in its share of the source's rate. The share is computed from the length of its own last read, which is 0 for an entry that never read: 2 s for all 362. A page that the source rejects for its rate is asked again every 150 ms for 3 s. So 362 entries make 2,000 calls a second where 140 are accepted, no read ends, no entry stops, and the leader's own reads are rejected among them.

Change: a pure module paces such reads. The share is that of the calls which a read takes (published by control with the list) and of the highest number of entries published in the last minute; first reads are spread over the interval that comes out; a rejected first page ends the read; rejected and failed reads double the interval, with jitter, and rejections count for a minute, so that entries that know too few others slow down too. A rejected later page is asked again with growing delays.

--- a/src/control.cc
+++ b/src/control.cc
@@ -457,6 +457,7 @@
     if (list_source_lost_) LogEvent("list_regained", {});
     list_source_lost_ = false;
     list_read_at_ = now;
+    list_pages_ = lister_.length().pages;
     int64_t previous_version = list_history_.version();
     if (!list_history_.Replace(*std::move(r))) return;
     LogEvent("list_changed", {{"version", list_history_.version()},
--- a/src/control.h
+++ b/src/control.h
@@ -188,8 +188,10 @@
   WatchClient leader_watch_;
   ListHistory list_history_;
   TimePoint list_read_at_{};
-  // Time between two reads of the upstream list, by this process or its leader.
+  // Time between two reads of the upstream list, by this process or its leader,
+  // and number of calls that such a read takes.
   Duration list_interval_{};
+  int list_pages_ = 0;
   TimePoint list_polled_at_{};
   std::vector<PendingWatch> pending_watches_;
   std::map<std::string, Follower> followers_;
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -95,6 +95,7 @@
   if (r.list_age_ms >= 0) {
     list_read_at_ = clock_.Now() - Millis(r.list_age_ms);
     list_interval_ = Millis(r.list_interval_ms);
+    list_pages_ = r.list_pages;
   }
   quarantine_complete_ = true;
   if (r.list) ApplyListChange(r);
@@ -134,6 +135,7 @@
   }
   if (list_read_at_ != TimePoint{}) w.list_age_ms = ToMs(now - list_read_at_);
   w.list_interval_ms = ToMs(list_interval_);
+  w.list_pages = list_pages_;
   w.serving_count = TotalServingCount();
   w.serving_index = ServingIndexOf(r.name);
   usage_.SetGroupTimeAndCommittedWindow(&w);
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -255,7 +255,8 @@
             {"s", r.serving_count},  {"m", ToJson(r.control)},
             {"h", r.leader},         {"q", r.quarantine_version},
             {"t", r.unix_ms},        {"f", r.usage_committed_through},
-            {"b", r.limits_version}, {"r", r.serving_index}};
+            {"b", r.limits_version}, {"r", r.serving_index},
+            {"p", r.list_pages}};
   std::string head = ToCbor(j);
   // The documents are appended as the last pairs of the map, so that they need
   // no copy. The first byte of a CBOR map holds its number of pairs if that is
@@ -281,6 +282,7 @@
     r.config_version = IntegerFromJson<int64_t>(j.at("c"));
     r.list_age_ms = IntegerFromJson<int64_t>(j.at("g"));
     r.list_interval_ms = IntegerFromJson(j, "i", int64_t{0});
+    r.list_pages = IntegerFromJson<int>(j, "p", 0);
     r.serving_count = IntegerFromJson<int>(j.at("s"));
     r.control = ControlEndpointsFromJson(j.at("m"));
     r.leader = j.at("h").get<std::string>();
--- a/src/control_wire.h
+++ b/src/control_wire.h
@@ -85,6 +85,9 @@
   int64_t list_age_ms = -1;
   // Time between two reads of the upstream list, in ms.
   int64_t list_interval_ms = 0;
+  // Number of calls that the last complete read of the upstream list took; 0 if
+  // unknown.
+  int list_pages = 0;
   int serving_count = 0;  // Number of known processes that serve callers.
   // Index of the follower among the serving processes; negative if unknown. For
   // a control process, this is the index of the first serving process that
--- a/src/lister.cc
+++ b/src/lister.cc
@@ -20,8 +20,10 @@
 // source rejects all calls for the rest of the second. Only the rejected page
 // is read again: a read that restarted from the first page would use up the
 // calls of the next second with the same pages, and would never complete a list
-// with more pages than the source accepts calls per second.
+// with more pages than the source accepts calls per second. Each further
+// rejection of the page doubles the delay, at most kMaxRetryDoublings times.
 constexpr auto kRetryDelay = Millis(150);
+constexpr int kMaxRetryDoublings = 2;
 constexpr int kHttpTooManyRequests = 429;
 // Time between two reads of the list: minimum, maximum, and increase per listed
 // upstream.
@@ -45,10 +47,12 @@
                   ClampedSeconds(length.pages / (calls_per_s * kMaxCallShare)));
 }
 
-Lister::Lister(struct ev_loop* loop, const Clock& clock, ListSource source)
+Lister::Lister(struct ev_loop* loop, const Clock& clock, ListSource source,
+               RejectedRead rejected_read)
     : loop_(loop),
       clock_(clock),
       source_(std::move(source)),
+      rejected_read_(rejected_read),
       random_(static_cast<uint32_t>(RandomSeed())) {}
 
 Lister::~Lister() {
@@ -60,6 +64,7 @@
   upstreams_.clear();
   pages_read_ = 0;
   unusable_entries_ = 0;
+  rejections_ = 0;
   read_began_at_ = clock_.Now();
   retry_at_ = {};
   RequestPage("");
@@ -109,14 +114,14 @@
 void Lister::OnPageEnd(const std::string& token, CallEnd end,
                        absl::string_view reason) {
   if (end == CallEnd::kWhole && status_ == kHttpTooManyRequests) {
-    deferred_token_ = token;
-    // Randomizes the delay: processes rejected together must not retry
-    // together.
-    std::uniform_real_distribution<double> jitter(0.5, 1.5);
-    retry_at_ =
-        clock_.Now() + ClampedSeconds(ToSeconds(kRetryDelay) * jitter(random_));
+    if (pages_read_ == 0 && rejected_read_ == RejectedRead::kFails) {
+      FinishRead(absl::ResourceExhaustedError("rejected for its rate limit"));
+    } else {
+      DeferPage(token);
+    }
     return;
   }
+  rejections_ = 0;
   if (end != CallEnd::kWhole || status_ != 200) {
     FinishRead(
         absl::UnavailableError(absl::StrCat("status ", status_, " ", reason)));
@@ -148,6 +153,16 @@
   RequestPage(page->next_token);
 }
 
+void Lister::DeferPage(const std::string& token) {
+  deferred_token_ = token;
+  Duration delay =
+      kRetryDelay * (1 << std::min(rejections_, kMaxRetryDoublings));
+  ++rejections_;
+  // Randomizes the delay: processes rejected together must not retry together.
+  std::uniform_real_distribution<double> jitter(0.5, 1.5);
+  retry_at_ = clock_.Now() + ClampedSeconds(ToSeconds(delay) * jitter(random_));
+}
+
 void Lister::FinishRead(absl::StatusOr<std::vector<UpstreamInfo>> r) {
   Done done = std::move(done_);
   done_ = nullptr;
--- a/src/lister.h
+++ b/src/lister.h
@@ -56,16 +56,26 @@
 //   processes must reach it too.
 Duration ListPollInterval(const ListLength& length, double calls_per_s);
 
+// What becomes of a read whose first page the source rejects for its rate
+// limit.
+enum class RejectedRead {
+  kRetried,  // The page is retried: other processes depend on this read.
+  kFails,    // The read fails, and its caller decides when to read again.
+};
+
 // Reads the list of upstreams. Thread safety: loop thread only.
 class Lister {
  public:
   using Done = std::function<void(absl::StatusOr<std::vector<UpstreamInfo>>)>;
-  Lister(struct ev_loop* loop, const Clock& clock, ListSource source);
+  Lister(struct ev_loop* loop, const Clock& clock, ListSource source,
+         RejectedRead rejected_read = RejectedRead::kRetried);
   ~Lister();
   Lister(const Lister&) = delete;
   Lister& operator=(const Lister&) = delete;
 
-  // Reads the whole list. Precondition: !busy(). Errors: Unavailable.
+  // Reads the whole list. Precondition: !busy(). Errors: ResourceExhausted if
+  // the source rejected the first page of a read that then fails, otherwise
+  // Unavailable.
   void Read(Done done);
   // Retries a page that the source rejected for its rate limit, and fails a
   // read that takes too long. Must be called regularly.
@@ -78,11 +88,13 @@
   void RequestPage(const std::string& token);
   void OnPageEnd(const std::string& token, CallEnd end,
                  absl::string_view reason);
+  void DeferPage(const std::string& token);
   void FinishRead(absl::StatusOr<std::vector<UpstreamInfo>> r);
 
   struct ev_loop* loop_;
   const Clock& clock_;
   ListSource source_;
+  RejectedRead rejected_read_;
   std::shared_ptr<Http1Client> client_;
   Done done_;
   std::vector<UpstreamInfo> upstreams_;
@@ -98,6 +110,7 @@
   std::string deferred_token_;
   // Time at which to retry the rejected page; the epoch if there is none.
   TimePoint retry_at_{};
+  int rejections_ = 0;  // Number of rejections of the current page in a row.
   std::minstd_rand random_;
 };
 
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -21,11 +21,10 @@
 constexpr double kTickSeconds = 0.02;
 // Maximum age of control's upstream list, as a time and as a number of
 // control's read intervals. If the list is older than both, this process reads
-// the upstream list itself, at most once per kOwnListInterval, because with an
-// old list it would notice draining upstreams too late.
+// the upstream list itself, because with an old list it would notice draining
+// upstreams too late.
 constexpr Duration kMaxListAge = Millis(2000);
 constexpr int kMaxListAgeInReads = 2;
-constexpr Duration kOwnListInterval = Millis(2000);
 // Time after SIGTERM for which new connections are accepted. New connections
 // arrive until two readiness probes have failed and the load balancer has
 // removed this host.
@@ -37,6 +36,12 @@
 // final answer.
 constexpr auto kGraceMargin = Millis(250);
 
+SourceReadEnd ReadEndOf(const absl::Status& s) {
+  if (s.ok()) return SourceReadEnd::kWhole;
+  return absl::IsResourceExhausted(s) ? SourceReadEnd::kRejected
+                                      : SourceReadEnd::kFailed;
+}
+
 }  // namespace
 
 Serving::Serving(struct ev_loop* loop, const Clock& clock,
@@ -99,12 +104,19 @@
           [this](const WatchReply& r, bool in_sync) {
             OnWatchReply(r, in_sync);
           }),
-      lister_(loop, clock, options_.list),
+      lister_(loop, clock, options_.list, RejectedRead::kFails),
       // Initialized to the current time, so that this process does not read the
       // list itself at startup. Even if all processes start at once, control
       // soon has a list, unless the entry processes use up the calls that the
       // list's source accepts.
-      list_current_at_(clock.Now()) {
+      list_current_at_(clock.Now()),
+      list_read_pacer_(
+          [&] {
+            SourceReadPolicy p;
+            p.calls_per_s = options_.list.calls_per_s;
+            return p;
+          }(),
+          RandomSeed()) {
   InitTimer(&tick_, OnTick, kTickSeconds, kTickSeconds);
   tick_.data = this;
   callers_.set_max_connections(MaxCallerConnections(options_.descriptors));
@@ -151,13 +163,14 @@
   if (r.unix_ms > 0) group_time_.RecordReceivedTime(r.unix_ms, clock_.Now());
   usage_.DropWindowsThrough(r.usage_committed_through);
   if (r.serving_count > 0) {
-    entry_count_ = r.serving_count;
+    list_read_pacer_.RecordProcessCount(clock_.Now(), r.serving_count);
     gateway_.SetEntryCount(r.serving_count, r.serving_index);
   }
   if (r.list) ApplyListUpdate(r);
   if (r.list_age_ms < 0) return;
   list_current_at_ = clock_.Now() - Millis(r.list_age_ms);
   control_list_interval_ = Millis(r.list_interval_ms);
+  list_read_pacer_.RecordCallsPerRead(r.list_pages);
   metrics_.ObserveListAge(ToSeconds(Millis(r.list_age_ms)));
 }
 
@@ -239,26 +252,26 @@
 void Serving::ReadListWithoutControl(TimePoint now) {
   lister_.Tick();
   if (lister_.busy() || !gateway_.has_config()) return;
-  if (now - list_current_at_ <
-      std::max(kMaxListAge, kMaxListAgeInReads * control_list_interval_)) {
-    return;
-  }
-  // All entry processes may lose control at once, so each one uses only its
-  // share of the calls that the list's source accepts.
-  Duration interval =
-      std::max(kOwnListInterval,
-               ListPollInterval(lister_.length(),
-                                options_.list.calls_per_s / entry_count_));
-  if (now - own_list_read_at_ < interval) return;
-  own_list_read_at_ = now;
+  Duration max_age =
+      std::max(kMaxListAge, kMaxListAgeInReads * control_list_interval_);
+  bool out_of_date = now - list_current_at_ >= max_age;
+  if (!list_read_pacer_.BeginRead(now, out_of_date)) return;
   lister_.Read([this, now](absl::StatusOr<std::vector<UpstreamInfo>> r) {
+    list_read_pacer_.RecordReadEnd(clock_.Now(), ReadEndOf(r.status()));
     if (!r.ok()) {
-      LogWarn("list_lost", {{"error", r.status().message()}});
+      LogWarn("list_lost",
+              {{"error", r.status().message()},
+               {"age_ms", ToMs(clock_.Now() - list_current_at_)},
+               {"interval_ms", ToMs(list_read_pacer_.Interval())}});
       return;
     }
+    list_read_pacer_.RecordCallsPerRead(lister_.length().pages);
     list_.Replace(*std::move(r));
     LogEvent("list_read_alone",
-             {{"version", list_.version()}, {"upstreams", list_.size()}});
+             {{"version", list_.version()},
+              {"upstreams", list_.size()},
+              {"age_ms", ToMs(now - list_current_at_)},
+              {"interval_ms", ToMs(list_read_pacer_.Interval())}});
     list_current_at_ = now;
     watch_.next_request().list_version = list_.version();
     gateway_.SetUpstreams(list_.All());
--- a/src/serving.h
+++ b/src/serving.h
@@ -16,6 +16,7 @@
 #include "lister.h"
 #include "loop_watch.h"
 #include "metrics.h"
+#include "source_read_pacer.h"
 #include "usage_schedule.h"
 #include "watch_client.h"
 #include "watch_reports.h"
@@ -94,9 +95,7 @@
   TimePoint list_current_at_{};
   // Interval at which control reads the upstream list.
   Duration control_list_interval_{};
-  // Number of entry processes, as last published by control.
-  int entry_count_ = 1;
-  TimePoint own_list_read_at_{};
+  SourceReadPacer list_read_pacer_;
   bool draining_ = false;
   TimePoint drain_started_at_{};
   bool stopped_accepting_ = false;
