Entries take newer lists from control processes without a leader

What callers saw: while there is no leader, or a control process has lost it, each entry read the list of upstreams from its source, although the control processes read it meanwhile at their own rate.

Cause: an entry ignored everything in an answer of a process that is out of sync. That is right for the configuration, which is agreed; the list is a record of an outside source whose age says all there is to know of it.

Change: such a list is applied if it was read later than the one held. Only processes that reach no control process at all read the source themselves.

--- a/src/serving.cc
+++ b/src/serving.cc
@@ -158,7 +158,10 @@
   // the first one.
   bool first = watch_.next_request().config_version == 0;
   if (r.config && (in_sync || !first)) ApplyConfig(r.config_version, *r.config);
-  if (!in_sync) return;
+  if (!in_sync) {
+    ApplyNewerList(r);
+    return;
+  }
   gateway_.RecordConfigCurrent(clock_.Now() - Millis(r.sync_age_ms));
   if (r.unix_ms > 0) group_time_.RecordReceivedTime(r.unix_ms, clock_.Now());
   usage_.DropWindowsThrough(r.usage_committed_through);
@@ -228,6 +231,20 @@
   gateway_.SetUpstreams(list_.All());
 }
 
+// Applies the list of a control process that is not up to date, if it was read
+// later than the one held here. The list is a record of an outside source, not
+// an agreed value: its age alone says what it is worth, whoever has read it. A
+// control process without a leader reads it for all its followers, so that only
+// processes that reach no control process read it themselves.
+void Serving::ApplyNewerList(const WatchReply& r) {
+  if (r.list_age_ms < 0 || list_.version() == 0) return;
+  TimePoint read_at = clock_.Now() - Millis(r.list_age_ms);
+  if (read_at <= list_current_at_) return;
+  if (r.list) ApplyListUpdate(r);
+  if (r.list && watch_.next_request().list_version == 0) return;
+  list_current_at_ = read_at;
+}
+
 void Serving::ApplyConfig(int64_t version, const std::string& document) {
   if (version <= watch_.next_request().config_version) return;
   absl::StatusOr<std::string> text =
--- a/src/serving.h
+++ b/src/serving.h
@@ -71,6 +71,7 @@
   void MergeLimitRecords(absl::string_view encoded);
   void CountAccountRequest(const std::string& account);
   void ApplyListUpdate(const WatchReply& r);
+  void ApplyNewerList(const WatchReply& r);
   void ApplyConfig(int64_t version, const std::string& document);
   // Reads the upstream list from its source if control's list is too old.
   void ReadListWithoutControl(TimePoint now);
