Control processes without a leader share the source's rate

Cause: each control process without a leader reads the list at 0.4 of the usual rate. The usual rate takes up to half of the calls that the source accepts, so twelve of them would take 2.4 times what it accepts once the list is long (60 pages at 140 calls a second: 192 calls a second).

Change: the usual rate is divided by the number of members first.

--- a/src/control.cc
+++ b/src/control.cc
@@ -18,8 +18,7 @@
 
 constexpr double kTickSeconds = 0.02;
 // Rate at which a control process without a leader reads the upstream list
-// itself, as a share of the usual read rate. Any number of control processes
-// may read at this rate at the same time.
+// itself, as a share of the usual read rate.
 constexpr double kLeaderlessListRate = 0.4;
 // Time without a watch after which a follower is no longer counted.
 constexpr auto kFollowerTimeout = std::chrono::seconds(3);
@@ -438,8 +437,12 @@
   bool leaderless =
       !IsLeader() && replica_->TimeSinceLeaderContact() > kLeaderlessTimeout;
   if (!IsLeader() && !leaderless) return;
+  // All members may be without a leader at once: each uses only its share of
+  // the calls that the list's source accepts.
+  size_t readers = leaderless ? replica_->members().size() : 1;
   list_interval_ =
-      ListPollInterval(lister_.length(), options_.list.calls_per_s);
+      ListPollInterval(lister_.length(), options_.list.calls_per_s /
+                                             static_cast<double>(readers));
   if (leaderless) {
     list_interval_ =
         ClampedSeconds(ToSeconds(list_interval_) / kLeaderlessListRate);
