Learners ask all members at once who leads

Cause: a new leader knows the voters only. A learner asks for it with a join request, which went to one address each 300 ms, hints, members and seeds in a row: up to a dozen addresses, those that are cut off among them, and an answer that names the leader did not change the order.

Change: a learner without a leader asks all of them in each interval (a dozen small messages), one with a leader asks only that.

Group replica passes.

--- a/src/replica.h
+++ b/src/replica.h
@@ -340,7 +340,6 @@
   std::vector<Waiter> waiters_;
   ConflatingSender config_proposals_;
   TimePoint join_sent_at_{};
-  size_t next_join_target_ = 0;
   std::vector<Member> join_hints_;  // Members from the last join reply.
 };
 
--- a/src/replica_members.cc
+++ b/src/replica_members.cc
@@ -1,5 +1,6 @@
 // Membership changes of the replica group and join requests.
 #include <algorithm>
+#include <set>
 
 #include "log.h"
 #include "replica.h"
@@ -94,21 +95,27 @@
   return true;
 }
 
-// Sends a join request to the next of the seeds and the last known members, at
-// most once per kJoinInterval.
+// Sends a join request, at most once per kJoinInterval: to the leader while
+// there is one, otherwise to all last known members and seeds. A new leader
+// does not know the learners of its predecessor, and a learner that asked one
+// address after the other would follow nobody until it came to the new leader.
 void Replica::SendJoinRequest() {
   TimePoint now = clock_.Now();
   if (now - join_sent_at_ < kJoinInterval) return;
   join_sent_at_ = now;
-  std::vector<std::string> targets;
-  for (const Member& m : join_hints_) targets.push_back(m.address);
-  for (const Member& m : members_) targets.push_back(m.address);
-  for (const std::string& s : seeds_) targets.push_back(s);
-  targets.erase(std::remove(targets.begin(), targets.end(), self_.address),
-                targets.end());
-  if (targets.empty()) return;
+  std::set<std::string> targets;
+  if (std::optional<Member> leader = Leader()) {
+    targets.insert(leader->address);
+  } else {
+    for (const Member& m : join_hints_) targets.insert(m.address);
+    for (const Member& m : members_) targets.insert(m.address);
+    targets.insert(seeds_.begin(), seeds_.end());
+  }
+  targets.erase(self_.address);
   ReplicaMessage m = MakeMessage(ReplicaMessage::Type::kJoin);
-  hooks_.send(Member{"", targets[next_join_target_++ % targets.size()]}, m);
+  for (const std::string& address : targets) {
+    hooks_.send(Member{"", address}, m);
+  }
 }
 
 ReplicaMessage Replica::HandleJoinRequest(const ReplicaMessage& m) {
--- a/test/replica_test.cc
+++ b/test/replica_test.cc
@@ -212,6 +212,34 @@
   LONGS_EQUAL(4, g.node(g.Leader())->members().size());
 }
 
+// Guards against learners that follow nobody after a change of leader: the new
+// leader does not know them, and each asked one address after the other,
+// members that are down included. Their followers took the configuration and
+// the upstream list for lost meanwhile.
+TEST(replica, LearnersFindANewLeaderAtOnce) {
+  ReplicaOptions o;
+  o.max_voters = 5;
+  Duration longest{};
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    ReplicaGroup g(5, seed, o);
+    CHECK_TRUE(g.AwaitLeader(kMaxLeaderWait) >= 0);
+    for (int i = 0; i < 7; ++i) g.AddJoiner();
+    g.Run(std::chrono::seconds(3));
+    g.Kill(g.Leader());
+    while (g.Leader() < 0) g.Run(Millis(10));
+    TimePoint elected_at = g.clock.Now();
+    auto follows = [&](int n) { return g.node(n)->Leader().has_value(); };
+    for (int n = 5; n < g.size(); ++n) {
+      while (!follows(n) && g.clock.Now() - elected_at < kMaxLeaderWait) {
+        g.Run(Millis(10));
+      }
+    }
+    longest = std::max(longest, g.clock.Now() - elected_at);
+  }
+  // One join request, and one more if the first came before the election.
+  CHECK_TRUE(longest <= Millis(400));
+}
+
 // Guards against a restarted entry process that serves from an old
 // configuration. All hosts restart, one of them with an empty disk, and the
 // entry queries a replica while the group is forming. A replica in contact with
