Keep the key whose start record triggers a ledger compaction

Callers could see a request with an idempotency key run twice. BeginRequest wrote the start record before it added the key to the entries. If this record was the one that triggered a compaction, the new file was written without the key. After a restart the key was new, so a resend ran the request again. If the request completed before the restart, the file held its answer without its start, and the resend got key_reused instead of the stored answer.

The key is now added first and removed again if the record cannot be written, so a compaction always finds it.

Test: KeyThatTriggersCompactionIsKept (32 keys completed, a 33rd begun, restart) failed before with kNew in place of kMayHaveRun and passes now. CompactionKeepsStateAcrossRestart checked only that some key was left; it now checks the state and the answer of every key.

--- a/src/ledger.cc
+++ b/src/ledger.cc
@@ -166,13 +166,18 @@
     }
     return absl::OkStatus();
   }
+  // The entry is added before its record is written, because the write may
+  // trigger a compaction, which keeps only the keys in `entries_`.
+  auto [inserted, unused] = entries_.emplace(
+      std::string(key), LedgerEntry{fingerprint, false, 0, ""});
   absl::Status s = AppendRecord(json{
       {"op", "start"},
       {"k", std::string(key)},
       {"fp", fingerprint}}.dump());
-  if (!s.ok()) return s;
-  auto [inserted, unused] = entries_.emplace(
-      std::string(key), LedgerEntry{fingerprint, false, 0, ""});
+  if (!s.ok()) {
+    entries_.erase(inserted);
+    return s;
+  }
   started_by_this_process_.emplace(key);
   *entry = &inserted->second;
   *key_state = LedgerKeyState::kNew;
--- a/test/ledger_test.cc
+++ b/test/ledger_test.cc
@@ -103,9 +103,44 @@
     }
     CHECK(l.log_records() <= 2 * l.size() + 64);
   }
+  // The last round abandoned the keys whose last index is divisible by 3.
   Ledger l(path);
   CHECK_TRUE(l.Open().ok());
-  CHECK(l.size() > 0);
+  for (int i = 280; i < 300; ++i) {
+    std::string k = "k" + std::to_string(i % 20);
+    const LedgerEntry* e;
+    LedgerKeyState state = BeginRequest(l, k, 1, &e);
+    if (i % 3 == 0) {
+      CHECK(state == LedgerKeyState::kNew);
+      continue;
+    }
+    CHECK(state == LedgerKeyState::kCompleted);
+    STRCMP_EQUAL(k.c_str(), e->body.c_str());
+  }
+}
+
+// Guards against a request that runs twice. The start record of its key is the
+// record that triggers a compaction; the compacted file must hold the key.
+TEST(ledger, KeyThatTriggersCompactionIsKept) {
+  {
+    Ledger l(path);
+    CHECK_TRUE(l.Open().ok());
+    for (int i = 0; i < 32; ++i) {
+      std::string k = "k" + std::to_string(i);
+      CHECK(BeginRequest(l, k, 1) == LedgerKeyState::kNew);
+      CHECK_TRUE(l.CompleteRequest(k, 200, k).ok());
+    }
+    CHECK(BeginRequest(l, "last", 7) == LedgerKeyState::kNew);
+  }
+  {
+    Ledger l(path);
+    CHECK_TRUE(l.Open().ok());
+    CHECK(BeginRequest(l, "last", 7) == LedgerKeyState::kMayHaveRun);
+    CHECK_TRUE(l.CompleteRequest("last", 200, "answer").ok());
+  }
+  Ledger l(path);
+  CHECK_TRUE(l.Open().ok());
+  CHECK(BeginRequest(l, "last", 7) == LedgerKeyState::kCompleted);
 }
 
 // Guards against an agent that terminates at startup because a record in the
