Write no ledger record onto an incomplete line

An agent could fail to start, or run a request twice, after a power loss or a full disk. Open skipped an incomplete last line but left it in the file, and a record that could be written only in part stayed there too. The next record was appended to that line. After the next restart its key was new, so a resend ran the request again; once one more record followed, the line was no longer the last and the ledger did not open (DataLoss).

The ledger now knows the length of its complete records. It truncates the file to that length before it writes, as the replica store does. A last line without its line end counts as incomplete: its record was not synced, so no request was sent or answered because of it.

Tests: RecordsAfterIncompleteLineAreKept and PartlyWrittenRecordIsRemoved both failed before (Open returned DataLoss) and pass now.

--- a/src/ledger.cc
+++ b/src/ledger.cc
@@ -78,18 +78,24 @@
   size_t n = 0;
   while (std::getline(in, line)) {
     ++n;
-    json r = json::parse(line, nullptr, false);
     // An incomplete last line is from a record that was never synced. No
     // request was sent or answered because of this record, so the line is
-    // dropped.
+    // dropped, even if only its line end is missing.
+    if (in.eof()) {
+      tail_dirty_ = true;
+      break;
+    }
+    json r = json::parse(line, nullptr, false);
     if (r.is_discarded() || !r.contains("k") || !r.contains("op")) {
-      if (in.peek() == EOF) break;
+      tail_dirty_ = in.peek() == EOF;
+      if (tail_dirty_) break;
       return absl::DataLossError(absl::StrCat("ledger ", path_, ": line ", n));
     }
     if (!ApplyRecord(r, &entries_)) {
       return absl::DataLossError(absl::StrCat("ledger ", path_, ": line ", n));
     }
     ++log_records_;
+    synced_length_ += static_cast<int64_t>(line.size() + 1);
   }
   fd_ = open(path_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   if (fd_ < 0) {
@@ -101,8 +107,16 @@
 
 absl::Status Ledger::AppendRecord(const std::string& line) {
   if (path_.empty()) return absl::OkStatus();
+  // The next record must not be written onto an incomplete line.
+  if (tail_dirty_ && ftruncate(fd_, synced_length_) != 0) {
+    return absl::InternalError(
+        absl::StrCat("ledger truncate: ", std::strerror(errno)));
+  }
+  tail_dirty_ = true;
   absl::Status s = WriteAndSync(fd_, line + "\n");
   if (!s.ok()) return s;
+  tail_dirty_ = false;
+  synced_length_ += static_cast<int64_t>(line.size() + 1);
   ++log_records_;
   if (log_records_ >= kMinRecordsToCompact &&
       log_records_ > 2 * entries_.size()) {
@@ -145,6 +159,7 @@
   close(fd_);
   fd_ = open(path_.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
   log_records_ = entries_.size() * 2;
+  synced_length_ = static_cast<int64_t>(out.size());
   return fd_ < 0 ? absl::InternalError("ledger compact: reopen failed")
                  : absl::OkStatus();
 }
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -76,6 +76,11 @@
   std::set<std::string, std::less<>> started_by_this_process_;
   size_t log_records_ = 0;
   int fd_ = -1;
+  // Total length of the complete records in the file in bytes.
+  int64_t synced_length_ = 0;
+  // Whether the file may hold an incomplete record after `synced_length_`. If
+  // so, it is truncated to that length before the next record is written.
+  bool tail_dirty_ = false;
 };
 
 }  // namespace medlarwalk
--- a/test/ledger_test.cc
+++ b/test/ledger_test.cc
@@ -1,8 +1,11 @@
 #include "ledger.h"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <string>
 
@@ -86,6 +89,60 @@
   CHECK(BeginRequest(l, "a", 1) == LedgerKeyState::kMayHaveRun);
 }
 
+// Guards against a ledger that forgets a key, or that does not open, after a
+// power loss: the next record must not be written onto the incomplete line.
+TEST(ledger, RecordsAfterIncompleteLineAreKept) {
+  for (const char* torn : {"{\"op\":\"sta", "{\"op\":\"start\",\"k\":\"t\"}"}) {
+    std::string torn_path = TempLedgerPath();
+    {
+      Ledger l(torn_path);
+      CHECK_TRUE(l.Open().ok());
+      BeginRequest(l, "a", 1);
+    }
+    std::ofstream(torn_path, std::ios::app) << torn;
+    for (const char* key : {"b", "c"}) {
+      Ledger l(torn_path);
+      CHECK_TRUE(l.Open().ok());
+      CHECK(BeginRequest(l, key, 1) == LedgerKeyState::kNew);
+    }
+    Ledger l(torn_path);
+    CHECK_TRUE(l.Open().ok());
+    for (const char* key : {"a", "b", "c"}) {
+      CHECK(BeginRequest(l, key, 1) == LedgerKeyState::kMayHaveRun);
+    }
+    CHECK(BeginRequest(l, "t", 1) == LedgerKeyState::kNew);
+  }
+}
+
+// Guards against a ledger that does not open after the disk was full: a record
+// that could be written only in part must not stay in the file.
+TEST(ledger, PartlyWrittenRecordIsRemoved) {
+  {
+    Ledger l(path);
+    CHECK_TRUE(l.Open().ok());
+    BeginRequest(l, "a", 1);
+    rlimit unlimited{};
+    getrlimit(RLIMIT_FSIZE, &unlimited);
+    rlimit full = unlimited;
+    full.rlim_cur = std::filesystem::file_size(path) + 5;
+    auto old_handler = std::signal(SIGXFSZ, SIG_IGN);
+    setrlimit(RLIMIT_FSIZE, &full);
+    LedgerKeyState state;
+    const LedgerEntry* e;
+    bool recorded = l.BeginRequest("b", 1, &state, &e).ok();
+    setrlimit(RLIMIT_FSIZE, &unlimited);
+    std::signal(SIGXFSZ, old_handler);
+    CHECK_FALSE(recorded);
+    CHECK(BeginRequest(l, "b", 1) == LedgerKeyState::kNew);
+    CHECK(BeginRequest(l, "c", 1) == LedgerKeyState::kNew);
+  }
+  Ledger l(path);
+  CHECK_TRUE(l.Open().ok());
+  for (const char* key : {"a", "b", "c"}) {
+    CHECK(BeginRequest(l, key, 1) == LedgerKeyState::kMayHaveRun);
+  }
+}
+
 // Compaction bounds the number of records over hundreds of changes, and the
 // compacted ledger opens after a restart.
 TEST(ledger, CompactionKeepsStateAcrossRestart) {
