Report the records that exceed one report after its delivery

If more than 512 crash or limit records had changed, the records left out of a report counted as confirmed once the report was delivered. The target never got them, so other entries did not quarantine a request or apply a limit that they should have known of. The records left out were the older ones of the crashes and the last ones by name of the limits.

--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -275,16 +275,18 @@
 }
 
 std::vector<CrashRecord> Quarantine::ChangedSince(uint64_t seq,
-                                                  size_t max_records) const {
+                                                  size_t max_records,
+                                                  uint64_t* through) const {
   std::vector<const Entry*> changed;
   for (const auto& [fingerprint, e] : entries_) {
     if (e.seq > seq) changed.push_back(&e);
   }
   std::sort(changed.begin(), changed.end(),
-            [](const Entry* a, const Entry* b) { return a->seq > b->seq; });
+            [](const Entry* a, const Entry* b) { return a->seq < b->seq; });
   if (changed.size() > max_records) changed.resize(max_records);
   std::vector<CrashRecord> out;
   for (const Entry* e : changed) out.push_back(e->record);
+  if (through) *through = changed.empty() ? seq : changed.back()->seq;
   return out;
 }
 
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -121,8 +121,11 @@
   // or that another process reported to it.
   uint64_t seq() const { return seq_; }
   // Returns at most `max_records` records that were recorded here or reported
-  // to this process after `seq`, the latest changes first.
-  std::vector<CrashRecord> ChangedSince(uint64_t seq, size_t max_records) const;
+  // to this process after `seq`, the earliest changes first. Sets `*through`,
+  // if given, to the sequence number up to which the returned records are
+  // complete.
+  std::vector<CrashRecord> ChangedSince(uint64_t seq, size_t max_records,
+                                        uint64_t* through = nullptr) const;
   // Returns the records to publish to all processes: those with more than one
   // crash, sorted by fingerprint.
   std::vector<CrashRecord> RecordsToPublish() const;
--- a/src/policy/rate_limit_table.cc
+++ b/src/policy/rate_limit_table.cc
@@ -98,12 +98,19 @@
       [](const auto& e) { return e.second.record.per_s.has_value(); }));
 }
 
-std::vector<LimitRecord> RateLimitTable::ChangedSince(
-    uint64_t seq, size_t max_records) const {
-  std::vector<LimitRecord> out;
+std::vector<LimitRecord> RateLimitTable::ChangedSince(uint64_t seq,
+                                                      size_t max_records,
+                                                      uint64_t* through) const {
+  std::vector<const Entry*> changed;
   for (const auto& [upstream, e] : entries_) {
-    if (e.seq > seq && out.size() < max_records) out.push_back(e.record);
+    if (e.seq > seq) changed.push_back(&e);
   }
+  std::sort(changed.begin(), changed.end(),
+            [](const Entry* a, const Entry* b) { return a->seq < b->seq; });
+  if (changed.size() > max_records) changed.resize(max_records);
+  std::vector<LimitRecord> out;
+  for (const Entry* e : changed) out.push_back(e->record);
+  if (through) *through = changed.empty() ? seq : changed.back()->seq;
   return out;
 }
 
--- a/test/policy/limit_policy_test.cc
+++ b/test/policy/limit_policy_test.cc
@@ -157,6 +157,23 @@
   LONGS_EQUAL(entry.version(), control.version());
 }
 
+// Guards against limits that the target never receives, because there were more
+// than fit into one report.
+TEST(limit_policy, ReportsEveryLimitOverSeveralReports) {
+  RateLimitTable table;
+  for (int n = 800; n > 0; --n) {
+    table.RecordLimit(std::to_string(n), 2.0, kStart);
+  }
+  LimitReportTracker reports(table);
+  RateLimitTable target;
+  for (int n = 0; n < 2; ++n) {
+    target.MergeReported(reports.RecordsToReport("a"));
+    reports.OnDelivered();
+  }
+  LONGS_EQUAL(800, target.limits_in_force());
+  LONGS_EQUAL(0, reports.RecordsToReport("a").size());
+}
+
 TEST(limit_policy, RemovesLiftedLimitsAndUnlistedUpstreams) {
   RateLimitTable table;
   table.RecordLimit("gone", 2.0, kStart);
--- a/test/policy/quarantine_test.cc
+++ b/test/policy/quarantine_test.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <set>
 
 #include "CppUTest/TestHarness.h"
 #include "absl/strings/str_cat.h"
@@ -292,6 +293,27 @@
   LONGS_EQUAL(2, reports.RecordsToReport("b").size());
 }
 
+// Guards against records that the target never receives: if there are more than
+// fit into one report, only those in the report are confirmed by its delivery.
+TEST(quarantine, ReportsEveryRecordOverSeveralReports) {
+  constexpr RequestFingerprint kRecords = 1200;
+  for (RequestFingerprint p = 0; p < kRecords; ++p) CrashUpstream(1, {p});
+  CrashReportTracker reports(q);
+  std::set<RequestFingerprint> reported;
+  std::vector<CrashRecord> report = reports.RecordsToReport("a");
+  while (!report.empty() && reported.size() < kRecords) {
+    LONGS_EQUAL(report.size(), reports.RecordsToReport("a").size());
+    CHECK_FALSE(reports.has_unreported());
+    for (const CrashRecord& r : report) {
+      CHECK_TRUE(reported.insert(r.fingerprint).second);
+    }
+    reports.OnDelivered();
+    report = reports.RecordsToReport("a");
+  }
+  LONGS_EQUAL(kRecords, reported.size());
+  LONGS_EQUAL(0, report.size());
+}
+
 // Processes have unrelated monotonic clocks, so records are encoded with ages.
 TEST(quarantine, EncodesAndStoresRecords) {
   for (int n = 1; n <= 3; ++n) CrashUpstream(n, {kCrashing});
