--- a/test/ledger_test.cc
+++ b/test/ledger_test.cc
@@ -1,8 +1,11 @@
 #include "ledger.h"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <string>
 
@@ -86,6 +89,60 @@
   CHECK(BeginRequest(l, "a", 1) == LedgerKeyState::kMayHaveRun);
 }
 
+// Guards against a ledger that forgets a key, or that does not open, after a
+// power loss: the next record must not be written onto the incomplete line.
+TEST(ledger, RecordsAfterIncompleteLineAreKept) {
+  for (const char* torn : {"{\"op\":\"sta", "{\"op\":\"start\",\"k\":\"t\"}"}) {
+    std::string torn_path = TempLedgerPath();
+    {
+      Ledger l(torn_path);
+      CHECK_TRUE(l.Open().ok());
+      BeginRequest(l, "a", 1);
+    }
+    std::ofstream(torn_path, std::ios::app) << torn;
+    for (const char* key : {"b", "c"}) {
+      Ledger l(torn_path);
+      CHECK_TRUE(l.Open().ok());
+      CHECK(BeginRequest(l, key, 1) == LedgerKeyState::kNew);
+    }
+    Ledger l(torn_path);
+    CHECK_TRUE(l.Open().ok());
+    for (const char* key : {"a", "b", "c"}) {
+      CHECK(BeginRequest(l, key, 1) == LedgerKeyState::kMayHaveRun);
+    }
+    CHECK(BeginRequest(l, "t", 1) == LedgerKeyState::kNew);
+  }
+}
+
+// Guards against a ledger that does not open after the disk was full: a record
+// that could be written only in part must not stay in the file.
+TEST(ledger, PartlyWrittenRecordIsRemoved) {
+  {
+    Ledger l(path);
+    CHECK_TRUE(l.Open().ok());
+    BeginRequest(l, "a", 1);
+    rlimit unlimited{};
+    getrlimit(RLIMIT_FSIZE, &unlimited);
+    rlimit full = unlimited;
+    full.rlim_cur = std::filesystem::file_size(path) + 5;
+    auto old_handler = std::signal(SIGXFSZ, SIG_IGN);
+    setrlimit(RLIMIT_FSIZE, &full);
+    LedgerKeyState state;
+    const LedgerEntry* e;
+    bool recorded = l.BeginRequest("b", 1, &state, &e).ok();
+    setrlimit(RLIMIT_FSIZE, &unlimited);
+    std::signal(SIGXFSZ, old_handler);
+    CHECK_FALSE(recorded);
+    CHECK(BeginRequest(l, "b", 1) == LedgerKeyState::kNew);
+    CHECK(BeginRequest(l, "c", 1) == LedgerKeyState::kNew);
+  }
+  Ledger l(path);
+  CHECK_TRUE(l.Open().ok());
+  for (const char* key : {"a", "b", "c"}) {
+    CHECK(BeginRequest(l, key, 1) == LedgerKeyState::kMayHaveRun);
+  }
+}
+
 // Compaction bounds the number of records over hundreds of changes, and the
 // compacted ledger opens after a restart.
 TEST(ledger, CompactionKeepsStateAcrossRestart) {
@@ -103,9 +160,44 @@
     }
     CHECK(l.log_records() <= 2 * l.size() + 64);
   }
+  // The last round abandoned the keys whose last index is divisible by 3.
+  Ledger l(path);
+  CHECK_TRUE(l.Open().ok());
+  for (int i = 280; i < 300; ++i) {
+    std::string k = "k" + std::to_string(i % 20);
+    const LedgerEntry* e;
+    LedgerKeyState state = BeginRequest(l, k, 1, &e);
+    if (i % 3 == 0) {
+      CHECK(state == LedgerKeyState::kNew);
+      continue;
+    }
+    CHECK(state == LedgerKeyState::kCompleted);
+    STRCMP_EQUAL(k.c_str(), e->body.c_str());
+  }
+}
+
+// Guards against a request that runs twice. The start record of its key is the
+// record that triggers a compaction; the compacted file must hold the key.
+TEST(ledger, KeyThatTriggersCompactionIsKept) {
+  {
+    Ledger l(path);
+    CHECK_TRUE(l.Open().ok());
+    for (int i = 0; i < 32; ++i) {
+      std::string k = "k" + std::to_string(i);
+      CHECK(BeginRequest(l, k, 1) == LedgerKeyState::kNew);
+      CHECK_TRUE(l.CompleteRequest(k, 200, k).ok());
+    }
+    CHECK(BeginRequest(l, "last", 7) == LedgerKeyState::kNew);
+  }
+  {
+    Ledger l(path);
+    CHECK_TRUE(l.Open().ok());
+    CHECK(BeginRequest(l, "last", 7) == LedgerKeyState::kMayHaveRun);
+    CHECK_TRUE(l.CompleteRequest("last", 200, "answer").ok());
+  }
   Ledger l(path);
   CHECK_TRUE(l.Open().ok());
-  CHECK(l.size() > 0);
+  CHECK(BeginRequest(l, "last", 7) == LedgerKeyState::kCompleted);
 }
 
 // Guards against an agent that terminates at startup because a record in the
