Do not mistake a slow caller for a silent upstream

A caller that read slowly made the gateway stop reading from the upstream, as it should; but after a second without data the stream then counted as stalled. It was cancelled at its upstream and run again at another, the retry budget paid for it, and the upstream was recorded as failed. A stream whose reading is paused is now never taken for stalled, and its time without progress counts from the moment when the caller has caught up.

The bytes that wait for slow callers were bounded for each caller only (256 KiB, with 2,000 callers 512 MB in all). The limit of one caller is now at most its share of 16 MiB for all open requests; it stays at 256 KiB up to 64 of them.

ASlowCallerPausesTheStreamOfItsUpstream failed before (the other upstream got 1 request, 0 expected), as did UnsentBytesOfManyCallersShareOneLimit; both pass now. AnAnswerCutOffUnreadContinuesAtAnotherUpstream passed before too: it shows that an answer which its upstream cuts off unread continues elsewhere with each event once.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -326,6 +326,7 @@
   r.sent_at = r.progress_at = now;
   r.have_head = false;
   r.relaying = false;
+  r.read_paused = false;
   r.buffered_body.clear();
   r.splitter.DiscardPendingBytes();
   if (u.in_flight == 0) u.last_activity_at = now;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -65,6 +65,11 @@
   LinkOpener open_link;
 };
 
+// Returns the number of unsent bytes of one caller's answer at which reading
+// from the upstream pauses, if `callers` callers share the process. The limit
+// bounds the sum over all callers.
+size_t UnsentBytesLimit(size_t callers);
+
 // Routes requests to upstreams. Thread safety: loop thread only.
 class Gateway {
  public:
@@ -128,6 +133,7 @@
   void SendToUpstream(Request& r, size_t upstream);
   bool OnAnswerHead(Request& r, const MessageHead& head);
   void OnAnswerBody(Request& r, absl::string_view data);
+  void PauseReading(Request& r);
   void OnCallEnd(Request& r, CallEnd end, absl::string_view why);
   void RecordAnnouncedLimit(const Request& r, const UpstreamState& u,
                             const AnswerFacts& f);
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -2,6 +2,8 @@
 // relayed event by event. Other answers are buffered until they are complete.
 // An answer is not trusted if it belongs to another request, or if it reports
 // success without the upstream's signature.
+#include <algorithm>
+
 #include "absl/strings/str_cat.h"
 #include "gateway.h"
 #include "gateway_request.h"
@@ -13,12 +15,19 @@
 // Maximum size of a buffered answer. Answers that are not streams are buffered
 // until they are complete.
 constexpr size_t kMaxHeldAnswerBytes = 4 << 20;
-// Unsent bytes at which reading from the upstream pauses until the caller has
-// read them all.
+// Unsent bytes of one caller's answer at which reading from the upstream pauses
+// until the caller has read them all.
 constexpr size_t kMaxUnsentBytes = size_t{256} * 1024;
+// Sum of these limits over all callers.
+constexpr size_t kMaxUnsentBytesOfAll = size_t{16} * 1024 * 1024;
 
 }  // namespace
 
+size_t UnsentBytesLimit(size_t callers) {
+  return std::min(kMaxUnsentBytes,
+                  kMaxUnsentBytesOfAll / std::max<size_t>(callers, 1));
+}
+
 bool Gateway::OnAnswerHead(Request& r, const MessageHead& head) {
   AnswerFacts f = dialect_.read_answer(head);
   TimePoint now = clock_.Now();
@@ -88,13 +97,21 @@
     HandleFailedAttempt(r, CallEnd::kInterrupted, "events out of order");
     return;
   }
-  if (r.exchange->unsent() > kMaxUnsentBytes) {
-    r.connection->SetReadPaused(true);
-    r.exchange->set_on_drained([this, seq, attempt] {
-      if (Request* q = FindAttempt(seq, attempt))
-        q->connection->SetReadPaused(false);
-    });
-  }
+  if (r.exchange->unsent() > UnsentBytesLimit(requests_.size()))
+    PauseReading(r);
+}
+
+// Stops reading from the upstream until the caller has read its answer so far.
+void Gateway::PauseReading(Request& r) {
+  r.read_paused = true;
+  r.connection->SetReadPaused(true);
+  r.exchange->set_on_drained([this, seq = r.seq, attempt = r.attempt] {
+    Request* q = FindAttempt(seq, attempt);
+    if (!q || !q->read_paused) return;
+    q->read_paused = false;
+    q->progress_at = clock_.Now();
+    q->connection->SetReadPaused(false);
+  });
 }
 
 // Records that the engine has finished the prefill. Called when the first bytes
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -70,6 +70,8 @@
   // State of a streamed answer.
   bool relaying = false;  // Events of this attempt are relayed to the caller.
   bool stream_started = false;  // The caller has received the answer's head.
+  // Reading from the upstream is paused, because the caller reads too slowly.
+  bool read_paused = false;
   EventSplitter splitter;
   std::optional<int64_t> last_event;
   // How the end of a complete answer was detected; for the log.
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -62,7 +62,7 @@
 
 // Retries a request whose upstream has fallen silent, where that is allowed.
 void Gateway::RetryIfStalled(Request& r, TimePoint now) {
-  if (r.upstream.empty() || !r.repeatable()) return;
+  if (r.upstream.empty() || !r.repeatable() || r.read_paused) return;
   if (r.sends >= r.route->max_attempts) return;
   Duration limit;
   if (!r.stream()) {
