Bound the bytes of all buffered answers together

Their sum is now limited to 32 MiB; the answer that would exceed it fails as one that is too large already did.

BufferedAnswersShareOneLimit failed before (the second caller did not get 502) and passes now.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -327,7 +327,7 @@
   r.have_head = false;
   r.relaying = false;
   r.read_paused = false;
-  r.buffered_body.clear();
+  DiscardBufferedBody(r);
   r.splitter.DiscardPendingBytes();
   if (u.in_flight == 0) u.last_activity_at = now;
   ++u.in_flight;
@@ -432,6 +432,7 @@
                             absl::string_view why) {
   TimePoint now = clock_.Now();
   CancelAttempt(r);
+  DiscardBufferedBody(r);
   if (r.waiting) waiting_queue_.RemoveUnserved(r.seq);
   Duration elapsed = now - r.exchange->arrived;
   LogEvent(
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -63,6 +63,9 @@
   std::function<Millis(TimePoint now)> group_time;
   // Opens links to upstreams. If empty, HTTP/1.1 connections are used.
   LinkOpener open_link;
+  // Maximum number of bytes of buffered answers, summed over all requests. An
+  // answer that exceeds it fails.
+  size_t max_buffered_bytes = size_t{32} << 20;
 };
 
 // Returns the number of unsent bytes of one caller's answer at which reading
@@ -134,6 +137,7 @@
   bool OnAnswerHead(Request& r, const MessageHead& head);
   void OnAnswerBody(Request& r, absl::string_view data);
   void PauseReading(Request& r);
+  void DiscardBufferedBody(Request& r);
   void OnCallEnd(Request& r, CallEnd end, absl::string_view why);
   void RecordAnnouncedLimit(const Request& r, const UpstreamState& u,
                             const AnswerFacts& f);
@@ -207,6 +211,8 @@
   std::vector<uint64_t> awaiting_config_;
   TimePoint config_current_at_{};
   std::unordered_map<uint64_t, RequestPtr> requests_;
+  // Sum of the sizes of buffered_body over `requests_`.
+  size_t buffered_bytes_ = 0;
   std::multimap<TimePoint, uint64_t> deadlines_;
   std::map<std::string, RetryBudget> retry_budgets_;
   // Time when a request to each service was last answered, by service name.
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -83,7 +83,9 @@
   }
   if (!r.relaying) {
     r.buffered_body.append(data.data(), data.size());
-    if (r.buffered_body.size() > kMaxHeldAnswerBytes) {
+    buffered_bytes_ += data.size();
+    if (r.buffered_body.size() > kMaxHeldAnswerBytes ||
+        buffered_bytes_ > options_.max_buffered_bytes) {
       HandleFailedAttempt(r, CallEnd::kInterrupted, "answer too large");
     }
     return;
@@ -114,6 +116,11 @@
   });
 }
 
+void Gateway::DiscardBufferedBody(Request& r) {
+  buffered_bytes_ -= r.buffered_body.size();
+  r.buffered_body.clear();
+}
+
 // Records that the engine has finished the prefill. Called when the first bytes
 // of the answer's body arrive.
 void Gateway::OnPrefillDone(Request& r, TimePoint now) {
