An upstream that has failed is asked again once its failures have ended

Cause: failure_share changed only with an answer, and any excess of it over the service's average decides between idle upstreams. An upstream that was avoided gave no answer that could lift the judgement. Stragglers and engines with a slow decode pace were held to it in the same way; the count of failures in a row outlived any pause and ejected for 4 s at one failure.

Change: the failure share counts less with the time since the last failure: half after 0.5 s for requests that may be retried elsewhere, after 6 s for others; an excess up to 0.05 counts nothing. The stored share isn't faded, so the next failure brings back the whole cost, and repeat offenders stay expensive. An answer that asks for a backoff is no failure. A straggler without a gap for 5 s and a slow engine without a measured pace for 20 s are tried again; the first measurement renews the mark.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -260,6 +260,7 @@
   input.data_centre = options_.data_centre;
   input.tried_ids = r.tried_upstreams;
   input.shape = r.shape;
+  input.retryable = r.repeatable() && r.sends + 1 < r.route->max_attempts;
   input.pinned = r.facts.pinned;
   input.max_load = r.service->engine ? options_.placement.max_engine_load
                                      : options_.placement.max_plain_load;
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -153,7 +153,7 @@
   }
   bool same_upstream = r.last_event_at > r.sent_at;
   if (UpstreamState* u = pool_.Find(r.upstream); u && same_upstream) {
-    RecordEventGap(*u, gap);
+    RecordEventGap(*u, gap, now);
   }
   if (r.shape != WorkShape::kDecode || !same_upstream) return;
   RecordEventGapShare(ToSeconds(gap) / ToSeconds(r.route->event_gap_target),
@@ -172,7 +172,7 @@
   }
   if (++r.pace_window_events < kPaceWindowEvents) return;
   if (UpstreamState* u = pool_.Find(r.upstream)) {
-    RecordDecodePace(*u, (now - r.pace_window_start) / kPaceWindowEvents);
+    RecordDecodePace(*u, (now - r.pace_window_start) / kPaceWindowEvents, now);
     decode_paces_changed_ = true;
   }
   r.pace_window_start = now;
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -143,7 +143,10 @@
   TimePoint now = clock_.Now();
   bool not_run = r.have_head && r.answer_facts.not_run;
   if (UpstreamState* u = pool_.Find(r.upstream)) {
-    RecordFailure(*u, now, end != CallEnd::kWhole, options_.placement);
+    // An upstream that requests a backoff has stated when it can serve again.
+    bool backoff = not_run && r.answer_facts.backoff > Duration::zero();
+    if (!backoff)
+      RecordFailure(*u, now, end != CallEnd::kWhole, options_.placement);
     if (r.have_head && r.answer_facts.other_upstream && !u->terminated) {
       u->terminated = true;
       prefix_cache_index_.RemoveEngine(u->info.id);
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -13,6 +13,8 @@
 
 // Weight of the newest answer in the smoothed failure share.
 constexpr double kFailureSmoothing = 0.15;
+// Smaller failure shares have no effect.
+constexpr double kNegligibleFailureShare = 0.001;
 // Minimum number of answers for the failure share to be used.
 constexpr int kFailureSamples = 4;
 // Cost of a straggler: larger than any difference in load.
@@ -74,13 +76,26 @@
   return std::max(kLeast, static_cast<int>(std::ceil(own_slots * share)));
 }
 
+// Returns the failure share of `u` as far as it still counts for `request`.
+double FailureShare(const UpstreamState& u, const PlacementRequest& request,
+                    TimePoint now, const PlacementPolicy& policy) {
+  if (u.failure_share < kNegligibleFailureShare) return 0;
+  double half_life_s = request.retryable ? policy.retryable_failure_half_life_s
+                                         : policy.final_failure_half_life_s;
+  return u.failure_share *
+         std::exp2(-ToSeconds(now - u.last_failure_at) / half_life_s);
+}
+
 double MeanFailureShare(absl::Span<const UpstreamState> upstreams,
-                        absl::string_view service) {
+                        const PlacementRequest& request, TimePoint now,
+                        const PlacementPolicy& policy) {
   double sum = 0;
   int n = 0;
   for (const UpstreamState& u : upstreams) {
-    if (u.info.service != service || u.answer_count < kFailureSamples) continue;
-    sum += u.failure_share;
+    if (u.info.service != request.service || u.answer_count < kFailureSamples) {
+      continue;
+    }
+    sum += FailureShare(u, request, now, policy);
     ++n;
   }
   return n ? sum / n : 0;
@@ -98,6 +113,16 @@
          u.prefills_in_flight >= std::max(1, static_cast<int>(u.prefill_limit));
 }
 
+// Return whether the mark of `u` is still in force.
+bool IsStraggler(const UpstreamState& u, TimePoint now,
+                 const PlacementPolicy& policy) {
+  return u.straggler && now - u.event_gap_at <= policy.straggler_memory;
+}
+bool IsSlowDecoder(const UpstreamState& u, TimePoint now,
+                   const PlacementPolicy& policy) {
+  return u.slow_decode && now - u.decode_pace_at <= policy.decode_pace_memory;
+}
+
 Candidate ScoreCandidate(const UpstreamState& u, size_t index,
                          const PlacementRequest& request, TimePoint now,
                          double mean_failure_share,
@@ -115,12 +140,13 @@
                policy.prefill_rate / 1000.0;
   }
   if (u.answer_count >= kFailureSamples) {
-    s.score += policy.failure_weight *
-               std::max(0.0, u.failure_share - mean_failure_share);
+    double excess = FailureShare(u, request, now, policy) - mean_failure_share;
+    if (excess > policy.min_failure_excess)
+      s.score += policy.failure_weight * excess;
   }
-  if (u.slow_decode && request.shape == WorkShape::kDecode)
+  if (request.shape == WorkShape::kDecode && IsSlowDecoder(u, now, policy))
     s.score += policy.slow_decode_cost;
-  if (u.straggler) s.score += kStragglerCost;
+  if (IsStraggler(u, now, policy)) s.score += kStragglerCost;
   if (u.info.data_centre != request.data_centre) s.score += policy.remote_cost;
   return s;
 }
@@ -218,7 +244,7 @@
                                      const PlacementPolicy& policy) {
   if (request.pinned != 0)
     return ChoosePinnedUpstream(upstreams, request, now, policy);
-  double mean_failure_share = MeanFailureShare(upstreams, request.service);
+  double mean_failure_share = MeanFailureShare(upstreams, request, now, policy);
   std::vector<Candidate> candidates;
   std::optional<size_t> fallback;
   bool use_affinity =
@@ -440,11 +466,12 @@
   return n;
 }
 
-void RecordEventGap(UpstreamState& u, Duration gap) {
+void RecordEventGap(UpstreamState& u, Duration gap, TimePoint now) {
   double s = ToSeconds(gap);
   u.mean_event_gap_s +=
       u.event_gap_samples == 0 ? s : kGapSmoothing * (s - u.mean_event_gap_s);
   ++u.event_gap_samples;
+  u.event_gap_at = now;
 }
 
 void MarkStragglers(absl::Span<UpstreamState> upstreams,
@@ -466,7 +493,8 @@
   }
 }
 
-void RecordDecodePace(UpstreamState& u, Duration gap) {
+void RecordDecodePace(UpstreamState& u, Duration gap, TimePoint now) {
+  u.decode_pace_at = now;
   double s = ToSeconds(gap);
   if (u.decode_pace_s == 0) {
     u.decode_pace_s = s;
@@ -509,7 +537,11 @@
 
 void RecordFailure(UpstreamState& u, TimePoint now, bool connection,
                    const PlacementPolicy& policy) {
+  // Failures that lie further apart are not in a row.
+  TimePoint last = std::max(u.last_failure_at, u.ejected_until);
+  if (now - last > policy.max_ejection) u.consecutive_failures = 0;
   u.failure_share += kFailureSmoothing * (1 - u.failure_share);
+  u.last_failure_at = now;
   ++u.answer_count;
   if (!connection) return;
   ++u.consecutive_failures;
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -56,6 +56,7 @@
   // its answers.
   double failure_share = 0;
   int answer_count = 0;
+  TimePoint last_failure_at{};
   // Time of the last data from the upstream, or of the first request in flight
   // if that is later. Unset while the upstream has no request of this process.
   TimePoint last_activity_at{};
@@ -68,10 +69,12 @@
   // measured.
   double mean_event_gap_s = 0;
   int event_gap_samples = 0;
-  bool straggler = false;  // Far slower than other upstreams of its service.
+  TimePoint event_gap_at{};  // When the last gap was measured.
+  bool straggler = false;    // Far slower than other upstreams of its service.
   // Decode pace: seconds between events of a long generation on an engine with
   // little other work. 0: unknown.
   double decode_pace_s = 0;
+  TimePoint decode_pace_at{};  // When the pace was last measured.
   // The decode pace is slow compared with other engines of the service.
   bool slow_decode = false;
   // Number of long prompts of this process in prefill at the engine, and the
@@ -154,6 +157,14 @@
   // Weight of the amount by which the failure share exceeds the average of the
   // service.
   double failure_weight = 2.0;
+  // An excess of the failure share over the average up to this has no weight.
+  double min_failure_excess = 0.05;
+  // The weight of an upstream's failure share halves with each such time since
+  // its last failure. Requests that may be retried elsewhere return to the
+  // upstream first, because a failure costs their callers little; answers to
+  // them then lower the share for all.
+  double retryable_failure_half_life_s = 0.5;
+  double final_failure_half_life_s = 6;
   // An upstream with requests in flight that sends nothing for this long is
   // avoided.
   Duration max_silence = Millis(1500);
@@ -198,6 +209,10 @@
   // upstream can take them. 0: detection is off.
   double straggler_factor = 0;
   int min_straggler_samples = 8;
+  // A straggler without a new event gap for this long is used like the others
+  // until its next gap is measured. An avoided engine has no gaps that could
+  // show its recovery.
+  Duration straggler_memory = std::chrono::seconds(5);
   // An engine decodes slowly if its decode pace exceeds that of a fast engine
   // by this factor; 0: detection is off. A concurrent prefill makes a long
   // generation on a slow engine miss its event gap target. A slow engine gets
@@ -205,6 +220,9 @@
   // shares of slots.
   double slow_decode_factor = 1.15;
   double slow_decode_cost = 0.3;
+  // Like straggler_memory, for the decode pace. Longer, because the pace is
+  // mostly a property of the hardware.
+  Duration decode_pace_memory = std::chrono::seconds(20);
   // Assumed prefill rate of an engine, in tokens per millisecond.
   double prefill_rate = 30;
   // Cost of queued prefill work, in shares of slots per second of prefill.
@@ -223,6 +241,8 @@
   // because that upstream holds the state of earlier attempts.
   uint64_t pinned = 0;
   WorkShape shape = WorkShape::kPlain;
+  // If the attempt fails, the request may be sent to another upstream.
+  bool retryable = false;
   // Number of engines reserved for long generations: the first ones in the
   // order of the service's upstreams.
   int decode_engines = 0;
@@ -340,13 +360,13 @@
                         const PlacementRequest& request);
 
 // Records the gap between two events of a stream at `u`.
-void RecordEventGap(UpstreamState& u, Duration gap);
+void RecordEventGap(UpstreamState& u, Duration gap, TimePoint now);
 // Marks the stragglers of each service.
 void MarkStragglers(absl::Span<UpstreamState> upstreams,
                     const PlacementPolicy& policy);
 
 // Records the mean gap of a few consecutive events of a long generation at `u`.
-void RecordDecodePace(UpstreamState& u, Duration gap);
+void RecordDecodePace(UpstreamState& u, Duration gap, TimePoint now);
 // Marks the engines of each service that decode slowly.
 void MarkSlowDecoders(absl::Span<UpstreamState> upstreams,
                       const PlacementPolicy& policy);
--- a/test/policy/placement_test.cc
+++ b/test/policy/placement_test.cc
@@ -343,9 +343,9 @@
   policy.straggler_factor = 2;
   std::vector<UpstreamState> upstreams = Engines(3);
   for (int i = 0; i < 20; ++i) {
-    RecordEventGap(upstreams[0], Millis(10));
-    RecordEventGap(upstreams[1], Millis(11));
-    RecordEventGap(upstreams[2], Millis(80));
+    RecordEventGap(upstreams[0], Millis(10), kNow);
+    RecordEventGap(upstreams[1], Millis(11), kNow);
+    RecordEventGap(upstreams[2], Millis(80), kNow);
   }
   MarkStragglers(absl::MakeSpan(upstreams), policy);
   CHECK_TRUE(upstreams[2].straggler);
@@ -437,7 +437,7 @@
   std::vector<UpstreamState> upstreams = Engines(12);
   for (size_t i = 0; i < upstreams.size(); ++i) {
     for (int k = 0; k < 10; ++k)
-      RecordDecodePace(upstreams[i], Millis(i % 3 ? 30 : 39));
+      RecordDecodePace(upstreams[i], Millis(i % 3 ? 30 : 39), kNow);
   }
   MarkSlowDecoders(absl::MakeSpan(upstreams), kPolicy);
   PlacementRequest request = MakeRequest(WorkShape::kDecode);
@@ -473,19 +473,19 @@
 // way and arrived together.
 TEST(placement, BusyOrDelayedEnginesAreNotMarkedSlow) {
   std::vector<UpstreamState> upstreams = Engines(12);
-  RecordDecodePace(upstreams[0], Millis(30));
-  RecordDecodePace(upstreams[1], Millis(60));
+  RecordDecodePace(upstreams[0], Millis(30), kNow);
+  RecordDecodePace(upstreams[1], Millis(60), kNow);
   MarkSlowDecoders(absl::MakeSpan(upstreams), kPolicy);
   CHECK_FALSE(upstreams[1].slow_decode);
   for (UpstreamState& u : upstreams) u.decode_pace_s = 0.030;
   // After a suspension an entry receives all delayed events together. Their
   // short gaps must not make other engines look slow.
   for (int i = 0; i < 6; ++i)
-    RecordDecodePace(upstreams[static_cast<size_t>(i)], Millis(1));
+    RecordDecodePace(upstreams[static_cast<size_t>(i)], Millis(1), kNow);
   MarkSlowDecoders(absl::MakeSpan(upstreams), kPolicy);
   for (const UpstreamState& u : upstreams) CHECK_FALSE(u.slow_decode);
   for (UpstreamState& u : upstreams) {
-    for (int i = 0; i < 40; ++i) RecordDecodePace(u, Millis(75));
+    for (int i = 0; i < 40; ++i) RecordDecodePace(u, Millis(75), kNow);
   }
   MarkSlowDecoders(absl::MakeSpan(upstreams), kPolicy);
   for (const UpstreamState& u : upstreams) CHECK_FALSE(u.slow_decode);
