Let the result of a change destroy its ConflatingSender

A process that dropped its replica or its link from within the result of a change read freed memory: after the callbacks, the sender checked for a pending change although a callback may have destroyed it. The sender now checks that it still exists after it has run the callbacks.

--- a/src/policy/conflating_sender.cc
+++ b/src/policy/conflating_sender.cc
@@ -28,6 +28,8 @@
           if (alive.expired()) return;
           in_flight_bytes_ -= bytes_sent;
           for (const Done& d : done) d(s);
+          // One of the callbacks may have destroyed this object.
+          if (alive.expired()) return;
           if (pending_.document && HasCapacity()) {
             SendChange(std::exchange(pending_, Change{}));
           }
--- a/src/policy/conflating_sender.h
+++ b/src/policy/conflating_sender.h
@@ -18,8 +18,8 @@
 // Sends changes while fewer than a given number of bytes are in flight. Once
 // that many are in flight, only the newest change is kept pending. Each older
 // pending change gets the result of the newest, since a change that was
-// replaced never takes effect separately. Pure except for `send`. Thread
-// safety: loop thread only.
+// replaced never takes effect separately. A Done may destroy the sender. Pure
+// except for `send`. Thread safety: loop thread only.
 class ConflatingSender {
  public:
   using Done = std::function<void(absl::Status)>;
