End the calls on draining connections with their H2Client

A call that ran on a connection with GOAWAY never ended if its client was destroyed: the destructor failed only the calls of the current connection, and the others were dropped without on_close. Their owners waited until their own deadline. The destructor now fails the calls of all connections.

Test: DestroyedClientEndsCallsOnDrainingConnections failed before (first_closed) and passes now.

--- a/src/h2.cc
+++ b/src/h2.cc
@@ -134,8 +134,10 @@
 
 H2Client::~H2Client() {
   ev_timer_stop(loop_, &ping_timer_);
-  if (connection_) {
-    auto c = std::move(connection_);
+  auto connections = std::move(draining_connections_);
+  draining_connections_.clear();
+  if (connection_) connections.push_back(std::move(connection_));
+  for (auto& c : connections) {
     c->FailAllCalls(absl::CancelledError("client closed"));
   }
 }
--- a/test/h2_test.cc
+++ b/test/h2_test.cc
@@ -77,6 +77,37 @@
   ev_loop_destroy(loop);
 }
 
+// Guards against a call that never ends: the client is destroyed while the call
+// runs on a connection on which the peer sent GOAWAY.
+TEST(h2, DestroyedClientEndsCallsOnDrainingConnections) {
+  struct ev_loop* loop = ev_loop_new(EVFLAG_AUTO);
+  {
+    BootClock clock;
+    int port = testing::ClaimPortRange();
+    std::vector<std::shared_ptr<H2Stream>> held;
+    H2Server server(
+        loop, [&](const H2Request&, auto s) { held.push_back(std::move(s)); });
+    CHECK_TRUE(server.Listen("127.0.0.1", port).ok());
+    auto client = std::make_unique<H2Client>(loop, clock, "127.0.0.1", port,
+                                             Millis(1000), Millis(3000));
+    std::string body;
+    bool first_closed = false;
+    bool second_closed = false;
+    client->Submit(GetRequest("/a", &body, &first_closed));
+    CHECK_TRUE(RunUntil(
+        loop, [&] { return held.size() == 1; }, 2000));
+    server.StopAccepting();
+    RunUntil(
+        loop, [] { return false; }, 50);
+    client->Submit(GetRequest("/b", &body, &second_closed));
+    CHECK_FALSE(first_closed);
+    client.reset();
+    CHECK_TRUE(first_closed);
+    CHECK_TRUE(second_closed);
+  }
+  ev_loop_destroy(loop);
+}
+
 namespace {
 
 // Event loops of two processes; the test decides when each one runs.
