Leave draining engines out of the decode load

While an engine drained, its load counted as load of the engines reserved for long generations, because a draining engine has rank 0. Entries then reserved more engines than the generations need. DecodeLoad now skips draining engines as all other counts do.

Test: DrainingEngineIsNotCountedAsReserved failed before (10 in place of 0) and passes now.

--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -343,8 +343,10 @@
                   const PlacementPolicy& policy) {
   double sum = 0;
   for (const UpstreamState& u : upstreams) {
-    if (u.info.service != service || !u.listed || u.rank >= decode_engines)
+    if (u.info.service != service || !u.listed || u.info.draining ||
+        u.rank >= decode_engines) {
       continue;
+    }
     sum += EstimatedLoad(u, now, policy);
   }
   return sum;
--- a/test/policy/placement_test.cc
+++ b/test/policy/placement_test.cc
@@ -228,6 +228,20 @@
   }
 }
 
+// Guards against too many reserved engines while an engine drains: its load
+// is not that of an engine reserved for long generations.
+TEST(placement, DrainingEngineIsNotCountedAsReserved) {
+  std::vector<UpstreamState> upstreams = Engines(9);
+  upstreams[4].info.draining = true;
+  RankUpstreams(absl::MakeSpan(upstreams));
+  upstreams[4].in_flight = 10;
+  DOUBLES_EQUAL(0, DecodeLoad(upstreams, "engine", 2, kNow, kPolicy), 0.001);
+  for (UpstreamState& u : upstreams) {
+    if (u.rank == 1) u.in_flight = 3;
+  }
+  DOUBLES_EQUAL(3, DecodeLoad(upstreams, "engine", 2, kNow, kPolicy), 0.001);
+}
+
 // Guards against too few reserved engines when prefill is slow. Prompts of long
 // generations arrive in bursts of three, and two bursts block an engine for
 // longer than the event gap target. A third of the engines must be reserved
