Remove an unused accessor and a flag that is never read

LoopWatch::iteration_started() has no caller, and H2Connection::flush_pending_ was only written: every path that skips a flush inside a callback flushes after the callback. No change in behaviour; the tests of h2 pass.

--- a/src/h2_connection.h
+++ b/src/h2_connection.h
@@ -202,11 +202,7 @@
   // Writes the pending output of nghttp2 to the socket. Does nothing inside a
   // callback of nghttp2, where sending is not allowed.
   void Flush() {
-    if (in_callback_ || dead_) {
-      flush_pending_ = true;
-      return;
-    }
-    flush_pending_ = false;
+    if (in_callback_ || dead_) return;
     for (;;) {
       if (!send_buffer_.empty()) {
         ssize_t n =
@@ -496,7 +492,6 @@
   bool connected_;
   bool dead_ = false;
   bool in_callback_ = false;
-  bool flush_pending_ = false;
   bool ping_outstanding_ = false;
   bool data_received_ =
       false;  // Whether bytes were received since the last SilentSince().
--- a/src/loop_watch.h
+++ b/src/loop_watch.h
@@ -23,9 +23,6 @@
   LoopWatch(const LoopWatch&) = delete;
   LoopWatch& operator=(const LoopWatch&) = delete;
 
-  // Returns the time when the current iteration began, that is, when the loop's
-  // last wait ended.
-  TimePoint iteration_started() const { return iteration_started_; }
   // Returns the duration of the longest iteration in the current and the
   // previous second, including the current iteration.
   Duration longest_iteration() const;
@@ -40,6 +37,7 @@
   std::function<void(Duration)> on_iteration_;
   ev_check check_{};
   ev_prepare prepare_{};
+  // When the current iteration began, that is, when the loop's last wait ended.
   TimePoint iteration_started_{};
   bool in_iteration_ = false;
   // Start of the current second, and the longest iterations of the current and
