Cut off a request head that does not arrive within its timeout

A caller that sent the head of a request byte by byte kept its connection forever, since each byte restarted header_timeout. The timeout of a head now counts from its first byte. A body may still take longer as long as data keeps arriving.

Test: SlowHeadIsCutOffAndSlowBodyIsNot failed before (the connection stayed open) and passes now.

--- a/src/caller_server.cc
+++ b/src/caller_server.cc
@@ -119,16 +119,18 @@
   void CloseAfterThisAnswer() { close_after_ = true; }
   bool server_closing() const { return server_->closing_after_answers_; }
 
-  // Closes the connection if its last activity (a received byte or the end of
-  // an answer) is longer ago than header_timeout within a request, or
-  // idle_timeout between requests.
+  // Closes the connection if a request head has not arrived within
+  // header_timeout of its first byte, if no byte of a request body has arrived
+  // within header_timeout, or if no request has begun within idle_timeout of
+  // the last answer.
   void CloseIfTimedOut(TimePoint now) {
     if (answering_) return;
     Duration limit = parser_.started() ? server_->limits_.header_timeout
                                        : server_->limits_.idle_timeout;
-    // Each arriving byte restarts the timeout, so a body may take longer than
-    // the timeout as long as data keeps arriving.
-    if (now - last_activity_ > limit) Disconnect();
+    // A body may take longer than the timeout as long as data keeps arriving.
+    bool reading_head = parser_.started() && !parser_.head_done();
+    TimePoint since = reading_head ? head_started_at_ : last_activity_;
+    if (now - since > limit) Disconnect();
   }
   void CloseIfIdle() {
     if (!busy()) Disconnect();
@@ -179,6 +181,7 @@
   }
 
   void ParseBuffered() {
+    if (!parser_.started()) head_started_at_ = server_->clock_.Now();
     absl::Status s = parser_.Feed(&unparsed_);
     if (!s.ok()) {
       RejectMalformed(absl::IsResourceExhausted(s)
@@ -220,6 +223,7 @@
   bool answering_ = false;
   bool close_after_ = false;
   TimePoint last_activity_;
+  TimePoint head_started_at_{};  // When the current request began to arrive.
 };
 
 void CallerExchange::SendHead(int status, absl::string_view reason,
--- /dev/null
+++ b/test/caller_server_test.cc
@@ -0,0 +1,64 @@
+// The server for callers: slow senders.
+#include "caller_server.h"
+
+#include <unistd.h>
+
+#include <functional>
+#include <string>
+
+#include "CppUTest/TestHarness.h"
+#include "procs.h"
+#include "tcp.h"
+
+using namespace medlarwalk;
+using namespace medlarwalk::testing;
+
+TEST_GROUP(caller_server) {
+  struct ev_loop* loop = nullptr;
+  ManualClock clock;
+  void setup() override {
+    loop = ev_loop_new(EVFLAG_AUTO);
+    clock.Advance(std::chrono::hours(1));
+  }
+  void teardown() override { ev_loop_destroy(loop); }
+
+  // Runs the loop until done() or for about `ms` milliseconds; returns done().
+  bool RunUntil(const std::function<bool()>& done, int ms) {
+    for (int i = 0; i < ms && !done(); ++i) {
+      ev_run(loop, EVRUN_NOWAIT);
+      usleep(1000);
+    }
+    return done();
+  }
+};
+
+// Guards against a caller that occupies a connection forever by sending the
+// head of its request byte by byte. A body may arrive slowly.
+TEST(caller_server, SlowHeadIsCutOffAndSlowBodyIsNot) {
+  int answered = 0;
+  CallerServer server(loop, clock, [&](std::shared_ptr<CallerExchange> ex) {
+    ++answered;
+    ex->Respond(200, {}, "");
+  });
+  Endpoint endpoint{"127.0.0.1", ClaimPortRange()};
+  CHECK_TRUE(server.Listen(endpoint).ok());
+  auto send_slowly = [&](TcpConnection& c, absl::string_view text) {
+    for (char byte : text) {
+      c.Write(absl::string_view(&byte, 1));
+      RunUntil([] { return false; }, 20);
+      clock.Advance(std::chrono::seconds(1));
+    }
+  };
+  auto slow_body = TcpConnection::Connect(loop, endpoint, Millis(1000));
+  CHECK_TRUE(RunUntil([&] { return slow_body->connected(); }, 1000));
+  slow_body->Write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 16\r\n\r\n");
+  send_slowly(*slow_body, "0123456789abcdef");
+  CHECK_TRUE(RunUntil([&] { return answered == 1; }, 1000));
+  slow_body->Close();
+
+  auto slow_head = TcpConnection::Connect(loop, endpoint, Millis(1000));
+  CHECK_TRUE(RunUntil([&] { return slow_head->connected(); }, 1000));
+  send_slowly(*slow_head, "GET / HTTP/1.1\r\n");
+  CHECK_TRUE(RunUntil([&] { return server.connections() == 0; }, 1000));
+  LONGS_EQUAL(1, answered);
+}
