Handle pipelined requests in a loop

A caller that pipelined many small requests could overflow the stack: a request answered at once parsed and handled the next one from within its own answer, one nesting per request. A read of 32 KiB holds about 1000 requests. The outer call now handles the next request after the inner one has returned.

Test: PipelinedRequestsDoNotNest (500 requests, stack use of the handler under 4 KiB) failed before and passes now.

--- a/src/caller_server.cc
+++ b/src/caller_server.cc
@@ -92,7 +92,6 @@
       return;
     }
     PrepareForNextRequest();
-    // Parses bytes of a pipelined request that are already buffered.
     if (!unparsed_.empty()) ParseBuffered();
   }
 
@@ -180,28 +179,44 @@
     }
   }
 
+  // Parses the buffered bytes and handles pipelined requests one after the
+  // other. If a request is answered at once, this is called from within itself;
+  // the outer call then handles the next request.
   void ParseBuffered() {
+    if (parsing_) return;
+    parsing_ = true;
+    bool request_handled = true;
+    while (request_handled && !answering_ && !close_after_ && tcp_->open() &&
+           !unparsed_.empty()) {
+      request_handled = ParseRequest();
+    }
+    parsing_ = false;
+  }
+
+  // Returns whether a complete request was passed to the handler.
+  bool ParseRequest() {
     if (!parser_.started()) head_started_at_ = server_->clock_.Now();
     absl::Status s = parser_.Feed(&unparsed_);
     if (!s.ok()) {
       RejectMalformed(absl::IsResourceExhausted(s)
                           ? (parser_.head_done() ? 413 : 431)
                           : 400);
-      return;
+      return false;
     }
-    if (!request_done_) return;
+    if (!request_done_) return false;
     // A request that states the length of its body or its host twice allows
     // request smuggling.
     if (exchange_->head.CountHeaders("Content-Length") > 1 ||
         exchange_->head.CountHeaders("Host") > 1) {
       RejectMalformed(400);
-      return;
+      return false;
     }
     answering_ = true;
     exchange_->connection_ = this;
     exchange_->arrived = server_->clock_.Now();
     auto ex = exchange_;
     server_->handler_(ex);
+    return true;
   }
 
   void RejectMalformed(int status) {
@@ -221,6 +236,7 @@
   std::shared_ptr<CallerExchange> exchange_;
   bool request_done_ = false;
   bool answering_ = false;
+  bool parsing_ = false;  // ParseBuffered() is running.
   bool close_after_ = false;
   TimePoint last_activity_;
   TimePoint head_started_at_{};  // When the current request began to arrive.
--- a/test/caller_server_test.cc
+++ b/test/caller_server_test.cc
@@ -1,12 +1,14 @@
-// The server for callers: slow senders.
+// The server for callers: slow senders and pipelined requests.
 #include "caller_server.h"
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <functional>
 #include <string>
 
 #include "CppUTest/TestHarness.h"
+#include "absl/strings/str_cat.h"
 #include "procs.h"
 #include "tcp.h"
 
@@ -62,3 +64,38 @@
   CHECK_TRUE(RunUntil([&] { return server.connections() == 0; }, 1000));
   LONGS_EQUAL(1, answered);
 }
+
+// Guards against a stack overflow: the handler answers pipelined requests at
+// once, and each answer must not be sent from within the previous one.
+TEST(caller_server, PipelinedRequestsDoNotNest) {
+  constexpr int kRequests = 500;
+  int answered = 0;
+  uintptr_t lowest = UINTPTR_MAX;
+  uintptr_t highest = 0;
+  CallerServer server(loop, clock, [&](std::shared_ptr<CallerExchange> ex) {
+    char local = 0;
+    auto position = reinterpret_cast<uintptr_t>(&local);
+    lowest = std::min(lowest, position);
+    highest = std::max(highest, position);
+    ++answered;
+    ex->Respond(200, {}, "");
+  });
+  Endpoint endpoint{"127.0.0.1", ClaimPortRange()};
+  CHECK_TRUE(server.Listen(endpoint).ok());
+  auto caller = TcpConnection::Connect(loop, endpoint, Millis(1000));
+  std::string answers;
+  TcpEvents e;
+  e.on_data = [&](absl::string_view d) { absl::StrAppend(&answers, d); };
+  caller->set_events(std::move(e));
+  CHECK_TRUE(RunUntil([&] { return caller->connected(); }, 1000));
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) {
+    absl::StrAppend(&requests, "GET /", i, " HTTP/1.1\r\nHost: a\r\n\r\n");
+  }
+  absl::StrAppend(&requests, "GET / HTTP/1.1\r\nHost: a\r\n",
+                  "Connection: close\r\n\r\nGET /late HTTP/1.1\r\n\r\n");
+  caller->Write(requests);
+  CHECK_TRUE(RunUntil([&] { return server.connections() == 0; }, 2000));
+  LONGS_EQUAL(kRequests + 1, answered);
+  CHECK_TRUE(highest - lowest < 4096);
+}
