Refuse a record that is too large to be read back

The store wrote records of any size, but stops reading at one of more than 64 MiB. Such a record was acknowledged as durable and lost at the next start, together with all records after it. FrameRecord now returns an error for it, and nothing is written; the leader steps down as for any failed write.

Test: RecordThatCannotBeReadBackIsRefused failed before and passes now.

--- a/src/quarantine_store.cc
+++ b/src/quarantine_store.cc
@@ -23,9 +23,11 @@
 absl::Status SaveCrashRecords(const std::string& dir,
                               absl::Span<const CrashRecord> records,
                               TimePoint now, const BeforeWrite& before_write) {
-  std::string bytes = FrameRecord(CrashRecordsToJson(records, now));
+  absl::StatusOr<std::string> bytes =
+      FrameRecord(CrashRecordsToJson(records, now));
+  if (!bytes.ok()) return bytes.status();
   absl::StatusOr<int> fd =
-      ReplaceFile(QuarantinePath(dir), bytes, before_write);
+      ReplaceFile(QuarantinePath(dir), *bytes, before_write);
   if (!fd.ok()) return fd.status();
   close(*fd);
   return SyncDir(dir);
--- a/src/replica_store.cc
+++ b/src/replica_store.cc
@@ -45,8 +45,12 @@
 
 }  // namespace
 
-std::string FrameRecord(const json& j) {
+absl::StatusOr<std::string> FrameRecord(const json& j) {
   std::string payload = ToCbor(j);
+  if (payload.size() > kMaxRecordBytes) {
+    return absl::ResourceExhaustedError(
+        absl::StrCat("record of ", payload.size(), " bytes"));
+  }
   uint32_t length = static_cast<uint32_t>(payload.size());
   uint64_t checksum = StableHash(payload, length);
   std::string header(kRecordHeaderBytes, '\0');
@@ -55,6 +59,20 @@
   return header + payload;
 }
 
+namespace {
+
+absl::StatusOr<std::string> FrameRecords(const std::vector<json>& records) {
+  std::string bytes;
+  for (const json& r : records) {
+    absl::StatusOr<std::string> framed = FrameRecord(r);
+    if (!framed.ok()) return framed.status();
+    bytes += *framed;
+  }
+  return bytes;
+}
+
+}  // namespace
+
 std::vector<json> ReadRecords(absl::string_view bytes, size_t* valid_bytes) {
   std::vector<json> records;
   *valid_bytes = 0;
@@ -147,14 +165,14 @@
     lseek(fd_, synced_length_, SEEK_SET);
     tail_dirty_ = false;
   }
-  std::string bytes;
-  for (const json& r : records) bytes += FrameRecord(r);
+  absl::StatusOr<std::string> bytes = FrameRecords(records);
+  if (!bytes.ok()) return bytes.status();
   tail_dirty_ = true;
-  absl::Status status = WriteAll(fd_, bytes, before_write_);
+  absl::Status status = WriteAll(fd_, *bytes, before_write_);
   if (!status.ok()) return status;
   if (fdatasync(fd_) != 0) return ErrnoStatus("sync");
   tail_dirty_ = false;
-  synced_length_ += static_cast<int64_t>(bytes.size());
+  synced_length_ += static_cast<int64_t>(bytes->size());
   return absl::OkStatus();
 }
 
@@ -175,17 +193,19 @@
 }
 
 absl::Status FileReplicaStore::ReplaceState(const StoredState& state) {
-  std::string bytes = FrameRecord(StateRecord(state));
-  bytes += FrameRecord(VoteRecord(state.term, state.voted_for));
-  for (const LogEntry& e : state.log) bytes += FrameRecord(EntryRecord(e));
-  absl::StatusOr<int> fd = ReplaceFile(path_, bytes, before_write_);
+  std::vector<json> records = {StateRecord(state),
+                               VoteRecord(state.term, state.voted_for)};
+  for (const LogEntry& e : state.log) records.push_back(EntryRecord(e));
+  absl::StatusOr<std::string> bytes = FrameRecords(records);
+  if (!bytes.ok()) return bytes.status();
+  absl::StatusOr<int> fd = ReplaceFile(path_, *bytes, before_write_);
   if (!fd.ok()) return fd.status();
   // From this point, records are written to the new file. WriteRecords syncs
   // the directory before it writes, because the old file may reappear after a
   // power loss until the directory is synced.
   if (fd_ >= 0) close(fd_);
   fd_ = *fd;
-  synced_length_ = static_cast<int64_t>(bytes.size());
+  synced_length_ = static_cast<int64_t>(bytes->size());
   tail_dirty_ = false;
   absl::Status status = SyncDir(dir_);
   dir_sync_pending_ = !status.ok();
--- a/src/replica_store.h
+++ b/src/replica_store.h
@@ -37,6 +37,8 @@
   absl::Status ReplaceState(const StoredState& state) override;
 
  private:
+  // Errors: ResourceExhausted if a record is too large; nothing is then
+  // written.
   absl::Status WriteRecords(const std::vector<nlohmann::json>& records);
 
   BeforeWrite before_write_;
@@ -54,7 +56,8 @@
 };
 
 // Returns `j` as one record for ReadRecords: length, checksum and CBOR bytes.
-std::string FrameRecord(const nlohmann::json& j);
+// Errors: ResourceExhausted if the record is too large to be read back.
+absl::StatusOr<std::string> FrameRecord(const nlohmann::json& j);
 // Returns the records in `bytes` up to the first invalid one. Sets
 // `*valid_bytes` to their total length. Public for tests and fuzzing.
 std::vector<nlohmann::json> ReadRecords(absl::string_view bytes,
--- a/test/replica_store_test.cc
+++ b/test/replica_store_test.cc
@@ -100,6 +100,28 @@
 }
 
 // Hundreds of appended entries are read back after a restart.
+// Guards against the silent loss of a record that is too large to be read back,
+// together with all records after it.
+TEST(replica_store, RecordThatCannotBeReadBackIsRefused) {
+  std::string dir = DirWithTenEntries();
+  {
+    FileReplicaStore store(dir);
+    CHECK_TRUE(store.Load().ok());
+    LogEntry large = ConfigEntry(11, 11);
+    large.config =
+        std::make_shared<const std::string>((size_t{64} << 20) + 1, 'x');
+    CHECK_FALSE(store.AppendEntries({large}).ok());
+    StoredState state = NewState();
+    state.log = {large};
+    CHECK_FALSE(store.ReplaceState(state).ok());
+    CHECK_TRUE(store.AppendEntries({ConfigEntry(11, 12)}).ok());
+  }
+  absl::StatusOr<StoredState> state = FileReplicaStore(dir).Load();
+  CHECK_TRUE(state.ok());
+  LONGS_EQUAL(11, state->log.size());
+  LONGS_EQUAL(12, state->log.back().version);
+}
+
 TEST(replica_store, RestartKeepsHundredsOfEntries) {
   std::string dir = MakeTempDir();
   {
