Entries use a subset of upstreams and their open connections first

An entry with two requests a second spread over all upstreams meets each of them once in minutes, so its connection is closed and what it knows is out of date. An upstream of which nothing is known also looks idle, so placement even preferred the ones not met lately.

Change: upstream_subset, a pure module. Each entry has a window of the order of upstreams that all entries share, at index / count of the entries; its size follows from the requests within the time that upstreams keep an idle connection, and is all of them in a small fleet or without an index. Placement adds a cost outside of the subset and a cost where a connection would have to be opened, for requests that do not follow a shared prompt part: one read again costs more than a connection (50 tokens take as long to read). Both are costs: busy or unusable upstreams of the subset still lead to the others.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -266,6 +266,26 @@
   return input;
 }
 
+// Returns the upstreams that this process uses first for requests of the kind
+// of `r`. `decode_engines`: number of engines kept for long generations.
+UpstreamSubset Gateway::SubsetFor(const Request& r, int decode_engines,
+                                  TimePoint now) const {
+  int first = r.shape == WorkShape::kPrefill ? decode_engines : 0;
+  int end = r.shape == WorkShape::kDecode && decode_engines > 0
+                ? decode_engines
+                : CountRankedUpstreams(pool_.upstreams(), r.service->name);
+  SubsetDemand demand;
+  auto rate = subset_rates_.find({r.service->name, r.shape});
+  if (rate != subset_rates_.end())
+    demand.requests_per_s = rate->second.PerSecond(now);
+  auto idle = link_idle_times_.find(r.service->name);
+  if (idle != link_idle_times_.end()) demand.idle_time = idle->second;
+  demand.process_count = entry_count_;
+  demand.upstream_count = end - first;
+  return ComputeSubset(subset_index_, first, demand.upstream_count,
+                       SubsetSize(demand, options_.subset));
+}
+
 bool Gateway::TrySend(Request& r) {
   // Tier admission holds back only requests that were not sent yet. A request
   // that was sent before may be retried even if more urgent requests wait.
@@ -307,10 +327,14 @@
     input.decode_engines = engine_count;
   }
   r.decode_engines = input.decode_engines;
+  if (!FollowsPrefix(input))
+    input.subset = SubsetFor(r, input.decode_engines, now);
   std::uniform_real_distribution<double> draw(0, 1);
   std::optional<size_t> i = ChooseUpstream(pool_.upstreams(), input, now,
                                            draw(random_), options_.placement);
   if (!i) return false;
+  if (!FollowsPrefix(input))
+    subset_rates_[{r.service->name, r.shape}].Record(now);
   SendToUpstream(r, *i);
   return true;
 }
@@ -355,6 +379,7 @@
             {"load_age_ms",
              u.reported_at == TimePoint{} ? -1 : ToMs(now - u.reported_at)},
             {"own", u.in_flight},
+            {"idle_links", u.idle_links},
             {"limit", u.limit_per_s.value_or(-1)},
             {"copy_from", f.copy_from.ip},
             {"left_ms", ToMs(f.time_limit)}});
@@ -416,6 +441,10 @@
     PrefillLimiterFor(r.service->name).RecordPrefillEnd(r.tier);
   r.prefill_pending = false;
   pool_.ReleaseLink(r.upstream, r.connection);
+  if (const UpstreamState* u = pool_.Find(r.upstream);
+      u && u->link_idle_time > Duration::zero()) {
+    link_idle_times_[r.service->name] = u->link_idle_time;
+  }
   r.connection.reset();
   r.upstream.clear();
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -33,6 +33,7 @@
 #include "tier_admission.h"
 #include "upstream_link.h"
 #include "upstream_pool.h"
+#include "upstream_subset.h"
 #include "waiting_queue.h"
 
 namespace medlarwalk {
@@ -42,6 +43,7 @@
   RetryAllowance retry;
   PlacementPolicy placement;
   WaitingPolicy waiting;
+  SubsetPolicy subset;
   PrefillLimiterPolicy prefill_limiter;
   TierAdmissionPolicy tier_admission;
   // Share of an upstream's connections that the known entry processes use
@@ -124,6 +126,8 @@
   absl::Status AdmitRequest(Request& r);
   void Dispatch(Request& r);
   PlacementRequest PlacementRequestFor(const Request& r) const;
+  UpstreamSubset SubsetFor(const Request& r, int decode_engines,
+                           TimePoint now) const;
   bool TrySend(Request& r);
   void SendToUpstream(Request& r, size_t upstream);
   bool OnAnswerHead(Request& r, const MessageHead& head);
@@ -197,6 +201,13 @@
   // number this process would use too many slots.
   ProcessIndex process_index_;
   TimePoint send_slot_share_set_at_{};
+  // Index of this process among the entry processes, once control has told it.
+  std::optional<ProcessIndex> subset_index_;
+  // Rate of the requests that the subset concerns, and time for which an idle
+  // connection is kept, by service name and kind of work.
+  using SubsetKey = std::pair<std::string, WorkShape>;
+  std::map<SubsetKey, EventRate> subset_rates_;
+  std::map<std::string, Duration> link_idle_times_;
   // Requests that wait for the first configuration or for a newer one.
   std::vector<uint64_t> awaiting_config_;
   TimePoint config_current_at_{};
--- a/src/gateway_limits.cc
+++ b/src/gateway_limits.cc
@@ -23,7 +23,9 @@
     process_index_.process_count = entry_count_;
     send_slot_share_set_at_ = now;
   }
-  if (index >= 0) process_index_.index = index;
+  if (index < 0) return;
+  process_index_.index = index;
+  subset_index_ = ProcessIndex{entry_count_, index};
 }
 
 // Records the rate limit that an answer announces, or the end of the rate limit
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -122,6 +122,9 @@
     s.score += policy.slow_decode_cost;
   if (u.straggler) s.score += kStragglerCost;
   if (u.info.data_centre != request.data_centre) s.score += policy.remote_cost;
+  if (FollowsPrefix(request)) return s;
+  if (!request.subset.Contains(u.rank)) s.score += policy.outside_subset_cost;
+  if (u.idle_links == 0) s.score += policy.new_link_cost;
   return s;
 }
 
@@ -221,8 +224,7 @@
   double mean_failure_share = MeanFailureShare(upstreams, request.service);
   std::vector<Candidate> candidates;
   std::optional<size_t> fallback;
-  bool use_affinity =
-      request.affinity != 0 && request.shape == WorkShape::kPrefill;
+  bool use_affinity = FollowsPrefix(request);
   for (size_t i = 0; i < upstreams.size(); ++i) {
     const UpstreamState& u = upstreams[i];
     if (u.info.service != request.service || !u.listed || u.info.draining)
@@ -399,6 +401,10 @@
          EstimatedLoad(u, now, policy) < policy.spare_load_share * slots;
 }
 
+bool FollowsPrefix(const PlacementRequest& request) {
+  return request.affinity != 0 && request.shape == WorkShape::kPrefill;
+}
+
 WorkShape ClassifyWork(int64_t prompt_tokens, int64_t output_tokens,
                        const PlacementPolicy& policy) {
   return static_cast<double>(output_tokens) >=
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -16,6 +16,7 @@
 #include "absl/types/span.h"
 #include "types.h"
 #include "upstream_list.h"
+#include "upstream_subset.h"
 
 namespace medlarwalk {
 
@@ -87,6 +88,10 @@
   // `pending_prefill_at`.
   double pending_prefill_tokens = 0;
   TimePoint pending_prefill_at{};
+  // Number of this process's idle connections to the upstream, and the time for
+  // which the upstream keeps an idle connection (zero: not known or forever).
+  int idle_links = 0;
+  Duration link_idle_time{};
 };
 
 // The kind of engine work that dominates a request.
@@ -160,6 +165,11 @@
   // Cost, in shares of slots, of an upstream in another data centre. It only
   // breaks ties.
   double remote_cost = 0.01;
+  // Costs, in shares of slots, of an upstream outside of this process's subset
+  // and of an upstream to which a connection would have to be opened. Both
+  // apply only to requests whose upstream is not chosen by their prompt prefix.
+  double outside_subset_cost = 0.1;
+  double new_link_cost = 0.1;
   // Duration of the first ejection and maximum duration; each further failure
   // in a row doubles the duration. failures_to_eject: number of failures in a
   // row that cause the first ejection.
@@ -226,6 +236,8 @@
   // Number of engines reserved for long generations: the first ones in the
   // order of the service's upstreams.
   int decode_engines = 0;
+  // The upstreams, by rank, that this process uses first. By default all.
+  UpstreamSubset subset;
 };
 
 // Smoothed demand for the engines of one service.
@@ -270,6 +282,10 @@
 bool AcceptsGeneration(const UpstreamState& u, int slots, int serving,
                        TimePoint now, const PlacementPolicy& policy);
 
+// Returns whether the prompt prefix of `request` decides which engine it goes
+// to.
+bool FollowsPrefix(const PlacementRequest& request);
+
 // Returns the kind of engine work of a request with these token counts (0:
 // unknown).
 WorkShape ClassifyWork(int64_t prompt_tokens, int64_t output_tokens,
--- a/src/upstream_pool.cc
+++ b/src/upstream_pool.cc
@@ -33,6 +33,12 @@
   c.idle.clear();
 }
 
+// Copies the number of idle links of upstream `id` to its state.
+void UpstreamPool::CountIdleLinks(const std::string& id, const Connections& c) {
+  if (UpstreamState* state = Find(id))
+    state->idle_links = static_cast<int>(c.idle.size());
+}
+
 std::vector<std::string> UpstreamPool::Update(
     absl::Span<const UpstreamInfo> listed) {
   std::vector<std::string> restarted;
@@ -101,15 +107,18 @@
   Connections& c = connections_[u.info.id];
   ++c.in_use;
   TimePoint now = clock_.Now();
+  std::shared_ptr<UpstreamLink> link;
   // Chooses the most recently used link, because it is the one that the
   // upstream is least likely to have closed.
-  while (!c.idle.empty()) {
-    std::shared_ptr<UpstreamLink> link = std::move(c.idle.back());
+  while (!link && !c.idle.empty()) {
+    link = std::move(c.idle.back());
     c.idle.pop_back();
-    if (Usable(*link, now)) return link;
+    if (Usable(*link, now)) break;
     link->Close();
+    link.reset();
   }
-  return open_link_(u.info, connect_timeout);
+  CountIdleLinks(u.info.id, c);
+  return link ? link : open_link_(u.info, connect_timeout);
 }
 
 void UpstreamPool::ReleaseLink(const std::string& upstream_id,
@@ -118,9 +127,12 @@
   --connections.in_use;
   if (link->open() && link->idle()) {
     connections.idle.push_back(link);
+    if (UpstreamState* state = Find(upstream_id))
+      state->link_idle_time = link->max_idle_time();
   } else {
     link->Close();
   }
+  CountIdleLinks(upstream_id, connections);
 }
 
 std::shared_ptr<UpstreamLink> UpstreamPool::OpenProbe(
@@ -139,8 +151,10 @@
     auto keep =
         std::stable_partition(c.idle.begin(), c.idle.end(),
                               [&](const auto& k) { return Usable(*k, now); });
+    if (keep == c.idle.end()) continue;
     for (auto it = keep; it != c.idle.end(); ++it) (*it)->Close();
     c.idle.erase(keep, c.idle.end());
+    CountIdleLinks(id, c);
   }
   bool removed = false;
   for (size_t i = 0; i < upstreams_.size();) {
--- a/src/upstream_pool.h
+++ b/src/upstream_pool.h
@@ -67,6 +67,7 @@
     std::vector<std::shared_ptr<UpstreamLink>> idle;
     int in_use = 0;
   };
+  void CountIdleLinks(const std::string& id, const Connections& c);
 
   const Clock& clock_;
   LinkOpener open_link_;
