Within a subset the entry's home upstreams come first

Cause, in the small twin's logs: the busiest are the engines kept for long generations. Of engines that are all idle the one in the own data centre is taken, and the reserved ones are spread unevenly over the data centres (43 to 96 generations each). An entry that stays with its open links evens nothing out.

Change: an entry uses the beginning of its window first, as many upstreams as there are for one entry. The windows begin at even distances, so all entries together load the upstreams evenly, also while nothing distinguishes them.

EachUpstreamIsHomeToItsShareOfEntries is new with Distance().

--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -166,7 +166,8 @@
   // breaks ties.
   double remote_cost = 0.01;
   // Costs, in shares of slots, of an upstream outside of this process's subset
-  // and of an upstream to which a connection would have to be opened. Both
+  // (less within it, by its distance from home) and of an upstream to which a
+  // connection would have to be opened. Both
   // apply only to requests whose upstream is not chosen by their prompt prefix.
   double outside_subset_cost = 0.1;
   double new_link_cost = 0.1;
--- a/src/policy/upstream_subset.cc
+++ b/src/policy/upstream_subset.cc
@@ -23,10 +23,12 @@
       std::min(std::ceil(size), static_cast<double>(demand.upstream_count)));
 }
 
-bool UpstreamSubset::Contains(int position) const {
+double UpstreamSubset::Distance(int position) const {
   int p = position - first;
-  if (size >= count || p < 0 || p >= count) return true;
-  return (p - offset + count) % count < size;
+  if (size >= count || p < 0 || p >= count) return 0;
+  int steps = (p - offset + count) % count;
+  if (steps >= size) return 1;
+  return std::max(0, steps - home + 1) / static_cast<double>(size);
 }
 
 UpstreamSubset ComputeSubset(std::optional<ProcessIndex> process, int first,
@@ -34,9 +36,12 @@
   count = std::max(0, count);
   bool known =
       process && process->index >= 0 && process->index < process->process_count;
-  if (!known || size >= count) return {first, count, 0, count};
+  if (!known || size >= count) return {first, count, 0, count, count};
   int64_t offset = int64_t{process->index} * count / process->process_count;
-  return {first, count, static_cast<int>(offset), std::max(1, size)};
+  // The homes of all processes together are all upstreams.
+  int home = (count + process->process_count - 1) / process->process_count;
+  size = std::max(1, size);
+  return {first, count, static_cast<int>(offset), size, std::min(home, size)};
 }
 
 double EventRate::Decayed(TimePoint now) const {
--- a/src/policy/upstream_subset.h
+++ b/src/policy/upstream_subset.h
@@ -44,19 +44,25 @@
 // The upstreams of a subset, by their position in an order that all processes
 // share: `size` consecutive ones of the `count` positions from `first` on,
 // beginning `offset` after `first`, and continued at `first` after the last.
+// The first `home` of them are the ones that this process uses before others.
 struct UpstreamSubset {
   int first = 0;
   int count = 0;
   int offset = 0;
   int size = 0;
+  int home = 0;
 
-  // Positions outside of [first, first + count) are not subject to the subset.
-  bool Contains(int position) const;
+  // Returns how far `position` lies behind the home positions, from 0 (home) to
+  // 1 (not in the subset). Positions outside of [first, first + count) are not
+  // subject to the subset and have the distance 0.
+  double Distance(int position) const;
+  bool Contains(int position) const { return Distance(position) < 1; }
 };
 
 // Returns the subset of `process` with `size` of the `count` upstreams at the
 // positions from `first` on. The subsets of all processes begin at even
-// distances, so each upstream is in about the same number of them. If it is not
+// distances, so each upstream is in about the same number of them, and at home
+// in about as many. If it is not
 // known which of the processes this is, the subset contains all upstreams.
 // One process more, or all indexes shifted by one, moves the subsets by at most
 // count / process_count positions; one upstream more or less, by one position.
--- a/test/policy/upstream_subset_test.cc
+++ b/test/policy/upstream_subset_test.cc
@@ -62,6 +62,25 @@
   }
 }
 
+// Guards against an uneven load of upstreams while there is little work: each
+// entry then sends all of it to the upstream that its order begins with.
+TEST(upstream_subset, EachUpstreamIsHomeToItsShareOfEntries) {
+  for (int entries : {3, 24, 100, 362, 1000}) {
+    for (int upstreams : {6, 24, 106, 636}) {
+      int size = Size(0.5, entries, upstreams);
+      std::vector<int> homes(upstreams);
+      for (int e = 0; e < entries; ++e) {
+        UpstreamSubset s =
+            ComputeSubset(ProcessIndex{entries, e}, 0, upstreams, size);
+        for (int p = 0; p < upstreams; ++p) homes[p] += s.Distance(p) == 0;
+      }
+      auto [least, most] = std::minmax_element(homes.begin(), homes.end());
+      CHECK_TRUE(*least >= 1);
+      CHECK_TRUE(*most <= *least + 1);
+    }
+  }
+}
+
 // Guards against connections that are all closed and opened anew when one entry
 // or upstream joins or leaves.
 TEST(upstream_subset, OneEntryOrUpstreamMoreMovesFewPairs) {
