Control processes take turns at reading the list of upstreams

What was seen: the busiest control host carries the whole list as its source writes it.

Cause: the leader alone reads every page of every reading.

Change: a reading passes from reader to reader. The leader asks a control process that follows it for a few pages from a token on; that one returns what they hold, packed, with the token after them; the next one goes on from there (/list-part, up to four readers a reading, in turn). The source sees the same calls in the same order. A part is asked for only after the one before has arrived, so the list's age stays the time at which the reading began, and no clock of another host counts. A reader that does not answer in 0.4 s and 0.05 s a page, or whose link breaks, is left out for 2 s, doubling to 16 s; the parts so far are dropped and the leader reads the whole again alone. Late answers are refused by number. A refusing reader (older build: 404) costs a round trip. A list of one page, a new leader's first reading and a lost source are read alone, as before; a deposed leader ends its reading.

The new tests do not compile without the change: there was no such interface.

--- a/fuzz/wire.cc
+++ b/fuzz/wire.cc
@@ -10,10 +10,13 @@
 namespace medlarwalk {
 namespace {
 
-// First bytes that select usage records and limit records. The remainder modulo
-// 5 of any other first byte selects the type of message.
+// First bytes that select usage records, limit records, parts of the upstream
+// list and requests for them. The remainder modulo 5 of any other first byte
+// selects the type of message.
 constexpr uint8_t kUsage = 'u';
 constexpr uint8_t kLimits = 'y';
+constexpr uint8_t kListPart = 'p';
+constexpr uint8_t kListPartRequest = 'P';
 constexpr TimePoint kFuzzTime{std::chrono::hours(1000)};
 
 template <typename Decode, typename Encode>
@@ -51,6 +54,15 @@
         });
     return 0;
   }
+  if (data[0] == kListPart) {
+    RoundTrip(bytes, DecodeListPart,
+              [](const ListPart& p) { return *EncodeListPart(p); });
+    return 0;
+  }
+  if (data[0] == kListPartRequest) {
+    RoundTrip(bytes, DecodeListPartRequest, EncodeListPartRequest);
+    return 0;
+  }
   switch (data[0] % 5) {
     case 0:
       RoundTrip(bytes, DecodeMemberAddresses, EncodeMemberAddresses);
--- a/src/control.cc
+++ b/src/control.cc
@@ -23,6 +23,9 @@
 constexpr double kLeaderlessListRate = 0.4;
 // Time without a watch after which a follower is no longer counted.
 constexpr auto kFollowerTimeout = std::chrono::seconds(3);
+// Time without a watch after which a follower is given no parts of the upstream
+// list to read. Exceeds the time for which a watch is held open.
+constexpr auto kListReaderTimeout = Millis(900);
 // Time for which a process without a disk relies on the leader that its last
 // watch answer named.
 constexpr auto kAnnouncedLeaderTtl = std::chrono::seconds(1);
@@ -69,7 +72,7 @@
                            ForwardToLeader(std::move(document),
                                            std::move(done));
                          }),
-      lister_(loop, clock, options_.list),
+      lister_(loop, clock, options_.list, links_),
       usage_(
           loop, clock, wall, options_.usage, [this] { return replica_.get(); },
           metrics_),
@@ -269,6 +272,10 @@
     });
     return;
   }
+  if (req.path == kListPartPath) {
+    lister_.HandlePartRequest(req, std::move(stream));
+    return;
+  }
   if (req.path == kReadPath) {
     ReadLocally([stream](absl::StatusOr<std::string> r) {
       stream->Respond(HttpStatusOf(r.status()), {}, r.ok() ? *r : "");
@@ -434,10 +441,15 @@
 
 void Control::PollList(TimePoint now) {
   lister_.Tick();
-  if (lister_.busy() || !replica_) return;
-  bool leaderless =
-      !IsLeader() && replica_->TimeSinceLeaderContact() > kLeaderlessTimeout;
-  if (!IsLeader() && !leaderless) return;
+  bool leaderless = replica_ && !IsLeader() &&
+                    replica_->TimeSinceLeaderContact() > kLeaderlessTimeout;
+  if (!IsLeader() && !leaderless) {
+    // A list that this process began to read as the leader may be older than
+    // that of the new leader.
+    lister_.Cancel();
+    return;
+  }
+  if (lister_.busy()) return;
   list_interval_ =
       ListPollInterval(lister_.length(), options_.list.calls_per_s);
   if (leaderless) {
@@ -446,25 +458,44 @@
   }
   if (now - list_polled_at_ < list_interval_) return;
   list_polled_at_ = now;
-  lister_.Read([this, now](absl::StatusOr<std::vector<UpstreamInfo>> r) {
-    if (!r.ok()) {
-      if (!list_source_lost_) {
-        LogWarn("list_lost", {{"error", r.status().message()}});
-      }
-      list_source_lost_ = true;
-      return;
+  lister_.Read(ListReaders(now),
+               [this](absl::StatusOr<SharedLister::ReadList> r) {
+                 OnListRead(std::move(r));
+               });
+}
+
+// Returns the control processes that can read parts of the upstream list for
+// this process. While the source does not answer there are none: each of them
+// would only add calls.
+std::vector<std::string> Control::ListReaders(TimePoint now) const {
+  std::vector<std::string> out;
+  if (!IsLeader() || list_source_lost_) return out;
+  for (const auto& [name, f] : followers_) {
+    if (!f.address.empty() && now - f.last_seen <= kListReaderTimeout) {
+      out.push_back(f.address);
     }
-    if (list_source_lost_) LogEvent("list_regained", {});
-    list_source_lost_ = false;
-    list_read_at_ = now;
-    int64_t previous_version = list_history_.version();
-    if (!list_history_.Replace(*std::move(r))) return;
-    LogEvent("list_changed", {{"version", list_history_.version()},
-                              {"from", previous_version},
-                              {"upstreams", list_history_.list().size()}});
-    leader_watch_.next_request().list_version = list_history_.version();
-    AnswerWatches();
-  });
+  }
+  return out;
+}
+
+void Control::OnListRead(absl::StatusOr<SharedLister::ReadList> r) {
+  if (!r.ok()) {
+    if (!list_source_lost_) {
+      LogWarn("list_lost", {{"error", r.status().message()}});
+    }
+    list_source_lost_ = true;
+    return;
+  }
+  if (list_source_lost_) LogEvent("list_regained", {});
+  list_source_lost_ = false;
+  list_read_at_ = r->read_at;
+  int64_t previous_version = list_history_.version();
+  if (!list_history_.Replace(std::move(r->upstreams))) return;
+  LogEvent("list_changed", {{"version", list_history_.version()},
+                            {"from", previous_version},
+                            {"upstreams", list_history_.list().size()}});
+  leader_watch_.next_request().list_version = list_history_.version();
+  AnswerWatches();
 }
 
 }  // namespace medlarwalk
--- a/src/control.h
+++ b/src/control.h
@@ -19,13 +19,13 @@
 #include "control_wire.h"
 #include "h2.h"
 #include "link_pool.h"
-#include "lister.h"
 #include "loop_watch.h"
 #include "metrics.h"
 #include "quarantine.h"
 #include "rate_limit_table.h"
 #include "replica.h"
 #include "replica_store.h"
+#include "shared_lister.h"
 #include "usage_reporter.h"
 #include "watch_client.h"
 #include "watch_reports.h"
@@ -154,6 +154,8 @@
   void ConfirmVersionAtLeader(TimePoint deadline, ConfirmDone done);
   void ConfirmVersionForNewWatches();
   void PollList(TimePoint now);
+  std::vector<std::string> ListReaders(TimePoint now) const;
+  void OnListRead(absl::StatusOr<SharedLister::ReadList> r);
   ControlMetrics::Memory MeasureMemory() const;
   void LogMemoryChange(TimePoint now);
   void FollowLeader();
@@ -175,7 +177,7 @@
   LinkPool links_;
   // Configurations forwarded to the leader.
   ConflatingSender forwarded_changes_;
-  Lister lister_;
+  SharedLister lister_;
   Quarantine quarantine_;
   RateLimitTable limits_;
   UsageReporter usage_;
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -320,4 +320,42 @@
   });
 }
 
+std::string EncodeListPartRequest(const ListPartRequest& r) {
+  return ToCbor({{"t", r.token}, {"n", r.max_pages}});
+}
+
+absl::StatusOr<ListPartRequest> DecodeListPartRequest(absl::string_view bytes) {
+  return DecodeCbor<ListPartRequest>(bytes, [](const json& j) {
+    ListPartRequest r;
+    r.token = j.at("t").get<std::string>();
+    r.max_pages = IntegerFromJson<int>(j.at("n"));
+    return r;
+  });
+}
+
+Document EncodeListPart(const ListPart& p) {
+  json upstreams = json::array();
+  for (const UpstreamInfo& u : p.upstreams) upstreams.push_back(ToJson(u));
+  return CompressDocument(ToCbor({{"u", std::move(upstreams)},
+                                  {"t", p.next_token},
+                                  {"n", p.pages},
+                                  {"e", p.complete},
+                                  {"x", p.unusable_entries}}));
+}
+
+absl::StatusOr<ListPart> DecodeListPart(absl::string_view bytes) {
+  absl::StatusOr<std::string> text =
+      DecompressDocument(bytes, kMaxLinkBodyBytes);
+  if (!text.ok()) return text.status();
+  return DecodeCbor<ListPart>(*text, [](const json& j) {
+    ListPart p;
+    for (const json& u : j.at("u")) p.upstreams.push_back(UpstreamFromJson(u));
+    p.next_token = j.at("t").get<std::string>();
+    p.pages = IntegerFromJson<int>(j.at("n"));
+    p.complete = j.at("e").get<bool>();
+    p.unusable_entries = IntegerFromJson<int>(j.at("x"));
+    return p;
+  });
+}
+
 }  // namespace medlarwalk
--- a/src/control_wire.h
+++ b/src/control_wire.h
@@ -28,6 +28,8 @@
 inline constexpr char kMemberAnnouncementPath[] = "/hello";
 // Confirms the newest configuration version.
 inline constexpr char kConfirmPath[] = "/confirm";
+// Reads a part of the upstream list for the leader.
+inline constexpr char kListPartPath[] = "/list-part";
 
 // Requests everything newer than the versions that the follower holds. If
 // nothing is newer, the control process holds the request open for a while.
@@ -100,6 +102,12 @@
   int64_t usage_committed_through = 0;
 };
 
+// Asks a control process to read pages of the upstream list.
+struct ListPartRequest {
+  std::string token;  // Token of the first page; "" for the begin of the list.
+  int max_pages = 0;
+};
+
 // Encodes the addresses of the group's members. Members send them to seeds that
 // keep no state, because a process without state knows only its own seeds after
 // a start.
@@ -138,6 +146,14 @@
 // Errors: InvalidArgument if `bytes` are malformed.
 absl::StatusOr<ListChange> DecodeListChange(absl::string_view bytes);
 
+std::string EncodeListPartRequest(const ListPartRequest& r);
+// Errors: InvalidArgument if `bytes` are malformed.
+absl::StatusOr<ListPartRequest> DecodeListPartRequest(absl::string_view bytes);
+// Encodes and compresses a part.
+Document EncodeListPart(const ListPart& p);
+// Errors: InvalidArgument if `bytes` are malformed.
+absl::StatusOr<ListPart> DecodeListPart(absl::string_view bytes);
+
 }  // namespace medlarwalk
 
 #endif  // MEDLARWALK_CONTROL_WIRE_H_
--- a/src/lister.cc
+++ b/src/lister.cc
@@ -30,9 +30,6 @@
 constexpr Duration kIntervalPerUpstream = std::chrono::microseconds(500);
 // Maximum share of the calls accepted by the source that reads may use.
 constexpr double kMaxCallShare = 0.5;
-// Maximum number of pages. A list with more pages is treated as a loop in the
-// source.
-constexpr int kMaxPages = 200;
 
 }  // namespace
 
@@ -56,13 +53,43 @@
 }
 
 void Lister::Read(Done done) {
+  ReadPart("", kMaxListPages, OnRejected::kRetry,
+           [this, done = std::move(done)](absl::StatusOr<ListPart> r) {
+             if (!r.ok()) {
+               done(r.status());
+               return;
+             }
+             if (!r->complete) {
+               done(absl::UnavailableError("too many pages"));
+               return;
+             }
+             RecordCompleteRead(*r);
+             done(std::move(r->upstreams));
+           });
+}
+
+void Lister::ReadPart(const std::string& token, int max_pages,
+                      OnRejected on_rejected, PartDone done) {
   done_ = std::move(done);
-  upstreams_.clear();
-  pages_read_ = 0;
-  unusable_entries_ = 0;
+  part_ = {};
+  max_pages_ = max_pages;
+  on_rejected_ = on_rejected;
   read_began_at_ = clock_.Now();
   retry_at_ = {};
-  RequestPage("");
+  RequestPage(token);
+}
+
+void Lister::RecordCompleteRead(const ListPart& list) {
+  length_ = {list.upstreams.size(), list.pages};
+  if (list.unusable_entries == logged_unusable_) return;
+  LogWarn("list_entries_unusable", {{"entries", list.unusable_entries}});
+  logged_unusable_ = list.unusable_entries;
+}
+
+void Lister::Cancel() {
+  if (client_) client_->Cancel();
+  client_.reset();
+  done_ = nullptr;
 }
 
 void Lister::Tick() {
@@ -79,7 +106,7 @@
   }
   if (client_) client_->Cancel();
   client_.reset();
-  FinishRead(absl::UnavailableError("timed out"));
+  FinishPart(absl::UnavailableError("timed out"));
 }
 
 void Lister::RequestPage(const std::string& token) {
@@ -109,6 +136,11 @@
 void Lister::OnPageEnd(const std::string& token, CallEnd end,
                        absl::string_view reason) {
   if (end == CallEnd::kWhole && status_ == kHttpTooManyRequests) {
+    if (on_rejected_ == OnRejected::kEndPart) {
+      part_.next_token = token;
+      FinishPart(std::move(part_));
+      return;
+    }
     deferred_token_ = token;
     // Randomizes the delay: processes rejected together must not retry
     // together.
@@ -118,38 +150,31 @@
     return;
   }
   if (end != CallEnd::kWhole || status_ != 200) {
-    FinishRead(
+    FinishPart(
         absl::UnavailableError(absl::StrCat("status ", status_, " ", reason)));
     return;
   }
   absl::StatusOr<ListPage> page = source_.decode(body_);
   if (!page.ok()) {
-    FinishRead(page.status());
+    FinishPart(page.status());
     return;
   }
-  unusable_entries_ += page->unusable_entries;
+  part_.unusable_entries += page->unusable_entries;
   for (UpstreamInfo& u : page->upstreams) {
-    upstreams_.push_back(std::move(u));
-  }
-  ++pages_read_;
-  if (page->next_token.empty()) {
-    if (unusable_entries_ != logged_unusable_) {
-      LogWarn("list_entries_unusable", {{"entries", unusable_entries_}});
-      logged_unusable_ = unusable_entries_;
-    }
-    length_ = {upstreams_.size(), pages_read_};
-    FinishRead(std::move(upstreams_));
-    return;
+    part_.upstreams.push_back(std::move(u));
   }
-  if (pages_read_ >= kMaxPages) {
-    FinishRead(absl::UnavailableError("too many pages"));
+  ++part_.pages;
+  part_.complete = page->next_token.empty();
+  part_.next_token = page->next_token;
+  if (part_.complete || part_.pages >= max_pages_) {
+    FinishPart(std::move(part_));
     return;
   }
   RequestPage(page->next_token);
 }
 
-void Lister::FinishRead(absl::StatusOr<std::vector<UpstreamInfo>> r) {
-  Done done = std::move(done_);
+void Lister::FinishPart(absl::StatusOr<ListPart> r) {
+  PartDone done = std::move(done_);
   done_ = nullptr;
   if (done) done(std::move(r));
 }
--- a/src/lister.h
+++ b/src/lister.h
@@ -38,6 +38,10 @@
   double calls_per_s = 0;
 };
 
+// Maximum number of pages. A list with more pages is treated as a loop in the
+// source.
+inline constexpr int kMaxListPages = 200;
+
 // Size of a list.
 struct ListLength {
   size_t upstreams = 0;
@@ -67,6 +71,18 @@
 
   // Reads the whole list. Precondition: !busy(). Errors: Unavailable.
   void Read(Done done);
+  using PartDone = std::function<void(absl::StatusOr<ListPart>)>;
+  // What to do with a page that the source rejects for its rate limit.
+  enum class OnRejected { kRetry, kEndPart };
+  // Reads at most `max_pages` pages, from the page with this token ("" for the
+  // first page) on. Precondition: !busy(). Errors: Unavailable.
+  void ReadPart(const std::string& token, int max_pages, OnRejected on_rejected,
+                PartDone done);
+  // Records the size of a complete list that was read in parts, and logs the
+  // number of its unusable entries if that has changed.
+  void RecordCompleteRead(const ListPart& list);
+  // Cancels a read without calling its `done`.
+  void Cancel();
   // Retries a page that the source rejected for its rate limit, and fails a
   // read that takes too long. Must be called regularly.
   void Tick();
@@ -78,17 +94,17 @@
   void RequestPage(const std::string& token);
   void OnPageEnd(const std::string& token, CallEnd end,
                  absl::string_view reason);
-  void FinishRead(absl::StatusOr<std::vector<UpstreamInfo>> r);
+  void FinishPart(absl::StatusOr<ListPart> r);
 
   struct ev_loop* loop_;
   const Clock& clock_;
   ListSource source_;
   std::shared_ptr<Http1Client> client_;
-  Done done_;
-  std::vector<UpstreamInfo> upstreams_;
-  int pages_read_ = 0;  // Pages received in the current read.
+  PartDone done_;
+  ListPart part_;  // Pages received in the current read.
+  int max_pages_ = 0;
+  OnRejected on_rejected_ = OnRejected::kRetry;
   ListLength length_;
-  int unusable_entries_ = 0;  // Unusable entries in the current read.
   int logged_unusable_ = 0;  // Number of unusable entries at the last log line.
   int status_ = 0;
   std::string body_;
--- a/src/policy/upstream_list.h
+++ b/src/policy/upstream_list.h
@@ -46,6 +46,16 @@
   return !(known.address == fresh.address);
 }
 
+// Consecutive pages of the list, as read from its source.
+struct ListPart {
+  std::vector<UpstreamInfo> upstreams;
+  // Token of the first page after this part.
+  std::string next_token;
+  int pages = 0;
+  bool complete = false;     // Whether the list ends with this part.
+  int unusable_entries = 0;  // Entries that do not describe an upstream.
+};
+
 // A difference between two versions of the list.
 struct ListChange {
   // Version of the base list. 0: there is no base list, and `changed` contains
--- a/test/lister_test.cc
+++ b/test/lister_test.cc
@@ -10,8 +10,12 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "caller_server.h"
+#include "control_wire.h"
+#include "procs.h"
+#include "shared_lister.h"
 
 using namespace medlarwalk;
+using namespace medlarwalk::testing;
 
 namespace {
 
@@ -27,6 +31,7 @@
         calls_ = 0;
       }
       bool accepted = ++calls_ <= calls_per_s;
+      ++calls_in_total_;
       ex->Respond(accepted ? 200 : 429, {}, ex->head.target.substr(1));
     };
     server_ = std::make_unique<CallerServer>(loop_, clock_, answer);
@@ -72,6 +77,7 @@
     return loop_;
   }
   const Clock& clock() { return clock_; }
+  int calls_in_total() const { return calls_in_total_; }
 
  private:
   struct ev_loop* loop_;
@@ -79,13 +85,137 @@
   int pages_;
   TimePoint second_began_at_{};
   int calls_ = 0;
+  int calls_in_total_ = 0;
   std::unique_ptr<CallerServer> server_;
 };
 
+// Two control processes that read lists together. The second one can refuse or
+// keep silent.
+class SharedPair {
+ public:
+  explicit SharedPair(FakeSource* source)
+      : source_(source),
+        links_(source->loop(), source->clock()),
+        leader_(source->loop(), source->clock(), source->MakeListSource(),
+                links_),
+        reader_(source->loop(), source->clock(), source->MakeListSource(),
+                links_),
+        server_(source->loop(),
+                [this](const H2Request& r, std::shared_ptr<H2Stream> s) {
+                  ++parts_asked_;
+                  if (status_) {
+                    s->Respond(status_, {}, "");
+                  } else if (silent_) {
+                    kept_ = std::move(s);
+                  } else {
+                    reader_.HandlePartRequest(r, std::move(s));
+                  }
+                }),
+        address_(absl::StrCat("127.0.0.1:", ClaimPortRange())) {
+    Endpoint e;
+    CHECK_TRUE(ParseEndpoint(address_, &e).ok());
+    CHECK_TRUE(server_.Listen(e.ip, e.port).ok());
+  }
+
+  // Reads the list once. Returns its number of upstreams; -1 on failure.
+  int Read() {
+    std::optional<absl::StatusOr<SharedLister::ReadList>> result;
+    leader_.Read({address_}, [&](auto r) { result = std::move(r); });
+    TimePoint until = source_->clock().Now() + std::chrono::seconds(6);
+    while (!result && source_->clock().Now() < until) {
+      ev_run(source_->loop(), EVRUN_NOWAIT);
+      leader_.Tick();
+      reader_.Tick();
+    }
+    if (!result || !result->ok()) return -1;
+    read_at_ = (*result)->read_at;
+    return static_cast<int>((*result)->upstreams.size());
+  }
+  void set_status(int status) { status_ = status; }
+  void set_silent() { silent_ = true; }
+  int parts_asked() const { return parts_asked_; }
+  TimePoint read_at() const { return read_at_; }
+
+ private:
+  FakeSource* source_;
+  int status_ = 0;
+  bool silent_ = false;
+  int parts_asked_ = 0;
+  TimePoint read_at_{};
+  std::shared_ptr<H2Stream> kept_;
+  LinkPool links_;
+  SharedLister leader_;
+  SharedLister reader_;
+  H2Server server_;
+  std::string address_;
+};
+
 }  // namespace
 
 TEST_GROUP(lister){};
 
+// The list that two processes read together is whole, and costs the source no
+// more calls than if one reads it.
+TEST(lister, ReadsSharedListWithTheSameCalls) {
+  FakeSource source(9, 1000);
+  SharedPair pair(&source);
+  for (int i = 1; i <= 4; ++i) {
+    LONGS_EQUAL(9, pair.Read());
+    LONGS_EQUAL(9 * i, source.calls_in_total());
+  }
+  LONGS_EQUAL(3, pair.parts_asked());
+}
+
+// Guards against a list that is lost if a process of an older version is asked
+// for a part.
+TEST(lister, ReadsAloneWhatAnotherProcessRefuses) {
+  FakeSource source(9, 1000);
+  SharedPair pair(&source);
+  pair.set_status(404);
+  for (int i = 1; i <= 3; ++i) LONGS_EQUAL(9, pair.Read());
+  LONGS_EQUAL(27, source.calls_in_total());
+  LONGS_EQUAL(1, pair.parts_asked());
+}
+
+// Guards against a list that is lost or old if a reader is frozen. The parts
+// read before it are read again.
+TEST(lister, ReadsAgainIfAReaderIsSilent) {
+  FakeSource source(9, 1000);
+  SharedPair pair(&source);
+  pair.set_silent();
+  LONGS_EQUAL(9, pair.Read());
+  TimePoint asked_at = source.clock().Now();
+  LONGS_EQUAL(9, pair.Read());
+  CHECK_TRUE(pair.read_at() - asked_at >= Millis(400));
+  LONGS_EQUAL(1, pair.parts_asked());
+}
+
+// Guards against a reader that keeps the others waiting while the source
+// rejects its calls.
+TEST(lister, ReadsSharedListWithMorePagesThanCallsPerSecond) {
+  FakeSource source(30, 40);
+  SharedPair pair(&source);
+  for (int i = 0; i < 3; ++i) LONGS_EQUAL(30, pair.Read());
+}
+
+// Encoding a part keeps all of its fields.
+TEST(lister, EncodesAndDecodesParts) {
+  ListPart p;
+  p.upstreams.emplace_back();
+  p.upstreams[0].id = "u-1";
+  p.next_token = "t";
+  p.pages = 2;
+  p.unusable_entries = 3;
+  absl::StatusOr<ListPart> again = DecodeListPart(*EncodeListPart(p));
+  CHECK_TRUE(again.ok());
+  STRCMP_EQUAL("u-1", again->upstreams.at(0).id.c_str());
+  STRCMP_EQUAL("t", again->next_token.c_str());
+  LONGS_EQUAL(2, again->pages);
+  LONGS_EQUAL(3, again->unusable_entries);
+  CHECK_FALSE(again->complete);
+  CHECK_FALSE(DecodeListPart("x").ok());
+}
+
 // Guards against a list of thousands of upstreams that is never read
 // completely. The list has 60 pages, and the source accepts 40 calls per
 // second. If the rejection of page 41 failed the read, the lister would start
--- a/tools/model-check.sh
+++ b/tools/model-check.sh
@@ -29,4 +29,5 @@
 check_spec core.pml "1 2"
 check_spec control.pml "1 2 3 4 5"
 check_spec list.pml "1 2 3"
+check_spec list_parts.pml "1 2 3 4 5"
 check_spec usage.pml "1 2 3 4"
