--- a/src/lister.cc
+++ b/src/lister.cc
@@ -32,9 +32,6 @@
 constexpr Duration kIntervalPerUpstream = std::chrono::microseconds(500);
 // Maximum share of the calls accepted by the source that reads may use.
 constexpr double kMaxCallShare = 0.5;
-// Maximum number of pages. A list with more pages is treated as a loop in the
-// source.
-constexpr int kMaxPages = 200;
 
 }  // namespace
 
@@ -47,27 +44,55 @@
                   ClampedSeconds(length.pages / (calls_per_s * kMaxCallShare)));
 }
 
-Lister::Lister(struct ev_loop* loop, const Clock& clock, ListSource source,
-               RejectedRead rejected_read)
+Lister::Lister(struct ev_loop* loop, const Clock& clock, ListSource source)
     : loop_(loop),
       clock_(clock),
       source_(std::move(source)),
-      rejected_read_(rejected_read),
       random_(static_cast<uint32_t>(RandomSeed())) {}
 
 Lister::~Lister() {
   if (client_) client_->Cancel();
 }
 
-void Lister::Read(Done done) {
+void Lister::Read(Done done, OnRejected on_rejected) {
+  ReadPart("", kMaxListPages, on_rejected,
+           [this, done = std::move(done)](absl::StatusOr<ListPart> r) {
+             if (!r.ok()) {
+               done(r.status());
+               return;
+             }
+             if (!r->complete) {
+               done(absl::UnavailableError("too many pages"));
+               return;
+             }
+             RecordCompleteRead(*r);
+             done(std::move(r->upstreams));
+           });
+}
+
+void Lister::ReadPart(const std::string& token, int max_pages,
+                      OnRejected on_rejected, PartDone done) {
   done_ = std::move(done);
-  upstreams_.clear();
-  pages_read_ = 0;
-  unusable_entries_ = 0;
+  part_ = {};
+  max_pages_ = max_pages;
+  on_rejected_ = on_rejected;
   rejections_ = 0;
   read_began_at_ = clock_.Now();
   retry_at_ = {};
-  RequestPage("");
+  RequestPage(token);
+}
+
+void Lister::RecordCompleteRead(const ListPart& list) {
+  length_ = {list.upstreams.size(), list.pages};
+  if (list.unusable_entries == logged_unusable_) return;
+  LogWarn("list_entries_unusable", {{"entries", list.unusable_entries}});
+  logged_unusable_ = list.unusable_entries;
+}
+
+void Lister::Cancel() {
+  if (client_) client_->Cancel();
+  client_.reset();
+  done_ = nullptr;
 }
 
 void Lister::Tick() {
@@ -84,7 +109,7 @@
   }
   if (client_) client_->Cancel();
   client_.reset();
-  FinishRead(absl::UnavailableError("timed out"));
+  FinishPart(absl::UnavailableError("timed out"));
 }
 
 void Lister::RequestPage(const std::string& token) {
@@ -114,46 +139,44 @@
 void Lister::OnPageEnd(const std::string& token, CallEnd end,
                        absl::string_view reason) {
   if (end == CallEnd::kWhole && status_ == kHttpTooManyRequests) {
-    if (pages_read_ == 0 && rejected_read_ == RejectedRead::kFails) {
-      FinishRead(absl::ResourceExhaustedError("rejected for its rate limit"));
-    } else {
-      DeferPage(token);
-    }
+    OnPageRejected(token);
     return;
   }
   rejections_ = 0;
   if (end != CallEnd::kWhole || status_ != 200) {
-    FinishRead(
+    FinishPart(
         absl::UnavailableError(absl::StrCat("status ", status_, " ", reason)));
     return;
   }
   absl::StatusOr<ListPage> page = source_.decode(body_);
   if (!page.ok()) {
-    FinishRead(page.status());
+    FinishPart(page.status());
     return;
   }
-  unusable_entries_ += page->unusable_entries;
+  part_.unusable_entries += page->unusable_entries;
   for (UpstreamInfo& u : page->upstreams) {
-    upstreams_.push_back(std::move(u));
-  }
-  ++pages_read_;
-  if (page->next_token.empty()) {
-    if (unusable_entries_ != logged_unusable_) {
-      LogWarn("list_entries_unusable", {{"entries", unusable_entries_}});
-      logged_unusable_ = unusable_entries_;
-    }
-    length_ = {upstreams_.size(), pages_read_};
-    FinishRead(std::move(upstreams_));
-    return;
+    part_.upstreams.push_back(std::move(u));
   }
-  if (pages_read_ >= kMaxPages) {
-    FinishRead(absl::UnavailableError("too many pages"));
+  ++part_.pages;
+  part_.complete = page->next_token.empty();
+  part_.next_token = page->next_token;
+  if (part_.complete || part_.pages >= max_pages_) {
+    FinishPart(std::move(part_));
     return;
   }
   RequestPage(page->next_token);
 }
 
-void Lister::DeferPage(const std::string& token) {
+void Lister::OnPageRejected(const std::string& token) {
+  if (on_rejected_ == OnRejected::kEndPart) {
+    part_.next_token = token;
+    FinishPart(std::move(part_));
+    return;
+  }
+  if (on_rejected_ == OnRejected::kFail && part_.pages == 0) {
+    FinishPart(absl::ResourceExhaustedError("rejected for its rate limit"));
+    return;
+  }
   deferred_token_ = token;
   Duration delay =
       kRetryDelay * (1 << std::min(rejections_, kMaxRetryDoublings));
@@ -163,8 +186,8 @@
   retry_at_ = clock_.Now() + ClampedSeconds(ToSeconds(delay) * jitter(random_));
 }
 
-void Lister::FinishRead(absl::StatusOr<std::vector<UpstreamInfo>> r) {
-  Done done = std::move(done_);
+void Lister::FinishPart(absl::StatusOr<ListPart> r) {
+  PartDone done = std::move(done_);
   done_ = nullptr;
   if (done) done(std::move(r));
 }
--- a/src/lister.h
+++ b/src/lister.h
@@ -38,6 +38,10 @@
   double calls_per_s = 0;
 };
 
+// Maximum number of pages. A list with more pages is treated as a loop in the
+// source.
+inline constexpr int kMaxListPages = 200;
+
 // Size of a list.
 struct ListLength {
   size_t upstreams = 0;
@@ -56,27 +60,33 @@
 //   processes must reach it too.
 Duration ListPollInterval(const ListLength& length, double calls_per_s);
 
-// What becomes of a read whose first page the source rejects for its rate
-// limit.
-enum class RejectedRead {
-  kRetried,  // The page is retried: other processes depend on this read.
-  kFails,    // The read fails, and its caller decides when to read again.
-};
-
 // Reads the list of upstreams. Thread safety: loop thread only.
 class Lister {
  public:
   using Done = std::function<void(absl::StatusOr<std::vector<UpstreamInfo>>)>;
-  Lister(struct ev_loop* loop, const Clock& clock, ListSource source,
-         RejectedRead rejected_read = RejectedRead::kRetried);
+  Lister(struct ev_loop* loop, const Clock& clock, ListSource source);
   ~Lister();
   Lister(const Lister&) = delete;
   Lister& operator=(const Lister&) = delete;
 
+  // What becomes of a page that the source rejects for its rate limit. kFail: a
+  // rejected first page fails the read, and its caller decides when to read
+  // again; other pages are retried.
+  enum class OnRejected { kRetry, kEndPart, kFail };
   // Reads the whole list. Precondition: !busy(). Errors: ResourceExhausted if
-  // the source rejected the first page of a read that then fails, otherwise
+  // the read fails because the source rejected its first page, otherwise
   // Unavailable.
-  void Read(Done done);
+  void Read(Done done, OnRejected on_rejected = OnRejected::kRetry);
+  using PartDone = std::function<void(absl::StatusOr<ListPart>)>;
+  // Reads at most `max_pages` pages, from the page with this token ("" for the
+  // first page) on. Precondition: !busy(). Errors: Unavailable.
+  void ReadPart(const std::string& token, int max_pages, OnRejected on_rejected,
+                PartDone done);
+  // Records the size of a complete list that was read in parts, and logs the
+  // number of its unusable entries if that has changed.
+  void RecordCompleteRead(const ListPart& list);
+  // Cancels a read without calling its `done`.
+  void Cancel();
   // Retries a page that the source rejected for its rate limit, and fails a
   // read that takes too long. Must be called regularly.
   void Tick();
@@ -88,19 +98,18 @@
   void RequestPage(const std::string& token);
   void OnPageEnd(const std::string& token, CallEnd end,
                  absl::string_view reason);
-  void DeferPage(const std::string& token);
-  void FinishRead(absl::StatusOr<std::vector<UpstreamInfo>> r);
+  void OnPageRejected(const std::string& token);
+  void FinishPart(absl::StatusOr<ListPart> r);
 
   struct ev_loop* loop_;
   const Clock& clock_;
   ListSource source_;
-  RejectedRead rejected_read_;
   std::shared_ptr<Http1Client> client_;
-  Done done_;
-  std::vector<UpstreamInfo> upstreams_;
-  int pages_read_ = 0;  // Pages received in the current read.
+  PartDone done_;
+  ListPart part_;  // Pages received in the current read.
+  int max_pages_ = 0;
+  OnRejected on_rejected_ = OnRejected::kRetry;
   ListLength length_;
-  int unusable_entries_ = 0;  // Unusable entries in the current read.
   int logged_unusable_ = 0;  // Number of unusable entries at the last log line.
   int status_ = 0;
   std::string body_;
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -104,7 +104,7 @@
           [this](const WatchReply& r, bool in_sync) {
             OnWatchReply(r, in_sync);
           }),
-      lister_(loop, clock, options_.list, RejectedRead::kFails),
+      lister_(loop, clock, options_.list),
       // Initialized to the current time, so that this process does not read the
       // list itself at startup. Even if all processes start at once, control
       // soon has a list, unless the entry processes use up the calls that the
@@ -273,26 +273,28 @@
       std::max(kMaxListAge, kMaxListAgeInReads * control_list_interval_);
   bool out_of_date = now - list_current_at_ >= max_age;
   if (!list_read_pacer_.BeginRead(now, out_of_date)) return;
-  lister_.Read([this, now](absl::StatusOr<std::vector<UpstreamInfo>> r) {
-    list_read_pacer_.RecordReadEnd(clock_.Now(), ReadEndOf(r.status()));
-    if (!r.ok()) {
-      LogWarn("list_lost",
-              {{"error", r.status().message()},
-               {"age_ms", ToMs(clock_.Now() - list_current_at_)},
-               {"interval_ms", ToMs(list_read_pacer_.Interval())}});
-      return;
-    }
-    list_read_pacer_.RecordCallsPerRead(lister_.length().pages);
-    list_.Replace(*std::move(r));
-    LogEvent("list_read_alone",
-             {{"version", list_.version()},
-              {"upstreams", list_.size()},
-              {"age_ms", ToMs(now - list_current_at_)},
-              {"interval_ms", ToMs(list_read_pacer_.Interval())}});
-    list_current_at_ = now;
-    watch_.next_request().list_version = list_.version();
-    gateway_.SetUpstreams(list_.All());
-  });
+  lister_.Read(
+      [this, now](absl::StatusOr<std::vector<UpstreamInfo>> r) {
+        list_read_pacer_.RecordReadEnd(clock_.Now(), ReadEndOf(r.status()));
+        if (!r.ok()) {
+          LogWarn("list_lost",
+                  {{"error", r.status().message()},
+                   {"age_ms", ToMs(clock_.Now() - list_current_at_)},
+                   {"interval_ms", ToMs(list_read_pacer_.Interval())}});
+          return;
+        }
+        list_read_pacer_.RecordCallsPerRead(lister_.length().pages);
+        list_.Replace(*std::move(r));
+        LogEvent("list_read_alone",
+                 {{"version", list_.version()},
+                  {"upstreams", list_.size()},
+                  {"age_ms", ToMs(now - list_current_at_)},
+                  {"interval_ms", ToMs(list_read_pacer_.Interval())}});
+        list_current_at_ = now;
+        watch_.next_request().list_version = list_.version();
+        gateway_.SetUpstreams(list_.All());
+      },
+      Lister::OnRejected::kFail);
 }
 
 void Serving::Drain() {
