Entries tell which upstreams they avoid, and why

Operators could see what an upstream had asked for (rest, limit), but not that an entry kept work from it by its own judgement, nor by which.

The gauge avoided_upstreams{why} counts, once a second, the upstreams avoided as failing, ejected, straggler or slow_decode. The counts are tested in test/policy/upstream_recovery_test.cc.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -72,6 +72,10 @@
                             .Help("Upstreams whose own limit is in force")
                             .Register(*registry_)
                             .Add({});
+  avoided_upstreams_ = &prometheus::BuildGauge()
+                            .Name(prefix + "avoided_upstreams")
+                            .Help("Upstreams that get less, by why")
+                            .Register(*registry_);
   quarantined_ = &prometheus::BuildGauge()
                       .Name(prefix + "quarantined")
                       .Help("Requests that crash upstreams, sent nowhere")
@@ -139,6 +143,10 @@
   limited_upstreams_->Set(static_cast<double>(n));
 }
 
+void Metrics::SetAvoidedUpstreams(absl::string_view why, int n) {
+  avoided_upstreams_->Add({{"why", std::string(why)}}).Set(n);
+}
+
 void Metrics::SetQuarantined(size_t n) {
   quarantined_->Set(static_cast<double>(n));
 }
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -51,6 +51,8 @@
   void CountRequestedBackoff();
   // Sets the number of upstreams whose stated rate limit is in force.
   void SetLimitedUpstreams(size_t n);
+  // Sets the number of upstreams that placement avoids, by reason.
+  void SetAvoidedUpstreams(absl::string_view why, int n);
   // Sets the number of quarantined request fingerprints.
   void SetQuarantined(size_t n);
   // Sets the number of queued requests of `klass`.
@@ -71,6 +73,7 @@
   prometheus::Counter* stated_limits_;
   prometheus::Counter* backoffs_;
   prometheus::Gauge* limited_upstreams_;
+  prometheus::Family<prometheus::Gauge>* avoided_upstreams_;
   prometheus::Gauge* quarantined_;
   prometheus::Family<prometheus::Counter>* list_updates_;
   prometheus::Family<prometheus::Counter>* list_bytes_;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -168,6 +168,7 @@
   Request* FindAttempt(uint64_t seq, int attempt);
   void UpdateDecodeDemand(TimePoint now);
   void UpdateWaitingMetrics();
+  void UpdateAvoidanceMetrics(TimePoint now);
   Duration ComputeRetryAfter(const Request& r, ErrorKind kind);
   PrefillLimiter& PrefillLimiterFor(const std::string& service);
   TierAdmission& TierAdmissionFor(const std::string& service);
@@ -223,6 +224,7 @@
   // Whether decode paces or the upstream list changed since slow engines were
   // last marked.
   bool decode_paces_changed_ = false;
+  TimePoint avoided_counted_at_{};  // Last update of the avoidance metrics.
   bool draining_ = false;
 };
 
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -142,11 +142,15 @@
                                   absl::string_view why) {
   TimePoint now = clock_.Now();
   bool not_run = r.have_head && r.answer_facts.not_run;
+  double failure_share = 0;
+  Duration ejected{};
   if (UpstreamState* u = pool_.Find(r.upstream)) {
     // An upstream that requests a backoff has stated when it can serve again.
     bool backoff = not_run && r.answer_facts.backoff > Duration::zero();
     if (!backoff)
       RecordFailure(*u, now, end != CallEnd::kWhole, options_.placement);
+    failure_share = u->failure_share;
+    ejected = std::max(Duration::zero(), u->ejected_until - now);
     if (r.have_head && r.answer_facts.other_upstream && !u->terminated) {
       u->terminated = true;
       prefix_cache_index_.RemoveEngine(u->info.id);
@@ -166,7 +170,9 @@
             {"attempt", r.sends + static_cast<int>(r.connect_failures)},
             {"end", Name(end)},
             {"why", why},
-            {"events", r.events}});
+            {"events", r.events},
+            {"failure_share", failure_share},
+            {"ejected_ms", ToMs(ejected)}});
   bool answered = end == CallEnd::kWhole && r.have_head;
   if (answered) {
     ReleaseUpstream(r);
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -22,6 +22,7 @@
 // and at least kMinPlainStall, is retried at another upstream.
 constexpr int kPlainStallLatencyTargets = 3;
 constexpr auto kMinPlainStall = Millis(300);
+constexpr auto kAvoidanceMetricsInterval = std::chrono::seconds(1);
 // Time over which the demand for long generations is smoothed. Without
 // smoothing, a few requests more or less would move an engine from one kind of
 // work (prefill or decode) to the other.
@@ -135,6 +136,16 @@
   }
 }
 
+void Gateway::UpdateAvoidanceMetrics(TimePoint now) {
+  if (now - avoided_counted_at_ < kAvoidanceMetricsInterval) return;
+  avoided_counted_at_ = now;
+  AvoidanceCounts n = CountAvoided(pool_.upstreams(), now, options_.placement);
+  metrics_.SetAvoidedUpstreams("failing", n.failing);
+  metrics_.SetAvoidedUpstreams("ejected", n.ejected);
+  metrics_.SetAvoidedUpstreams("straggler", n.stragglers);
+  metrics_.SetAvoidedUpstreams("slow_decode", n.slow_decoders);
+}
+
 void Gateway::Tick() {
   TimePoint now = clock_.Now();
   UpdateDecodeDemand(now);
@@ -183,6 +194,7 @@
   }
   DispatchWaitingRequests();
   UpdateWaitingMetrics();
+  UpdateAvoidanceMetrics(now);
 }
 
 void Gateway::FailUnfinishedRequests() {
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -328,6 +328,26 @@
   return n;
 }
 
+AvoidanceCounts CountAvoided(absl::Span<const UpstreamState> upstreams,
+                             TimePoint now, const PlacementPolicy& policy) {
+  PlacementRequest any;
+  std::map<absl::string_view, double> mean_shares;
+  AvoidanceCounts n;
+  for (const UpstreamState& u : upstreams) {
+    if (!u.listed || u.info.draining) continue;
+    any.service = u.info.service;
+    auto [it, inserted] = mean_shares.try_emplace(any.service, 0);
+    if (inserted) it->second = MeanFailureShare(upstreams, any, now, policy);
+    n.failing += u.answer_count >= kFailureSamples &&
+                 FailureShare(u, any, now, policy) - it->second >
+                     policy.min_failure_excess;
+    n.ejected += now < u.ejected_until;
+    n.stragglers += IsStraggler(u, now, policy);
+    n.slow_decoders += IsSlowDecoder(u, now, policy);
+  }
+  return n;
+}
+
 Duration RemainingBackoff(absl::Span<const UpstreamState> upstreams,
                           absl::string_view service, TimePoint now) {
   std::optional<TimePoint> earliest;
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -339,6 +339,17 @@
                                      TimePoint now,
                                      const PlacementPolicy& policy);
 
+// Number of upstreams that placement avoids because of what this process
+// observed of them, by reason. An upstream may count under several.
+struct AvoidanceCounts {
+  int failing = 0;  // The failure share exceeds the average of the service.
+  int ejected = 0;
+  int stragglers = 0;
+  int slow_decoders = 0;
+};
+AvoidanceCounts CountAvoided(absl::Span<const UpstreamState> upstreams,
+                             TimePoint now, const PlacementPolicy& policy);
+
 // Returns the shortest time until a requested backoff of an upstream of
 // `service` ends. Returns zero if any listed upstream that is not draining has
 // no backoff in force.
--- a/test/policy/upstream_recovery_test.cc
+++ b/test/policy/upstream_recovery_test.cc
@@ -153,7 +153,9 @@
     return *ChooseUpstream(upstreams, request, now, 0, policy);
   };
   CHECK_TRUE(chosen() != 0);
+  LONGS_EQUAL(1, CountAvoided(upstreams, now, policy).stragglers);
   now += policy.straggler_memory + Millis(1);
+  LONGS_EQUAL(0, CountAvoided(upstreams, now, policy).stragglers);
   upstreams[0].slow_decode = false;
   LONGS_EQUAL(0, chosen());
   RecordEventGap(upstreams[0], Millis(80), now);
@@ -179,4 +181,5 @@
   CHECK_TRUE(MayReceiveRequests(u, now, policy));
   RecordFailure(u, now, true, policy);
   CHECK_FALSE(MayReceiveRequests(u, now, policy));
+  LONGS_EQUAL(1, CountAvoided({&u, 1}, now, policy).ejected);
 }
