Requests that may not be repeated return later to an upstream that failed

Cause: a request that may not be repeated fails for good where it is tried, and half of the judgement was gone after 6 s.

Change: half after 30 s for these. Where others may be repeated, their answers lower the share for all, so nothing else waits for it.

--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -164,7 +164,7 @@
   // upstream first, because a failure costs their callers little; answers to
   // them then lower the share for all.
   double retryable_failure_half_life_s = 0.5;
-  double final_failure_half_life_s = 6;
+  double final_failure_half_life_s = 30;
   // An upstream with requests in flight that sends nothing for this long is
   // avoided.
   Duration max_silence = Millis(1500);
