--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -181,7 +181,7 @@
   // upstream first, because a failure costs their callers little; answers to
   // them then lower the share for all.
   double retryable_failure_half_life_s = 0.5;
-  double final_failure_half_life_s = 6;
+  double final_failure_half_life_s = 30;
   // An upstream with requests in flight that sends nothing for this long is
   // avoided.
   Duration max_silence = Millis(1500);
@@ -372,6 +372,17 @@
                                      TimePoint now,
                                      const PlacementPolicy& policy);
 
+// Number of upstreams that placement avoids because of what this process
+// observed of them, by reason. An upstream may count under several.
+struct AvoidanceCounts {
+  int failing = 0;  // The failure share exceeds the average of the service.
+  int ejected = 0;
+  int stragglers = 0;
+  int slow_decoders = 0;
+};
+AvoidanceCounts CountAvoided(absl::Span<const UpstreamState> upstreams,
+                             TimePoint now, const PlacementPolicy& policy);
+
 // Returns the shortest time until a requested backoff of an upstream of
 // `service` ends. Returns zero if any listed upstream that is not draining has
 // no backoff in force.
