--- a/src/replica.cc
+++ b/src/replica.cc
@@ -214,6 +214,11 @@
   for (auto& [id, peer] : peers_) ReplicateTo(peer);
 }
 
+// A snapshot in flight covers every index that the peer may lack.
+bool Replica::SnapshotInFlight(const Peer& peer) const {
+  return peer.next_index <= snapshot_.index && peer.in_flight_through != 0;
+}
+
 void Replica::ReplicateTo(Peer& peer) {
   peer.last_sent_at = clock_.Now();
   if (peer.next_index <= snapshot_.index) {
@@ -495,7 +500,7 @@
         role_ == ReplicaRole::kLeader && peer.next_index <= LastLogIndex();
     if (behind && peer.in_flight_through == 0) ReplicateTo(peer);
   } else if (uint64_t next_index = std::max(m.index, peer.match_index) + 1;
-             next_index < peer.next_index) {
+             next_index < peer.next_index && !SnapshotInFlight(peer)) {
     // The peer lacks entries before those in flight, so sending restarts at the
     // first entry that it lacks.
     peer.next_index = next_index;
--- a/src/replica.h
+++ b/src/replica.h
@@ -255,6 +255,7 @@
   bool AppendAsLeader(LogEntry e);
   void BroadcastRound();
   void ReplicateTo(Peer& peer);
+  bool SnapshotInFlight(const Peer& peer) const;
   ReplicaMessage HandleVoteRequest(const ReplicaMessage& m);
   bool WinsElectionTie(const ReplicaMessage& m) const;
   bool AcceptLeader(const ReplicaMessage& m, ReplicaMessage* reply);
--- a/test/replica_test.cc
+++ b/test/replica_test.cc
@@ -212,6 +212,59 @@
   LONGS_EQUAL(4, g.node(g.Leader())->members().size());
 }
 
+// Guards against a snapshot that is sent twice. A restarted follower knows
+// fewer entries to be committed than it has in its log, so its answer to a
+// heartbeat during the transfer names an index before that of its first
+// rejection.
+TEST(replica, HeartbeatDuringSnapshotDoesNotResendIt) {
+  ManualClock clock;
+  clock.Advance(std::chrono::hours(1));
+  StoredState state;
+  state.self = {"a", "10.0.0.0:1"};
+  state.term = state.snapshot.term = 1;
+  state.snapshot.index = 20;
+  state.snapshot.members = {state.self, {"b", "10.0.0.1:1"}};
+  MemoryStore store;
+  CHECK_TRUE(store.ReplaceState(state).ok());
+  int snapshots = 0;
+  ReplicaMessage last;
+  Replica::Hooks hooks;
+  hooks.send = [&](const Member&, const ReplicaMessage& m) {
+    snapshots += m.snapshot.has_value();
+    last = m;
+  };
+  Replica leader(clock, {}, store, state, {}, hooks, 1);
+  auto reply = [&](ReplicaMessage::Type type, bool ok, uint64_t index) {
+    ReplicaMessage m;
+    m.type = type;
+    m.from = state.snapshot.members[1];
+    m.term = last.term;
+    m.pre_vote = last.pre_vote;
+    m.round = last.round;
+    m.ok = ok;
+    m.index = index;
+    leader.HandleMessage(m);
+  };
+  clock.Advance(std::chrono::seconds(2));
+  leader.Tick();
+  reply(ReplicaMessage::Type::kVoteReply, true, 0);  // Pre-vote.
+  reply(ReplicaMessage::Type::kVoteReply, true, 0);
+  CHECK(leader.role() == ReplicaRole::kLeader);
+  reply(ReplicaMessage::Type::kAppendReply, false, 10);
+  LONGS_EQUAL(1, snapshots);
+  clock.Advance(Millis(100));
+  leader.Tick();
+  reply(ReplicaMessage::Type::kAppendReply, false, 5);
+  LONGS_EQUAL(1, snapshots);
+  // A snapshot that was lost is sent again.
+  for (int i = 0; i < 6; ++i) {
+    clock.Advance(Millis(100));
+    leader.Tick();
+    reply(ReplicaMessage::Type::kAppendReply, false, 5);
+  }
+  LONGS_EQUAL(2, snapshots);
+}
+
 // Guards against a restarted entry process that serves from an old
 // configuration. All hosts restart, one of them with an empty disk, and the
 // entry queries a replica while the group is forming. A replica in contact with
