Links: send further first packets while a connection is being opened

What callers saw: after all hosts lost power, entries had no configuration until 0.3 to 0.6 s after their own start, although control had a leader.

Cause: the first packet to a host that is still starting is lost, and the link waited for the whole connect timeout (300 ms, checked every 75 ms) before it sent another one; the kernel sends again only after a second.

Change: while an attempt is open, another socket sends a new first packet at each quarter of the attempt's timeout; the socket that is established first carries the session. The first socket stays, so a slow round trip still completes, and the interval grows with the timeout, so that a full path gets no more packets in proportion. Nothing is written before the connection is established.

Test: h2.ConnectsSoonAfterTheHostStarts, on a manual clock. With one packet an attempt it fails ("CHECK_TRUE(accepted) failed").

--- a/src/h2.cc
+++ b/src/h2.cc
@@ -23,13 +23,16 @@
 constexpr auto kReconnectBackoff = std::chrono::milliseconds(200);
 
 // Time limits of a connection attempt: initial and largest. The initial limit
-// is short, because a reachable host answers within a round trip, and a new
-// connection resends a lost first packet sooner than the kernel retransmits it.
+// is short, because a reachable host answers within a round trip.
 // The limit doubles after each failure, because a round trip takes longer over
 // a link where packets queue. With a limit below that round trip, no attempt
 // would ever succeed, and the attempts would lengthen the queue.
 constexpr auto kConnectTimeout = std::chrono::milliseconds(300);
 constexpr auto kMaxConnectTimeout = std::chrono::milliseconds(1200);
+// Number of times within the time limit of an attempt at which another socket
+// sends a new first packet. A host that is just starting loses the earlier
+// ones, and the kernel retransmits them only after a second.
+constexpr int kFirstPacketsPerAttempt = 4;
 
 }  // namespace
 
@@ -140,8 +143,22 @@
   }
 }
 
-bool H2Client::Connect() {
+int H2Client::OpenSocket(bool* connecting) const {
   int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (fd < 0) return -1;
+  PrepareConnection(fd);
+  sockaddr_in addr{};
+  addr.sin_family = AF_INET;
+  addr.sin_port = htons(static_cast<uint16_t>(port_));
+  inet_pton(AF_INET, address_.c_str(), &addr.sin_addr);
+  int rc = connect(fd, reinterpret_cast<sockaddr*>(&addr), sizeof(addr));
+  *connecting = rc != 0;
+  return fd;
+}
+
+bool H2Client::Connect() {
+  bool connecting = false;
+  int fd = OpenSocket(&connecting);
   if (fd < 0) {
     if (!suspect_) {
       LogWarn("no_socket", {{"peer", absl::StrCat(address_, ":", port_)},
@@ -151,15 +168,8 @@
     suspect_ = true;
     return false;
   }
-  PrepareConnection(fd);
-  sockaddr_in addr{};
-  addr.sin_family = AF_INET;
-  addr.sin_port = htons(static_cast<uint16_t>(port_));
-  inet_pton(AF_INET, address_.c_str(), &addr.sin_addr);
-  int rc = connect(fd, reinterpret_cast<sockaddr*>(&addr), sizeof(addr));
-  bool connecting = rc != 0 && errno == EINPROGRESS;
-  connection_ = std::make_unique<H2Connection>(loop_, fd, nullptr, this,
-                                               connecting || rc != 0);
+  connection_ =
+      std::make_unique<H2Connection>(loop_, fd, nullptr, this, connecting);
   connection_->set_ping_sent_at(clock_.Now());
   connection_->set_opened_at(clock_.Now());
   return true;
@@ -248,6 +258,11 @@
       self->connect_timeout_ =
           std::min<Millis>(2 * self->connect_timeout_, kMaxConnectTimeout);
       self->CloseSilentConnection("connect timed out");
+    } else if (now - c->last_attempt_at() >=
+               self->connect_timeout_ / kFirstPacketsPerAttempt) {
+      bool connecting = false;
+      int fd = self->OpenSocket(&connecting);
+      if (fd >= 0) c->SetSecondAttempt(fd, now);
     }
     return;
   }
--- a/src/h2.h
+++ b/src/h2.h
@@ -152,6 +152,10 @@
 
  private:
   static void OnPingTimer(struct ev_loop* loop, ev_timer* w, int revents);
+  // Opens a socket that starts to connect to the peer. Returns -1 when no
+  // socket can be created. Sets `connecting` unless the connection is
+  // established.
+  int OpenSocket(bool* connecting) const;
   // Starts to connect. Returns false when no socket can be created; the peer is
   // then suspect.
   bool Connect();
--- a/src/h2_connection.h
+++ b/src/h2_connection.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/ascii.h"
@@ -77,6 +78,7 @@
   ~H2Connection() {
     ev_io_stop(loop_, &read_io_);
     ev_io_stop(loop_, &write_io_);
+    CloseSecondAttempt();
     close(fd_);
     nghttp2_session_del(session_);
     for (auto& [id, s] : server_streams_) CloseServerStream(*s.answer);
@@ -167,7 +169,21 @@
     return ping_outstanding_ ? std::max(ping_sent_at_, last_received_at_) : now;
   }
   TimePoint opened_at() const { return opened_at_; }
-  void set_opened_at(TimePoint t) { opened_at_ = t; }
+  void set_opened_at(TimePoint t) { opened_at_ = last_attempt_at_ = t; }
+  TimePoint last_attempt_at() const { return last_attempt_at_; }
+
+  // Client only: adds connecting socket `fd` as a second attempt beside the
+  // first one, and closes an earlier second attempt. The attempt that is
+  // established first carries the session.
+  void SetSecondAttempt(int fd, TimePoint now) {
+    CloseSecondAttempt();
+    second_fd_ = fd;
+    last_attempt_at_ = now;
+    ev_io_init(&second_io_, OnSecondAttemptDone, fd, EV_WRITE);
+    ev_set_priority(&second_io_, kLinkPriority);
+    second_io_.data = this;
+    ev_io_start(loop_, &second_io_);
+  }
   void set_ping_sent_at(TimePoint t) { ping_sent_at_ = t; }
 
   // Server only: starts the answer of `s`. Called through H2Stream.
@@ -207,6 +223,12 @@
       return;
     }
     flush_pending_ = false;
+    if (!connected_) {
+      // Nothing is sent before the connection is established, because a second
+      // attempt may replace the socket.
+      ev_io_start(loop_, &write_io_);
+      return;
+    }
     for (;;) {
       if (!send_buffer_.empty()) {
         ssize_t n =
@@ -234,10 +256,6 @@
       if (n == 0) break;
       send_buffer_.append(reinterpret_cast<const char*>(data),
                           static_cast<size_t>(n));
-      if (!connected_) {
-        ev_io_start(loop_, &write_io_);
-        return;
-      }
     }
     ev_io_stop(loop_, &write_io_);
     if (!nghttp2_session_want_read(session_) &&
@@ -274,6 +292,7 @@
     dead_ = true;
     ev_io_stop(loop_, &read_io_);
     ev_io_stop(loop_, &write_io_);
+    CloseSecondAttempt();
     ev_feed_event(loop_, &read_io_, EV_CUSTOM);
     // EV_CUSTOM makes OnReadable delete the connection later, outside any
     // callback of nghttp2.
@@ -316,13 +335,18 @@
     c->Flush();
   }
 
+  static bool HasSocketError(int fd) {
+    int err = 0;
+    socklen_t len = sizeof(err);
+    getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &len);
+    return err != 0;
+  }
+
   static void OnWritable(struct ev_loop*, ev_io* w, int) {
     auto* c = static_cast<H2Connection*>(w->data);
     if (!c->connected_) {
-      int err = 0;
-      socklen_t len = sizeof(err);
-      getsockopt(c->fd_, SOL_SOCKET, SO_ERROR, &err, &len);
-      if (err != 0) {
+      c->CloseSecondAttempt();
+      if (HasSocketError(c->fd_)) {
         c->MarkDead();
         return;
       }
@@ -331,6 +355,32 @@
     c->Flush();
   }
 
+  // Continues on the socket of the second attempt if it is established. If the
+  // peer refused it, the peer is up but not listening, and the connection ends.
+  static void OnSecondAttemptDone(struct ev_loop*, ev_io* w, int) {
+    auto* c = static_cast<H2Connection*>(w->data);
+    if (HasSocketError(c->second_fd_)) {
+      c->MarkDead();
+      return;
+    }
+    ev_io_stop(c->loop_, &c->second_io_);
+    ev_io_stop(c->loop_, &c->read_io_);
+    ev_io_stop(c->loop_, &c->write_io_);
+    close(c->fd_);
+    c->fd_ = std::exchange(c->second_fd_, -1);
+    ev_io_set(&c->read_io_, c->fd_, EV_READ);
+    ev_io_set(&c->write_io_, c->fd_, EV_WRITE);
+    ev_io_start(c->loop_, &c->read_io_);
+    c->connected_ = true;
+    c->Flush();
+  }
+
+  void CloseSecondAttempt() {
+    if (second_fd_ < 0) return;
+    ev_io_stop(loop_, &second_io_);
+    close(std::exchange(second_fd_, -1));
+  }
+
   static int OnBeginHeaders(nghttp2_session*, const nghttp2_frame* frame,
                             void* user) {
     auto* c = static_cast<H2Connection*>(user);
@@ -493,6 +543,9 @@
   nghttp2_session* session_ = nullptr;
   ev_io read_io_{};
   ev_io write_io_{};
+  // Socket of the second connection attempt; -1 if there is none.
+  int second_fd_ = -1;
+  ev_io second_io_{};
   bool connected_;
   bool dead_ = false;
   bool in_callback_ = false;
@@ -503,6 +556,7 @@
   TimePoint last_received_at_{};
   TimePoint ping_sent_at_{};
   TimePoint opened_at_{};
+  TimePoint last_attempt_at_{};
   std::string send_buffer_;
   std::map<int32_t, ClientStream> client_streams_;
   std::map<int32_t, ServerStream> server_streams_;
--- a/test/h2_test.cc
+++ b/test/h2_test.cc
@@ -1,6 +1,8 @@
 // HTTP/2 links between processes: ping, cancellation and connection timeouts.
 #include "h2.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "CppUTest/TestHarness.h"
@@ -206,3 +208,70 @@
   }
   CHECK_TRUE(client.dead_connections() <= 5);
 }
+
+namespace {
+
+// A port of a host that is just starting: it drops the packets of new
+// connections until BecomeReachable() is called.
+class StartingHost {
+ public:
+  StartingHost()
+      : fd_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)),
+        filler_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t n = sizeof(a);
+    CHECK_EQUAL(0, bind(fd_, reinterpret_cast<sockaddr*>(&a), n));
+    CHECK_EQUAL(0, listen(fd_, 0));
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &n);
+    port = ntohs(a.sin_port);
+    // This connection fills the backlog.
+    CHECK_EQUAL(0, connect(filler_, reinterpret_cast<sockaddr*>(&a), n));
+  }
+  ~StartingHost() {
+    close(fd_);
+    close(filler_);
+  }
+  void BecomeReachable() { close(accept(fd_, nullptr, nullptr)); }
+  // Accepts the next connection and returns whether there is one.
+  bool Accept() {
+    int c = accept(fd_, nullptr, nullptr);
+    if (c < 0) return false;
+    close(c);
+    return true;
+  }
+  int port = 0;
+
+ private:
+  int fd_;
+  int filler_;
+};
+
+}  // namespace
+
+// Guards against a link to a starting host that stays down for the whole
+// connect timeout. The host lost the first packet, and the client sent no other
+// one before it gave up the attempt.
+TEST(h2, ConnectsSoonAfterTheHostStarts) {
+  ClientAndServerLoops loops;
+  ManualClock clock;
+  StartingHost host;
+  H2Client client(loops.client_loop, clock, "127.0.0.1", host.port, Millis(300),
+                  Millis(900));
+  std::string body;
+  bool closed = false;
+  client.Submit(GetRequest("/a", &body, &closed));
+  ev_run(loops.client_loop, EVRUN_NOWAIT);
+  host.BecomeReachable();
+  bool accepted = false;
+  // 280 ms, less than the connect timeout.
+  for (int i = 0; i < 7 && !accepted; ++i) {
+    clock.Advance(Millis(40));
+    accepted = RunUntil(
+        loops.client_loop, [&] { return client.healthy(); }, 80);
+  }
+  CHECK_TRUE(accepted);
+  CHECK_TRUE(host.Accept());
+  CHECK_FALSE(closed);
+}
