Control: connect at once to a peer that has sent a message

What callers saw: after all hosts lost power, entries that watch a control process that started late had no configuration for another 0.24 s.

Cause: a peer whose link timed out while its host was starting is suspect. The leader drops its messages to a suspect peer until the backoff (200 ms) is over and a ping on a new connection is answered, although that peer has just sent a message of its own.

Change: a message from a peer ends the wait before the next attempt to connect to it. A link that is connected is left to its pings.

Test: h2.LinkToPeerThatProvedAliveIsUsable, on a manual clock. The call that it makes is new, so that it could not run before.

--- a/src/control.cc
+++ b/src/control.cc
@@ -286,6 +286,8 @@
     stream->Respond(400, {}, "");
     return;
   }
+  // The sender may just have started, after the last attempt to connect to it.
+  if (!m->from.address.empty()) links_.LinkTo(m->from.address).OnPeerAlive();
   std::optional<ReplicaMessage> reply;
   if (replica_) {
     reply = replica_->HandleMessage(*m);
--- a/src/h2.cc
+++ b/src/h2.cc
@@ -224,6 +224,18 @@
 
 bool H2Client::usable() const { return !suspect_ && !IsSilent(); }
 
+void H2Client::OnPeerAlive() {
+  if (connection_ && connection_->connected()) return;
+  suspect_ = false;
+  if (!connection_) {
+    Connect();
+    return;
+  }
+  bool connecting = false;
+  int fd = OpenSocket(&connecting);
+  if (fd >= 0) connection_->SetSecondAttempt(fd, clock_.Now());
+}
+
 int H2Client::open_streams() const {
   return connection_ ? connection_->open_streams() : 0;
 }
--- a/src/h2.h
+++ b/src/h2.h
@@ -142,6 +142,9 @@
   // connection. An established connection is not enough: the kernel accepts
   // connections for a process that is frozen.
   bool usable() const;
+  // Called when the peer has proved in another way that it is running, such as
+  // by a request of its own. Ends the wait before the next attempt to connect.
+  void OnPeerAlive();
   // Returns the number of open streams on the current connection.
   int open_streams() const;
   // Returns the number of bytes of requests that wait to be sent.
--- a/test/h2_test.cc
+++ b/test/h2_test.cc
@@ -275,3 +275,26 @@
   CHECK_TRUE(host.Accept());
   CHECK_FALSE(closed);
 }
+
+// Guards against messages that are dropped for a peer that has just started.
+// Its link had timed out before, and stayed unusable for the backoff and a
+// ping, although the peer had already sent requests of its own.
+TEST(h2, LinkToPeerThatProvedAliveIsUsable) {
+  ClientAndServerLoops loops;
+  ManualClock clock;
+  StartingHost host;
+  H2Client client(loops.client_loop, clock, "127.0.0.1", host.port, Millis(300),
+                  Millis(900));
+  std::string body;
+  bool closed = false;
+  client.Submit(GetRequest("/a", &body, &closed));
+  clock.Advance(Millis(400));
+  CHECK_TRUE(RunUntil(
+      loops.client_loop, [&] { return closed; }, 500));
+  CHECK_FALSE(client.usable());
+  host.BecomeReachable();
+  client.OnPeerAlive();
+  CHECK_TRUE(client.usable());
+  CHECK_TRUE(RunUntil(
+      loops.client_loop, [&] { return client.healthy(); }, 500));
+}
