--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -193,17 +193,12 @@
 }
 
 // Answers each watch for which there is news or whose deadline has passed. If
-// this process is out of sync with the leader, answers the watches, so that the
+// this process is out of sync with the leader, answers all watches, so that the
 // followers switch to another control process.
 void Control::AnswerWatches() {
   TimePoint now = clock_.Now();
   bool out_of_sync =
       !replica_ || replica_->TimeSinceInSync() > kLeaderlessTimeout;
-  // A process that has just started is expected to be in sync soon. A follower
-  // without a configuration waits for that: it has nothing to serve by, and the
-  // other control processes may be starting as well.
-  bool starting = replica_ && replica_->TimeSinceInSync() == Duration::max() &&
-                  now - store_tried_at_ <= kLeaderlessTimeout;
   std::vector<PendingWatch> keep;
   std::vector<PendingWatch> watches = std::move(pending_watches_);
   pending_watches_.clear();
@@ -220,9 +215,7 @@
     // A follower that sent reports waits for their acknowledgment, so its watch
     // is answered even if there is no news.
     bool must_acknowledge = may_publish && w.has_reports;
-    bool waits_for_sync = starting && w.request.config_version == 0;
-    bool must_answer = has_news || must_acknowledge || out_of_sync;
-    if ((waits_for_sync || !must_answer) && now < w.deadline) {
+    if (!has_news && !must_acknowledge && !out_of_sync && now < w.deadline) {
       keep.push_back(std::move(w));
       continue;
     }
@@ -249,10 +242,9 @@
 
 // Asks the leader to confirm the newest configuration version if a follower
 // without a configuration waits for the confirmation. One request serves all
-// such followers that arrived before it was sent.
+// such followers.
 void Control::ConfirmVersionForNewWatches() {
   if (confirming_version_ || !replica_) return;
-  if (!IsLeader() && !Leader()) return;
   bool needed = std::any_of(pending_watches_.begin(), pending_watches_.end(),
                             [&](const PendingWatch& w) {
                               return w.request.config_version == 0 &&
