--- a/src/h2.h
+++ b/src/h2.h
@@ -142,6 +142,9 @@
   // connection. An established connection is not enough: the kernel accepts
   // connections for a process that is frozen.
   bool usable() const;
+  // Called when the peer has proved in another way that it is running, such as
+  // by a request of its own. Ends the wait before the next attempt to connect.
+  void OnPeerAlive();
   // Returns the number of open streams on the current connection.
   int open_streams() const;
   // Returns the number of bytes of requests that wait to be sent.
@@ -152,6 +155,10 @@
 
  private:
   static void OnPingTimer(struct ev_loop* loop, ev_timer* w, int revents);
+  // Opens a socket that starts to connect to the peer. Returns -1 when no
+  // socket can be created. Sets `connecting` unless the connection is
+  // established.
+  int OpenSocket(bool* connecting) const;
   // Starts to connect. Returns false when no socket can be created; the peer is
   // then suspect.
   bool Connect();
