Folders net and replica, each a library that sees only what it links

The connections and protocols between processes (net, on base) and the replicated log (replica, on base, policy and duty) are libraries of their own now, the tests beside them. Files are moved as they were; no line of code differs.

--- a/spec/control.pml
+++ b/spec/control.pml
@@ -1,4 +1,4 @@
-/* The control group's protocol as built (src/replica.cc), three members:
+/* The control group's protocol as built (src/replica/replica.cc), three members:
  * election with the log check, replication, quorum commit before an
  * acknowledgement, read barrier, crash, one lost disk whose host comes back
  * under a new id and is let in again once it has caught up.
--- a/spec/usage.pml
+++ b/spec/usage.pml
@@ -1,4 +1,4 @@
-/* How the usage of one window is fixed and reported (src/duty, src/replica.cc),
+/* How the usage of one window is fixed and reported (src/duty, src/replica/replica.cc),
  * three hosts: the leader counts, has its counts committed, sends what is
  * committed under its term, and sends again what was not answered; calls are
  * carried out at once, late, or never.
