Open links are preferred only where the subset is not whole

What callers saw: an upstream that had announced a rate limit of 2 a second got 0, 3 or 4 requests in 9 s, where a third of 18 is due. Cause, mine: while it is limited its connections close, and the cost of opening one kept each entry with the other upstreams for good.

AllUpstreamsAreEqualInAWholeSubset is the small test.

Change: both costs need a subset that is not whole. In a small fleet an entry meets all upstreams often enough, so one without an open connection is one that got too little, and placement there is as it was before the subsets.

--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -122,7 +122,7 @@
     s.score += policy.slow_decode_cost;
   if (u.straggler) s.score += kStragglerCost;
   if (u.info.data_centre != request.data_centre) s.score += policy.remote_cost;
-  if (FollowsPrefix(request)) return s;
+  if (FollowsPrefix(request) || request.subset.IsWhole()) return s;
   s.score += policy.outside_subset_cost * request.subset.Distance(u.rank);
   if (u.idle_links == 0) s.score += policy.new_link_cost;
   return s;
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -167,8 +167,10 @@
   double remote_cost = 0.01;
   // Costs, in shares of slots, of an upstream outside of this process's subset
   // (less within it, by its distance from home) and of an upstream to which a
-  // connection would have to be opened. Both
-  // apply only to requests whose upstream is not chosen by their prompt prefix.
+  // connection would have to be opened. Both apply only to requests whose
+  // upstream is not chosen by their prompt prefix, and only if the subset is
+  // not whole: where an entry meets all upstreams often, one without an open
+  // connection is one that has got too little.
   double outside_subset_cost = 0.1;
   double new_link_cost = 0.1;
   // Duration of the first ejection and maximum duration; each further failure
--- a/src/policy/upstream_subset.cc
+++ b/src/policy/upstream_subset.cc
@@ -25,7 +25,7 @@
 
 double UpstreamSubset::Distance(int position) const {
   int p = position - first;
-  if (size >= count || p < 0 || p >= count) return 0;
+  if (IsWhole() || p < 0 || p >= count) return 0;
   int steps = (p - offset + count) % count;
   if (steps >= size) return 1;
   return std::max(0, steps - home + 1) / static_cast<double>(size);
--- a/src/policy/upstream_subset.h
+++ b/src/policy/upstream_subset.h
@@ -57,6 +57,7 @@
   // subject to the subset and have the distance 0.
   double Distance(int position) const;
   bool Contains(int position) const { return Distance(position) < 1; }
+  bool IsWhole() const { return size >= count; }
 };
 
 // Returns the subset of `process` with `size` of the `count` upstreams at the
--- a/test/policy/upstream_subset_test.cc
+++ b/test/policy/upstream_subset_test.cc
@@ -171,6 +171,21 @@
   CHECK_FALSE(request.subset.Contains(choose(0.5).rank));
 }
 
+// Guards against an upstream that gets nothing more in a small fleet, because
+// its connection was closed while it was limited or unusable.
+TEST(upstream_subset, AllUpstreamsAreEqualInAWholeSubset) {
+  std::vector<UpstreamState> upstreams = PlainUpstreams(4);
+  upstreams[0].idle_links = upstreams[1].idle_links = 1;
+  PlacementRequest request;
+  request.service = "desk";
+  request.max_load = 2;
+  request.subset = ComputeSubset(ProcessIndex{3, 1}, 0, 4, 4);
+  std::vector<int> chosen(4);
+  for (double draw = 0; draw < 1; draw += 0.05)
+    ++chosen[*ChooseUpstream(upstreams, request, kNow, draw, {})];
+  for (int n : chosen) CHECK_TRUE(n >= 4);
+}
+
 // Guards against a shared prompt part that each entry sends to an engine of its
 // own subset: every engine would read it again.
 TEST(upstream_subset, APromptPrefixKeepsItsEngineInEverySubset) {
