An open link only breaks ties within a subset

A home whose connections closed (it restarted, was limited or unusable) got nothing more from its entries while their next upstreams had open links, since to open one cost 0.1 and the step from home 0.025.

Change: the cost is 0.01, less than that step; the order within the window keeps the entry with few upstreams, not the links. PlacementUsesOpenLinksOfTheSubset- First now also asks for the home without a link (not run against 0.1).

--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -172,7 +172,7 @@
   // not whole: where an entry meets all upstreams often, one without an open
   // connection is one that has got too little.
   double outside_subset_cost = 0.1;
-  double new_link_cost = 0.1;
+  double new_link_cost = 0.01;
   // Duration of the first ejection and maximum duration; each further failure
   // in a row doubles the duration. failures_to_eject: number of failures in a
   // row that cause the first ejection.
--- a/test/policy/upstream_subset_test.cc
+++ b/test/policy/upstream_subset_test.cc
@@ -160,6 +160,9 @@
   for (double draw = 0; draw < 1; draw += 0.05) {
     POINTERS_EQUAL(&known, &choose(draw));
   }
+  // The home is used again after its connection was closed.
+  for (UpstreamState& u : upstreams) u.idle_links = &u != &known;
+  POINTERS_EQUAL(&known, &choose(0.5));
   for (UpstreamState& u : upstreams) {
     if (request.subset.Contains(u.rank)) u.in_flight = 3;
   }
