--- a/test/duty/duty_test.cc
+++ b/test/duty/duty_test.cc
@@ -9,7 +9,7 @@
 #include "duty_log.h"
 #include "group_time.h"
 #include "platform/test/usage_report_checker.h"
-#include "test/replica_group.h"
+#include "test/replica/replica_group.h"
 #include "usage_schedule.h"
 #include "usage_table.h"
 
