A request that ends its connection may arrive in pieces

Cause: the loop over pipelined requests does not parse once the connection is to be closed after the answer. That is known from the head; a body that came with a later read was never looked at. Smaller configurations came in one read, so no earlier deployment and no test showed it.

Change: only the end of such a request ends the parsing. Test LastRequestMayArriveInPieces failed before.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -185,10 +185,11 @@
   void ParseBuffered() {
     if (parsing_) return;
     parsing_ = true;
-    bool request_handled = true;
-    while (request_handled && !answering_ && !close_after_ && tcp_->open() &&
-           !unparsed_.empty()) {
-      request_handled = ParseRequest();
+    bool more = true;
+    while (more && !answering_ && tcp_->open() && !unparsed_.empty()) {
+      // The last request of a connection may arrive in several pieces: only its
+      // end ends the parsing.
+      more = ParseRequest() && !close_after_;
     }
     parsing_ = false;
   }
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -99,3 +99,25 @@
   LONGS_EQUAL(kRequests + 1, answered);
   CHECK_TRUE(highest - lowest < 4096);
 }
+
+// Guards against a request that is never answered: the last one of a
+// connection, whose body arrives after its head.
+TEST(caller_server, LastRequestMayArriveInPieces) {
+  std::string body;
+  CallerServer server(loop, clock, [&](std::shared_ptr<CallerExchange> ex) {
+    body = ex->body;
+    ex->Respond(200, {}, "");
+  });
+  Endpoint endpoint{"127.0.0.1", ClaimPortRange()};
+  CHECK_TRUE(server.Listen(endpoint).ok());
+  auto caller = TcpConnection::Connect(loop, endpoint, Millis(1000));
+  CHECK_TRUE(RunUntil([&] { return caller->connected(); }, 1000));
+  caller->Write(
+      "PUT / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+      "Content-Length: 10\r\n\r\n01234");
+  CHECK_TRUE(RunUntil([&] { return server.connections() == 1; }, 1000));
+  RunUntil([] { return false; }, 20);
+  caller->Write("56789");
+  CHECK_TRUE(RunUntil([&] { return !body.empty(); }, 1000));
+  STRCMP_EQUAL("0123456789", body.c_str());
+}
