--- a/tools/play-days.sh
+++ b/tools/play-days.sh
@@ -4,7 +4,7 @@
 # Usage: tools/play-days.sh SITE [PATTERN]
 set -euo pipefail
 cd "$(dirname "$0")/.."
-bench=../given/kit/more/system/more/bench-cc6490/bin/fleetbench
+bench=../given/kit/more/system/more/bench-d17393/bin/fleetbench
 site=$1
 pattern=${2:-}
 out=$(mktemp -d)
