--- a/src/native_api.cc
+++ b/src/native_api.cc
@@ -258,6 +258,7 @@
     rule.max_connections = std::max(rule.max_connections, u.max_in_flight);
     if (u.kind == "engine") {
       rule.engine = EngineLimits{TotalSlots(settings, u)};
+      rule.shared_load = settings.entry.shared_load;
       for (const std::string& m : u.models) paths[ModelPath(m)][service] += 1;
     } else {
       paths[ServicePath(u.name)][service] = 1;
--- a/src/policy/routing_config.cc
+++ b/src/policy/routing_config.cc
@@ -1,6 +1,7 @@
 #include "routing_config.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 #include "absl/strings/ascii.h"
@@ -18,6 +19,9 @@
 constexpr Tier kMaxTier = 1'000'000;
 // Number of priorities that engines distinguish.
 constexpr int kNumEnginePriorities = 10;
+// Time for which control holds a watch open without news, and thus the time in
+// which an entry surely learns what control knows.
+constexpr auto kSharedLoadMaxTarget = Millis(400);
 
 Tier ClampAccountTier(Tier tier) {
   return std::clamp(tier, 0, kNumAccountTiers - 1);
@@ -87,7 +91,26 @@
   return absl::OkStatus();
 }
 
+void EnableSharedLoad(RoutingConfig* c) {
+  for (const RouteRule& r : c->routes) {
+    bool short_target = r.kind == RequestKind::kStream &&
+                        r.latency_target > Duration::zero() &&
+                        r.latency_target < kSharedLoadMaxTarget;
+    if (!short_target) continue;
+    for (const WeightedService& w : r.services) {
+      ServiceRule& service = c->services.at(w.service);
+      service.shared_load = service.engine.has_value();
+    }
+  }
+}
+
 void BuildConfigIndexes(RoutingConfig* c) {
+  std::map<std::string, std::set<Tier>> tiers;
+  for (const RouteRule& r : c->routes) {
+    for (const WeightedService& w : r.services) tiers[w.service].insert(r.tier);
+  }
+  for (auto& [name, service] : c->services)
+    service.tiers.assign(tiers[name].begin(), tiers[name].end());
   c->engine_priority = EnginePriorities(*c);
   c->account_of_key.clear();
   for (size_t i = 0; i < c->accounts.size(); ++i) {
@@ -135,6 +158,11 @@
   return it == c.engine_priority.end() ? kNumEnginePriorities - 1 : it->second;
 }
 
+int UrgencyLevel(const ServiceRule& service, Tier tier) {
+  auto it = std::lower_bound(service.tiers.begin(), service.tiers.end(), tier);
+  return static_cast<int>(it - service.tiers.begin());
+}
+
 const std::string& PickService(const RouteRule& r, double draw) {
   double total_weight = 0;
   for (const WeightedService& w : r.services) total_weight += w.weight;
--- a/src/policy/routing_config.h
+++ b/src/policy/routing_config.h
@@ -51,12 +51,21 @@
 // Limits of the model engines of a service.
 struct EngineLimits {
   int slots = 1;  // Requests that an engine runs at the same time.
+  // Tokens that the memory of an engine holds, those of running requests and of
+  // cached prompt parts together; 0: unknown.
+  int64_t memory_tokens = 0;
 };
 
 struct ServiceRule {
   std::string name;
   int max_connections = 0;  // Connections to one upstream from all processes.
   std::optional<EngineLimits> engine;
+  // Entries tell each other what they send to the engines of this service, and
+  // place requests by predicted times instead of counts.
+  bool shared_load = false;
+  // Tiers of the routes that lead to this service, most urgent first. Filled by
+  // BuildConfigIndexes.
+  std::vector<Tier> tiers;
 };
 
 struct AccountRule {
@@ -83,6 +92,11 @@
 // Errors: InvalidArgument.
 absl::Status ValidateConfig(const RoutingConfig& c);
 
+// Sets ServiceRule::shared_load for services of engines to which a stream route
+// with a short latency target leads: a target that is over before an entry can
+// learn of the other entries' requests from watches and load reports.
+void EnableSharedLoad(RoutingConfig* c);
+
 // Fills the derived lookup tables. Precondition: ValidateConfig(*c) is Ok.
 void BuildConfigIndexes(RoutingConfig* c);
 
@@ -106,6 +120,10 @@
 // Precondition: BuildConfigIndexes has run.
 int EnginePriority(const RoutingConfig& c, Tier rank);
 
+// Returns the position of `tier` among the tiers of the service, 0 for the most
+// urgent one. Precondition: BuildConfigIndexes has run.
+int UrgencyLevel(const ServiceRule& service, Tier tier);
+
 // Chooses a service of the route at random by weight; `draw` is uniform in [0,
 // 1).
 const std::string& PickService(const RouteRule& r, double draw);
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -183,6 +183,7 @@
       static_cast<int>(r.Int("retry_budget_percent", 0, 100));
   p.ping_interval = Millis(r.Int("ping_interval_ms", 10, 600'000, false, 1000));
   p.ping_timeout = Millis(r.Int("ping_timeout_ms", 10, 600'000, false, 3000));
+  p.shared_load = r.Bool("shared_load", false);
   r.RejectUnreadKeys();
   return p;
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -65,6 +65,8 @@
   Millis ping_interval{0};  // Interval of HTTP/2 PINGs to each agent.
   Millis ping_timeout{0};   // Time without received bytes after which a
                             // connection to an agent is closed.
+  // Places requests by predicted times and by what all entries have sent.
+  bool shared_load = false;
 };
 
 // The content of a settings file.
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -90,3 +90,14 @@
   STRCMP_EQUAL("settings: $: not valid JSON",
                std::string(s.status().message()).c_str());
 }
+
+// Guards against a switch that a wrong value turns on without notice.
+TEST(settings, SharedLoadIsABooleanThatIsOffByDefault) {
+  json d = DefaultSettings();
+  CHECK_FALSE(ParseSettings(d.dump())->entry.shared_load);
+  d["entry"]["shared_load"] = true;
+  CHECK_TRUE(ParseSettings(d.dump())->entry.shared_load);
+  d["entry"]["shared_load"] = "yes";
+  STRCMP_EQUAL("settings: $.entry.shared_load: must be true or false",
+               ParseErrorOf(d).c_str());
+}
