Gateway: own engine work, for services with shared load

Cause: entries know only their own requests and stale load reports, so that several send prompts to an engine that another has just filled. Change: UpstreamState counts the prompt tokens still to prefill, the streams and the memory tokens that this process has sent to the engine, from the sending of a request to the end of its attempt. Gateway::OwnEngineRecords returns them for the exchange between entries. Work sent to an earlier incarnation is not subtracted from the new one. The observed pace is still empty.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -374,6 +374,7 @@
   }
   f.last_event = r.last_event;
   if (r.service->engine) f.copy_from = FindCopySource(r, u, now);
+  if (r.service->shared_load) CountSent(r, u, !f.copy_from.ip.empty());
   LogEvent("sent",
            {{"request", r.facts.id},
             {"asks", FingerprintToHex(r.fingerprint)},
@@ -440,6 +441,7 @@
     --u->in_flight;
     u->prefills_in_flight -= r.prefill_pending;
     u->awaiting_first_event -= r.first_event_pending;
+    CountEndedWork(&r.work, *u);
     if (u->in_flight == 0) u->last_activity_at = {};
   }
   if (r.prefill_pending)
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -109,6 +109,10 @@
   // Records whether the upstream is reachable, according to a source other than
   // its answers.
   void SetReachable(const std::string& upstream, bool reachable);
+  // Returns the unfinished work and the observed pace of this process at each
+  // engine of a service with shared load, without engines of which neither is
+  // known.
+  std::vector<EngineRecord> OwnEngineRecords() const;
   // Runs timeouts and periodic work. Must be called every few tens of
   // milliseconds.
   void Tick();
@@ -153,6 +157,11 @@
   void UseSendSlot(UpstreamState& u, TimePoint now);
   void CountAccountRequest(Request& r);
   void OnPrefillDone(Request& r, TimePoint now);
+  // Counts the attempt of `r` in the own work at `u`. `copied`: the engine
+  // copies the shared prompt parts that it lacks.
+  void CountSent(Request& r, UpstreamState& u, bool copied);
+  int64_t ExpectedPrefill(const Request& r, const UpstreamState& u, bool copied,
+                          TimePoint now) const;
   bool RelayEvent(Request& r, absl::string_view event);
   void MeasureEventGap(Request& r, TimePoint now);
   void MeasureDecodePace(Request& r, TimePoint now);
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -75,7 +75,10 @@
 void Gateway::OnAnswerBody(Request& r, absl::string_view data) {
   TimePoint now = clock_.Now();
   r.progress_at = now;
-  if (UpstreamState* u = pool_.Find(r.upstream)) u->last_activity_at = now;
+  if (UpstreamState* u = pool_.Find(r.upstream)) {
+    u->last_activity_at = now;
+    CountFirstEvent(&r.work, *u);
+  }
   if (r.first_event_pending && r.relaying) {
     r.first_event_pending = false;
     if (UpstreamState* u = pool_.Find(r.upstream))
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "gateway.h"
+#include "own_engine_work.h"
 
 namespace medlarwalk {
 
@@ -70,6 +71,8 @@
   // Whether the request is counted at `upstream` as a stream that waits for its
   // first event.
   bool first_event_pending = false;
+  // Work of this attempt that is counted at `upstream`.
+  AttemptWork work;
   // State of a streamed answer.
   bool relaying = false;  // Events of this attempt are relayed to the caller.
   bool stream_started = false;  // The caller has received the answer's head.
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -18,12 +18,19 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/types/span.h"
+#include "engine_load.h"
 #include "types.h"
 #include "upstream_list.h"
 #include "upstream_subset.h"
 
 namespace medlarwalk {
 
+// Number of streams of this process at one engine by their event gap target.
+struct GapTargetCount {
+  Millis target{};
+  int streams = 0;
+};
+
 // State of one upstream as seen by one entry process.
 struct UpstreamState {
   UpstreamInfo info;
@@ -107,6 +114,13 @@
   // which the upstream keeps an idle connection (zero: not known or forever).
   int idle_links = 0;
   Duration link_idle_time{};
+  // Key of this incarnation; the unfinished work of this process there, with
+  // its streams by event gap target; and the pace that this process observed.
+  // Only kept for engines of services with shared load.
+  EngineKey engine_key = 0;
+  EngineWork own_work;
+  std::vector<GapTargetCount> own_gap_targets;
+  EnginePace own_pace;
 };
 
 // The kind of engine work that dominates a request.
--- a/src/upstream_pool.cc
+++ b/src/upstream_pool.cc
@@ -24,6 +24,7 @@
                                   {"in_flight", state.in_flight}});
   UpstreamState reset;
   reset.info = fresh;
+  reset.engine_key = KeyOfEngine(fresh);
   reset.in_flight = state.in_flight;
   reset.prefills_in_flight = state.prefills_in_flight;
   reset.awaiting_first_event = state.awaiting_first_event;
@@ -51,6 +52,7 @@
       index_[u.id] = upstreams_.size();
       UpstreamState state;
       state.info = u;
+      state.engine_key = KeyOfEngine(u);
       upstreams_.push_back(std::move(state));
       LogEvent("upstream_added", {{"upstream", u.id},
                                   {"service", u.service},
