Placement by predicted times, for services with shared load

Cause: a limit that counts prompts rejects requests while engines have free capacity, and engines set apart for streams follow a burst only when it is over. Change: ServiceForecast learns the prefill rate, the fixed part of first events and the event gap without prefills; ChooseEngine predicts first event and gaps at each engine, packs streams of many events on the first engines of the common order, keeps prompts where they break no target, and decides about waiting and rejection. The gateway uses it where service->shared_load; everything else is as before.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -92,7 +92,7 @@
 }
 
 std::string FormatEvent(absl::string_view event,
-                        std::initializer_list<Field> fields) {
+                        absl::Span<const Field> fields) {
   std::string out = absl::StrCat("proc=", ProcessName(), " event=");
   AppendValue(out, event);
   for (const Field& f : fields) {
@@ -109,6 +109,11 @@
   LOG4CXX_INFO(Logger(), FormatEvent(event, fields));
 }
 
+void LogEvent(absl::string_view event, absl::Span<const Field> fields) {
+  if (!Logger()->isInfoEnabled() || !AllowLine()) return;
+  LOG4CXX_INFO(Logger(), FormatEvent(event, fields));
+}
+
 void LogWarn(absl::string_view event, std::initializer_list<Field> fields) {
   if (!AllowLine()) return;
   LOG4CXX_WARN(Logger(), FormatEvent(event, fields));
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "absl/strings/string_view.h"
+#include "absl/types/span.h"
 
 namespace medlarwalk {
 
@@ -37,12 +38,13 @@
 // Returns `event` and `fields` rendered as `event=NAME k=v ...`; values with
 // spaces or quotes are quoted. Exposed for tests.
 std::string FormatEvent(absl::string_view event,
-                        std::initializer_list<Field> fields);
+                        absl::Span<const Field> fields);
 
 // Writes one event line at info level. Never blocks: a line is dropped and
 // counted when the rate limit is exceeded or the reader of the log does not
 // keep up. Thread safety: loop thread only.
 void LogEvent(absl::string_view event, std::initializer_list<Field> fields);
+void LogEvent(absl::string_view event, absl::Span<const Field> fields);
 // Writes one event line at warn level. The rate limit and thread safety are
 // those of LogEvent().
 void LogWarn(absl::string_view event, std::initializer_list<Field> fields);
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -48,6 +48,11 @@
                    .Name(prefix + "duration_seconds")
                    .Help("Whole request time, by class")
                    .Register(*registry_);
+  first_event_ratio_ =
+      &prometheus::BuildHistogram()
+           .Name(prefix + "first_event_ratio")
+           .Help("Time of a first event in shares of the predicted one")
+           .Register(*registry_);
   queued_ = &prometheus::BuildGauge()
                  .Name(prefix + "queued")
                  .Help("Requests waiting, by class")
@@ -116,6 +121,13 @@
       .Observe(seconds);
 }
 
+void Metrics::ObserveFirstEventRatio(absl::string_view klass, double ratio) {
+  static const prometheus::Histogram::BucketBoundaries kRatios = {
+      0.25, 0.5, 0.75, 0.9, 1.1, 1.33, 2, 4, 8};
+  first_event_ratio_->Add({{"class", std::string(klass)}}, kRatios)
+      .Observe(ratio);
+}
+
 void Metrics::ObserveRequestDuration(absl::string_view klass, double seconds) {
   duration_->Add({{"class", std::string(klass)}}, LatencyBuckets())
       .Observe(seconds);
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -30,6 +30,9 @@
   void CountFinishedRequest(absl::string_view klass, absl::string_view outcome);
   // Records the time to first token of a request of `klass`.
   void ObserveFirstToken(absl::string_view klass, double seconds);
+  // Records the time from sending a request of `klass` to its first event, as a
+  // share of the predicted time.
+  void ObserveFirstEventRatio(absl::string_view klass, double ratio);
   // Records the total duration of a request of `klass`.
   void ObserveRequestDuration(absl::string_view klass, double seconds);
   // Counts one update of the upstream list received from control, by its form:
@@ -68,6 +71,7 @@
   prometheus::Family<prometheus::Counter>* finished_;
   prometheus::Family<prometheus::Histogram>* first_token_;
   prometheus::Family<prometheus::Histogram>* duration_;
+  prometheus::Family<prometheus::Histogram>* first_event_ratio_;
   prometheus::Family<prometheus::Gauge>* queued_;
   prometheus::Family<prometheus::Counter>* upstream_terminations_;
   prometheus::Counter* stated_limits_;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -22,6 +22,10 @@
 // part, and maximum number of prompt parts in the prefix cache index.
 constexpr auto kPrefixHolderTrust = std::chrono::seconds(12);
 constexpr size_t kMaxRememberedParts = 4096;
+// Longest wait of a request that an upstream has rejected, in shares of its
+// latency target, where entries share the load of engines. Its target does not
+// bound it any more.
+constexpr double kMaxTimedRetryWaitShare = 0.5;
 
 LinkOpener Http1Links(struct ev_loop* loop, const Clock& clock) {
   return [loop, &clock](const UpstreamInfo& to, Duration connect_timeout) {
@@ -231,14 +235,15 @@
     waiting_queue_.RecordDispatch(r.service->name, clock_.Now());
     return;
   }
+  if (r.unplaceable) {
+    FailUnplaceable(r, clock_.Now());
+    return;
+  }
   WaitingRequest w;
   w.seq = r.seq;
   w.tier = r.rank;
   w.enqueued_at = clock_.Now();
-  w.reject_at = std::min(
-      r.deadline, w.enqueued_at + std::chrono::duration_cast<Duration>(
-                                      r.route->latency_target *
-                                      options_.waiting.max_wait_target_share));
+  w.reject_at = WaitEnd(r, w.enqueued_at);
   w.service = r.service->name;
   r.starving_from = StarvesAt(w, options_.waiting);
   std::optional<uint64_t> shed;
@@ -252,6 +257,20 @@
   if (!r.waiting) FailRequest(r, ErrorKindOf(entered), entered.message());
 }
 
+// Returns the time at which `r` is rejected if it still waits.
+TimePoint Gateway::WaitEnd(const Request& r, TimePoint now) const {
+  double share = options_.waiting.max_wait_target_share;
+  bool timed = r.service->shared_load && r.facts.pinned == 0;
+  // Placement decides at each try whether a request can still be in time.
+  if (timed && r.sends == 0 && r.connect_failures == 0) {
+    TimePoint target = r.exchange->arrived + r.route->latency_target;
+    return std::max(now, std::min(r.deadline, target));
+  }
+  if (timed) share = kMaxTimedRetryWaitShare;
+  return std::min(r.deadline, now + std::chrono::duration_cast<Duration>(
+                                        r.route->latency_target * share));
+}
+
 PlacementRequest Gateway::PlacementRequestFor(const Request& r) const {
   PlacementRequest input;
   input.service = r.service->name;
@@ -287,26 +306,15 @@
                        SubsetSize(demand, options_.subset));
 }
 
-bool Gateway::TrySend(Request& r) {
-  // Tier admission holds back only requests that were not sent yet. A request
-  // that was sent before may be retried even if more urgent requests wait.
-  if (r.sends == 0 &&
-      !TierAdmissionFor(r.service->name).MayStart(r.tier, clock_.Now())) {
-    return false;
-  }
-  if (r.shape == WorkShape::kPrefill &&
-      !PrefillLimiterFor(r.service->name).MaySend(r.tier)) {
-    return false;
-  }
+void Gateway::UpdateSendPermissions(const Request& r, TimePoint now) {
   int limit =
       std::max(2, static_cast<int>(r.service->max_connections *
                                    options_.connection_share / entry_count_));
-  bool starving = r.waiting && clock_.Now() >= r.starving_from;
+  bool starving = r.waiting && now >= r.starving_from;
   if (r.tier > 0 && !starving) {
     limit -= static_cast<int>(
         std::ceil(limit * options_.placement.reserved_top_tier_share));
   }
-  TimePoint now = clock_.Now();
   for (UpstreamState& u : pool_.upstreams()) {
     if (u.info.service != r.service->name) continue;
     u.no_send_slot = u.limit_per_s && !HasSendSlot(u, now);
@@ -314,10 +322,30 @@
     // `limit` requests at the upstream. Each request holds one connection, so
     // one of the `limit` connections is then free.
     u.at_own_limit = u.in_flight >= limit && pool_.AtConnectionLimit(u, limit);
-    if (r.shape != WorkShape::kDecode || u.at_own_limit) continue;
+    if (r.shape != WorkShape::kDecode || u.at_own_limit ||
+        r.service->shared_load) {
+      continue;
+    }
     u.at_own_limit = !AcceptsGeneration(u, r.service->engine->slots,
                                         entry_count_, now, options_.placement);
   }
+}
+
+bool Gateway::TrySend(Request& r) {
+  r.unplaceable = false;
+  // Tier admission holds back only requests that were not sent yet. A request
+  // that was sent before may be retried even if more urgent requests wait.
+  if (r.sends == 0 &&
+      !TierAdmissionFor(r.service->name).MayStart(r.tier, clock_.Now())) {
+    return false;
+  }
+  if (r.service->shared_load && r.facts.pinned == 0) return TrySendTimed(r);
+  if (r.shape == WorkShape::kPrefill &&
+      !PrefillLimiterFor(r.service->name).MaySend(r.tier)) {
+    return false;
+  }
+  TimePoint now = clock_.Now();
+  UpdateSendPermissions(r, now);
   PlacementRequest input = PlacementRequestFor(r);
   if (r.service->engine) {
     int& engine_count = decode_engines_[r.service->name];
@@ -375,19 +403,7 @@
   f.last_event = r.last_event;
   if (r.service->engine) f.copy_from = FindCopySource(r, u, now);
   if (r.service->shared_load) CountSent(r, u, !f.copy_from.ip.empty());
-  LogEvent("sent",
-           {{"request", r.facts.id},
-            {"asks", FingerprintToHex(r.fingerprint)},
-            {"upstream", u.info.id},
-            {"attempt", r.sends + static_cast<int>(r.connect_failures)},
-            {"load", u.reported_load},
-            {"load_age_ms",
-             u.reported_at == TimePoint{} ? -1 : ToMs(now - u.reported_at)},
-            {"own", u.in_flight},
-            {"idle_links", u.idle_links},
-            {"limit", u.limit_per_s.value_or(-1)},
-            {"copy_from", f.copy_from.ip},
-            {"left_ms", ToMs(f.time_limit)}});
+  LogSent(r, u, f, now);
   uint64_t seq = r.seq;
   int attempt = r.attempt;
   UpstreamCall call;
@@ -406,6 +422,30 @@
   r.connection->Start(std::move(call));
 }
 
+void Gateway::LogSent(const Request& r, const UpstreamState& u,
+                      const ForwardFacts& f, TimePoint now) {
+  std::vector<Field> fields = {
+      {"request", r.facts.id},
+      {"asks", FingerprintToHex(r.fingerprint)},
+      {"upstream", u.info.id},
+      {"attempt", r.sends + static_cast<int>(r.connect_failures)},
+      {"load", u.reported_load},
+      {"load_age_ms",
+       u.reported_at == TimePoint{} ? -1 : ToMs(now - u.reported_at)},
+      {"own", u.in_flight},
+      {"idle_links", u.idle_links},
+      {"limit", u.limit_per_s.value_or(-1)},
+      {"copy_from", f.copy_from.ip},
+      {"left_ms", ToMs(f.time_limit)}};
+  if (r.service->shared_load) {
+    fields.emplace_back("predicted_first_ms",
+                        std::lround(r.placement.first_event_ms));
+    fields.emplace_back("predicted_gap_ms", std::lround(r.placement.gap_ms));
+    fields.emplace_back("shared_age_ms", ToMs(ViewOfOthers(now).age));
+  }
+  LogEvent("sent", fields);
+}
+
 // Returns the address of the engine that most likely caches leading parts of
 // the prompt that `to` may lack, or an empty endpoint. The first choice is an
 // engine at which this process saw a prefill of all shared parts. The second is
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -31,6 +31,8 @@
 #include "routing_config.h"
 #include "send_slots.h"
 #include "tier_admission.h"
+#include "timed_placement.h"
+#include "timed_service.h"
 #include "upstream_link.h"
 #include "upstream_pool.h"
 #include "upstream_subset.h"
@@ -46,6 +48,9 @@
   SubsetPolicy subset;
   PrefillLimiterPolicy prefill_limiter;
   TierAdmissionPolicy tier_admission;
+  // Used for services with shared load, in place of prefill_limiter.
+  TimedPolicy timed;
+  ForecastPolicy forecast;
   // Share of an upstream's connections that the known entry processes use
   // together. The rest of the connections is for entry processes that control
   // does not count: they have just started, or they are no longer counted but
@@ -141,6 +146,24 @@
   UpstreamSubset SubsetFor(const Request& r, int decode_engines,
                            TimePoint now) const;
   bool TrySend(Request& r);
+  // Sets whether this process may send to each upstream of the service of `r`.
+  void UpdateSendPermissions(const Request& r, TimePoint now);
+  // TrySend for services with shared load.
+  bool TrySendTimed(Request& r);
+  TimedRequest TimedRequestFor(const Request& r, TimePoint now) const;
+  void FillCandidates(const Request& r, TimePoint now, TimedService* service);
+  void RefreshForecasts(TimePoint now);
+  void RefreshOthersWork(const TimedService& service, TimePoint now);
+  OthersView ViewOfOthers(TimePoint now) const;
+  void RecordTimedFirstEvent(const Request& r, UpstreamState& u, TimePoint now);
+  void RecordTimedEventGap(const Request& r, UpstreamState& u, Duration gap,
+                           TimePoint now);
+  TimePoint WaitEnd(const Request& r, TimePoint now) const;
+  void FailUnplaceable(Request& r, TimePoint now);
+  void LogTimedPlacementFailure(const Request& r, TimePoint now);
+  void LogSent(const Request& r, const UpstreamState& u, const ForwardFacts& f,
+               TimePoint now);
+  TimedService& TimedServiceFor(const std::string& service);
   void SendToUpstream(Request& r, size_t upstream);
   bool OnAnswerHead(Request& r, const MessageHead& head);
   void OnAnswerBody(Request& r, absl::string_view data);
@@ -245,6 +268,8 @@
   std::map<std::string, int> decode_engines_;
   // Prefill limiters by service.
   std::map<std::string, PrefillLimiter> prefill_limiters_;
+  // State of the services with shared load, by name.
+  std::map<std::string, TimedService> timed_services_;
   // Tier admission by service.
   std::map<std::string, TierAdmission> tier_admissions_;
   // Number of waiting requests that the metrics currently show, by metric
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -11,6 +11,7 @@
 
 #include "gateway.h"
 #include "own_engine_work.h"
+#include "timed_placement.h"
 
 namespace medlarwalk {
 
@@ -71,6 +72,12 @@
   // Whether the request is counted at `upstream` as a stream that waits for its
   // first event.
   bool first_event_pending = false;
+  // Decision of the last placement; only where the service has shared load.
+  // `placement.delay`: see TimedDecision.
+  TimedDecision placement;
+  bool unplaceable = false;  // The last placement was a rejection.
+  // Prompt tokens ahead of this attempt when it was sent.
+  double tokens_ahead = 0;
   // Work of this attempt that is counted at `upstream`.
   AttemptWork work;
   // State of a streamed answer.
--- a/src/gateway_timed.cc
+++ b/src/gateway_timed.cc
@@ -1,9 +1,12 @@
 // Gateway: services whose entries share the load of their engines. Counts the
-// own work at each engine.
+// own work at each engine, learns paces, and places requests by predicted
+// times.
 #include <algorithm>
+#include <cmath>
 
 #include "gateway.h"
 #include "gateway_request.h"
+#include "log.h"
 
 namespace medlarwalk {
 namespace {
@@ -12,8 +15,35 @@
 // share of the time that it needs to prefill the part.
 constexpr double kCopyCostShare = 0.1;
 
-// Returns the preferred engine of the prompt prefix `prefix_hash` among all
-// engines of `service` that may be sent to, in the order of all entries.
+// A prompt goes to the homes of its shared part if this is at least such a
+// share of the prompt; otherwise an even load is worth more.
+constexpr double kMinSharedShare = 0.2;
+
+double Milliseconds(Duration d) { return ToSeconds(d) * 1000; }
+
+// Returns the expected output of a request, in tokens.
+int64_t OutputTokens(const RequestFacts& f) {
+  return f.expected_output_tokens > 0 ? f.expected_output_tokens
+                                      : f.max_output_tokens;
+}
+
+int LevelOf(const ServiceRule& service, Tier tier) {
+  return std::min(UrgencyLevel(service, tier), kUrgencyLevels - 1);
+}
+
+int64_t UnsharedTokens(const RequestFacts& f, int64_t shared_tokens) {
+  return std::max<int64_t>(0, f.prompt_tokens - shared_tokens);
+}
+
+// Returns the number of tokens of the first `count` parts.
+int64_t TokensOfParts(absl::Span<const PromptPart> parts, size_t count) {
+  int64_t n = 0;
+  for (size_t i = 0; i < count; ++i) n += parts[i].tokens;
+  return n;
+}
+
+// Returns whether `u` is the first preferred engine of the prompt prefix
+// `prefix_hash`, in the order of all entries.
 bool IsPreferredEngine(absl::Span<const UpstreamState> upstreams,
                        const UpstreamState& u, uint64_t prefix_hash) {
   uint64_t own_hash = StableHash(u.info.id, prefix_hash);
@@ -23,8 +53,33 @@
   });
 }
 
+// Returns the time in milliseconds for which `u` has sent none of the first
+// events that it owes.
+double SilentMs(const UpstreamState& u, TimePoint now) {
+  return u.awaiting_first_event > 0 ? Milliseconds(now - u.awaiting_since) : 0;
+}
+
+// Returns the work of all processes at `u`: what they have told, corrected by a
+// load report of the engine that is younger than `shared_age`.
+EngineWork TotalWork(const UpstreamState& u, Duration shared_age,
+                     TimePoint now) {
+  EngineWork total = u.own_work;
+  total.Add(u.others_work);
+  bool fresh_report =
+      u.reported_at != TimePoint{} && now - u.reported_at < shared_age;
+  if (!fresh_report) return total;
+  int reported = u.reported_load + u.in_flight - u.in_flight_at_report;
+  int told = total.awaiting_first_event + total.generating;
+  total.generating += std::max(0, reported - told);
+  return total;
+}
+
 }  // namespace
 
+TimedService& Gateway::TimedServiceFor(const std::string& service) {
+  return timed_services_.try_emplace(service, options_.forecast).first->second;
+}
+
 // Returns the number of prompt tokens that `u` is expected to prefill for `r`:
 // all but those of the shared parts that it holds. Parts that it copies count
 // by the time that this takes.
@@ -35,34 +90,211 @@
   PrefixCacheIndex::PrefixMatch match =
       prefix_cache_index_.FindLongestPrefix(r.facts.parts, now);
   if (match.engine == u.info.id) {
-    for (size_t i = 0; i < match.parts; ++i) held += r.facts.parts[i].tokens;
+    held = TokensOfParts(r.facts.parts, match.parts);
   } else if (IsPreferredEngine(pool_.upstreams(), u, r.affinity)) {
     held = r.shared_tokens;
   }
-  int64_t missing = r.shared_tokens - held;
-  if (copied) {
-    missing =
-        static_cast<int64_t>(static_cast<double>(missing) * kCopyCostShare);
-  }
-  return std::max<int64_t>(0, r.facts.prompt_tokens - r.shared_tokens) +
-         missing;
+  auto missing = static_cast<double>(r.shared_tokens - held);
+  if (copied) missing *= kCopyCostShare;
+  return UnsharedTokens(r.facts, r.shared_tokens) +
+         static_cast<int64_t>(missing);
 }
 
 void Gateway::CountSent(Request& r, UpstreamState& u, bool copied) {
-  int64_t output = r.facts.expected_output_tokens > 0
-                       ? r.facts.expected_output_tokens
-                       : r.facts.max_output_tokens;
   r.work = {};
-  r.work.level = std::min(UrgencyLevel(*r.service, r.tier), kUrgencyLevels - 1);
+  r.work.level = LevelOf(*r.service, r.tier);
   r.work.pending_prefill = ExpectedPrefill(r, u, copied, clock_.Now());
-  r.work.memory_tokens = r.work.pending_prefill + output;
+  r.work.memory_tokens = r.work.pending_prefill + OutputTokens(r.facts);
   if (r.stream()) {
     r.work.gap_target =
         std::chrono::duration_cast<Millis>(r.route->event_gap_target);
   }
+  r.tokens_ahead = TokensAhead(u.own_work, r.work.level) +
+                   TokensAhead(u.others_work, r.work.level);
   CountSentWork(&r.work, u);
 }
 
+TimedRequest Gateway::TimedRequestFor(const Request& r, TimePoint now) const {
+  TimedRequest t;
+  t.level = LevelOf(*r.service, r.tier);
+  t.packed = r.stream() && r.shape == WorkShape::kDecode;
+  t.follows_prefix =
+      r.affinity != 0 && r.shape == WorkShape::kPrefill &&
+      static_cast<double>(r.shared_tokens) >=
+          kMinSharedShare * static_cast<double>(r.facts.prompt_tokens);
+  // The target of a request that an upstream has failed does not bound it any
+  // more: its caller is served as soon as possible.
+  if (r.sends == 0 && r.connect_failures == 0) {
+    t.target_ms = Milliseconds(r.route->latency_target);
+    t.left_ms = t.target_ms - Milliseconds(now - r.exchange->arrived);
+  }
+  if (r.stream()) t.gap_target_ms = Milliseconds(r.route->event_gap_target);
+  t.output_tokens = static_cast<double>(OutputTokens(r.facts));
+  return t;
+}
+
+// Fills the candidates of `service` for `r`, in the order of all entries.
+void Gateway::FillCandidates(const Request& r, TimePoint now,
+                             TimedService* service) {
+  std::vector<TimedEngine>& out = service->candidates;
+  out.clear();
+  PlacementRequest input = PlacementRequestFor(r);
+  double mean_failure_share =
+      MeanFailureShare(pool_.upstreams(), input, now, options_.placement);
+  PrefixCacheIndex::PrefixMatch match;
+  if (r.shared_tokens > 0)
+    match = prefix_cache_index_.FindLongestPrefix(r.facts.parts, now);
+  int64_t matched = TokensOfParts(r.facts.parts, match.parts);
+  auto unshared = static_cast<double>(UnsharedTokens(r.facts, r.shared_tokens));
+  auto shared =
+      static_cast<double>(std::min(r.shared_tokens, r.facts.prompt_tokens));
+  Duration shared_age = ViewOfOthers(now).age;
+  std::optional<size_t> home;
+  for (size_t i : service->order) {
+    const UpstreamState& u = pool_.upstreams()[i];
+    bool tried = std::find(r.tried_upstreams.begin(), r.tried_upstreams.end(),
+                           u.info.id) != r.tried_upstreams.end();
+    if (tried || !MayReceiveRequests(u, now, options_.placement)) continue;
+    TimedEngine e;
+    e.index = i;
+    e.work = TotalWork(u, shared_age, now);
+    e.forecast = u.forecast;
+    e.slots = r.service->engine->slots;
+    e.memory_tokens = r.service->engine->memory_tokens;
+    e.silent_ms = SilentMs(u, now);
+    e.avoided = FailsMoreThanOthers(u, input, mean_failure_share, now,
+                                    options_.placement);
+    e.own_tokens = unshared + shared * kCopyCostShare;
+    if (match.engine == u.info.id)
+      e.own_tokens = unshared + shared - static_cast<double>(matched);
+    if (r.affinity != 0) {
+      e.affinity_hash = StableHash(u.info.id, r.affinity);
+      if (!home || e.affinity_hash > out[*home].affinity_hash)
+        home = out.size();
+    }
+    out.push_back(e);
+  }
+  if (home) out[*home].own_tokens = unshared;
+}
+
+bool Gateway::TrySendTimed(Request& r) {
+  TimePoint now = clock_.Now();
+  UpdateSendPermissions(r, now);
+  TimedService& service = TimedServiceFor(r.service->name);
+  if (service.order.empty())
+    RefreshService(pool_.upstreams(), r.service->name, &service);
+  FillCandidates(r, now, &service);
+  if (service.candidates.empty()) {
+    // An ejected upstream is used only when no other is left.
+    std::optional<size_t> i = ChooseUpstream(
+        pool_.upstreams(), PlacementRequestFor(r), now, 0, options_.placement);
+    if (i) SendToUpstream(r, *i);
+    return i.has_value();
+  }
+  TimedRequest request = TimedRequestFor(r, now);
+  r.placement =
+      ChooseEngine(absl::MakeSpan(service.candidates), request,
+                   EstimateUnseenWork(service, ViewOfOthers(now), now), random_,
+                   options_.timed);
+  if (r.placement.ruling == TimedRuling::kSend) {
+    const TimedEngine& chosen = service.candidates[r.placement.engine];
+    RecordTimedSend(request, chosen.own_tokens, now, &service);
+    SendToUpstream(r, chosen.index);
+    return true;
+  }
+  r.unplaceable =
+      r.placement.ruling == TimedRuling::kReject && request.target_ms > 0;
+  return false;
+}
+
+// Rejects a request that no engine is predicted to serve in time.
+void Gateway::FailUnplaceable(Request& r, TimePoint now) {
+  LogPlacementFailure(r, now);
+  FailRequest(r,
+              r.may_have_run ? ErrorKind::kOutcomeUnknown
+                             : ErrorKind::kTargetUnmeetable,
+              "no place in time");
+}
+
+void Gateway::LogTimedPlacementFailure(const Request& r, TimePoint now) {
+  Tier rejected_tier = -1;
+  TierAdmissionFor(r.service->name).MostUrgentRejectedTier(now, &rejected_tier);
+  const TimedDecision& d = r.placement;
+  LogEvent("no_place", {{"request", r.facts.id},
+                        {"tier", r.tier},
+                        {"rank", r.rank},
+                        {"sends", r.sends},
+                        {"waited_ms", ToMs(now - r.exchange->arrived)},
+                        {"tier_turned_away", rejected_tier},
+                        {"predicted_first_ms", std::lround(d.first_event_ms)},
+                        {"predicted_gap_ms", std::lround(d.gap_ms)},
+                        {"delay_ms", d.delay ? ToMs(*d.delay) : -1},
+                        {"shared_age_ms", ToMs(ViewOfOthers(now).age)},
+                        {"full", d.ruled_out.slots},
+                        {"memory", d.ruled_out.memory},
+                        {"late", d.ruled_out.first_event},
+                        {"own_gap", d.ruled_out.own_gap},
+                        {"others_gap", d.ruled_out.others_gap}});
+}
+
+OthersView Gateway::ViewOfOthers(TimePoint now) const {
+  OthersView view;
+  view.process_count = entry_count_;
+  view.age = Duration(-1);
+  return view;
+}
+
+// Updates the work of all other processes at the engines of `service`.
+void Gateway::RefreshOthersWork(const TimedService& service, TimePoint now) {
+  if (service.order.empty()) return;
+  EngineWork sum;
+  for (size_t i : service.order) sum.Add(pool_.upstreams()[i].own_work);
+  EngineWork mean = DividedWork(sum, static_cast<int>(service.order.size()));
+  for (size_t i : service.order) {
+    UpstreamState& u = pool_.upstreams()[i];
+    u.others_work = EstimateOthersWork(u.own_work, mean, entry_count_);
+  }
+}
+
+// Updates what placement at services with shared load uses of each engine.
+void Gateway::RefreshForecasts(TimePoint now) {
+  if (!config_) return;
+  for (const auto& [name, rule] : config_->services) {
+    if (!rule.shared_load || !rule.engine) continue;
+    TimedService& service = TimedServiceFor(name);
+    RefreshService(pool_.upstreams(), name, &service);
+    RefreshOthersWork(service, now);
+    for (size_t i : service.order) {
+      UpstreamState& u = pool_.upstreams()[i];
+      u.own_pace = service.forecast.PaceToPublish(u.observed_pace, now);
+      u.forecast = service.forecast.ForecastFor(u.observed_pace, EnginePace{},
+                                                service.idle_gap_ms, now);
+    }
+  }
+}
+
+void Gateway::RecordTimedFirstEvent(const Request& r, UpstreamState& u,
+                                    TimePoint now) {
+  FirstEventSample sample;
+  sample.tokens_ahead = r.tokens_ahead;
+  sample.own_tokens = static_cast<double>(r.work.pending_prefill);
+  sample.took_ms = Milliseconds(now - r.sent_at);
+  TimedServiceFor(r.service->name)
+      .forecast.RecordFirstEvent(sample, now, &u.observed_pace);
+  if (r.placement.first_event_ms > 0) {
+    metrics_.ObserveFirstEventRatio(
+        MetricLabel(r), sample.took_ms / r.placement.first_event_ms);
+  }
+}
+
+void Gateway::RecordTimedEventGap(const Request& r, UpstreamState& u,
+                                  Duration gap, TimePoint now) {
+  auto pending = static_cast<int64_t>(PendingTokens(u.own_work) +
+                                      PendingTokens(u.others_work));
+  TimedServiceFor(r.service->name)
+      .forecast.RecordEventGap(gap, pending, now, &u.observed_pace);
+}
+
 std::vector<EngineRecord> Gateway::OwnEngineRecords() const {
   std::vector<EngineRecord> out;
   if (!config_) return out;
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -29,6 +29,10 @@
 constexpr std::chrono::duration<double> kDemandSmoothing =
     std::chrono::seconds(3);
 
+// Number of requests that a pass over the queue of a service with shared load
+// tries in vain.
+constexpr int kMaxFailedTimedPlacements = 12;
+
 }  // namespace
 
 // Sends waiting requests to upstreams with free slots, in serving order.
@@ -43,6 +47,7 @@
     // properties that decide its placement. Later requests with the same
     // properties are skipped.
     std::set<std::tuple<Tier, bool, WorkShape, uint64_t>> unplaceable;
+    int failed = 0;
     for (uint64_t seq : waiting_queue_.ServingOrder(service, now)) {
       Request& r = *requests_.at(seq);
       auto placement_key =
@@ -50,7 +55,14 @@
       bool interchangeable = r.tried_upstreams.empty() && r.facts.pinned == 0;
       if (interchangeable && unplaceable.count(placement_key)) continue;
       if (!TrySend(r)) {
+        if (r.unplaceable) {
+          FailUnplaceable(r, now);
+          continue;
+        }
         if (interchangeable) unplaceable.insert(placement_key);
+        // Bounds the cost of a pass: each placement compares all engines.
+        if (r.service->shared_load && ++failed == kMaxFailedTimedPlacements)
+          break;
         continue;
       }
       r.waiting = false;
@@ -83,6 +95,10 @@
 }
 
 void Gateway::LogPlacementFailure(const Request& r, TimePoint now) {
+  if (r.service->shared_load) {
+    LogTimedPlacementFailure(r, now);
+    return;
+  }
   AvailabilityCounts n = CountAvailability(
       pool_.upstreams(), PlacementRequestFor(r), now, options_.placement);
   Tier rejected_tier = -1;
@@ -149,6 +165,7 @@
 void Gateway::Tick() {
   TimePoint now = clock_.Now();
   UpdateDecodeDemand(now);
+  RefreshForecasts(now);
   prefix_cache_index_.RemoveExpired(now);
   crash_watch_.Tick(now);
   quarantine_.Tick(now);
--- /dev/null
+++ b/src/policy/engine_forecast.cc
@@ -0,0 +1,217 @@
+#include "engine_forecast.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace medlarwalk {
+namespace {
+
+// Bounds of what is learned: tokens per millisecond and milliseconds.
+constexpr double kMinPrefillRate = 2;
+constexpr double kMaxPrefillRate = 1000;
+constexpr double kMinFixedMs = 1;
+constexpr double kMaxFixedMs = 150;
+// The default pace counts like this many samples, half of them of a short
+// prompt and half of a prompt of this many tokens.
+constexpr double kPriorSamples = 1;
+constexpr double kPriorTokens = 2000;
+// Weight of a first event that took longer than predicted, beside one that took
+// less. Most late ones waited behind prompts that were not known here.
+constexpr double kLateWeight = 0.35;
+// Least weight of a prompt that waited behind others.
+constexpr double kMinQueuedWeight = 0.05;
+// Weight of the newest sample in the slowness of one engine, and bounds of one
+// sample.
+constexpr double kSlowdownSmoothing = 0.35;
+constexpr double kMinSlowdown = 0.3;
+constexpr double kMaxSlowdown = 8;
+// Weights of an event gap below and above the known idle one. They differ
+// because a gap is longer while prompts are prefilled that this process does
+// not know of, and never too short but for events that arrive together, which
+// the last constant leaves out.
+constexpr double kShorterGapSmoothing = 0.2;
+constexpr double kLongerGapSmoothing = 0.02;
+constexpr double kBunchedEventsShare = 0.5;
+// An engine with more pending prefill than this says nothing of idle gaps.
+constexpr int64_t kIdlePendingTokens = 200;
+constexpr auto kLongestGapWindow = std::chrono::seconds(1);
+// Age at which an observation has a third of the weight of a new one.
+constexpr double kObservationMemoryMs = 2000;
+
+// Returns the weight of an observation of this age.
+double WeightAtAge(double age_ms) {
+  return std::exp(-std::max(0.0, age_ms) / kObservationMemoryMs);
+}
+
+double MsSince(TimePoint then, TimePoint now) {
+  return ToSeconds(now - then) * 1000;
+}
+
+// Returns the longest gap of the window that has ended and of the running one.
+double RecentLongestGap(const ObservedPace& p, TimePoint now) {
+  Duration age = now - p.longest_gap_since;
+  if (age >= 2 * kLongestGapWindow) return 0;
+  if (age >= kLongestGapWindow) return p.longest_gap_ms;
+  return std::max(p.longest_gap_ms, p.previous_longest_gap_ms);
+}
+
+}  // namespace
+
+void ServiceForecast::RecordFirstEvent(const FirstEventSample& sample,
+                                       TimePoint now, ObservedPace* pace) {
+  double tokens = sample.tokens_ahead + sample.own_tokens;
+  double predicted = fixed_ms_ + tokens * ms_per_token_;
+  double weight =
+      std::max(kMinQueuedWeight, sample.own_tokens / std::max(1.0, tokens));
+  if (sample.took_ms > predicted) weight *= kLateWeight;
+  double keep =
+      fitted_
+          ? std::exp(-ToSeconds(now - updated_at_) / policy_.service_memory_s)
+          : 0;
+  updated_at_ = now;
+  fitted_ = true;
+  n_ = n_ * keep + weight;
+  x_ = x_ * keep + weight * tokens;
+  y_ = y_ * keep + weight * sample.took_ms;
+  xx_ = xx_ * keep + weight * tokens * tokens;
+  xy_ = xy_ * keep + weight * tokens * sample.took_ms;
+  Fit();
+
+  double prefill_ms = tokens * ms_per_token_;
+  double ratio = std::clamp(
+      std::max(0.0, sample.took_ms - fixed_ms_) / std::max(0.1, prefill_ms),
+      kMinSlowdown, kMaxSlowdown);
+  double known =
+      pace->log_slowdown *
+      std::exp(-ToSeconds(now - pace->slowdown_at) / policy_.engine_memory_s);
+  double share = kSlowdownSmoothing * prefill_ms / (prefill_ms + fixed_ms_);
+  pace->log_slowdown = known + share * (std::log(ratio) - known);
+  pace->slowdown_at = now;
+}
+
+// Fits a line through the samples and the default pace.
+void ServiceForecast::Fit() {
+  double half = kPriorSamples / 2;
+  double prior_ms =
+      policy_.default_fixed_ms + kPriorTokens / policy_.default_prefill_rate;
+  double n = n_ + kPriorSamples;
+  double x = x_ + half * kPriorTokens;
+  double y = y_ + half * (policy_.default_fixed_ms + prior_ms);
+  double xx = xx_ + half * kPriorTokens * kPriorTokens;
+  double xy = xy_ + half * kPriorTokens * prior_ms;
+  double slope = (n * xy - x * y) / std::max(1e-9, n * xx - x * x);
+  ms_per_token_ = std::clamp(slope, 1 / kMaxPrefillRate, 1 / kMinPrefillRate);
+  fixed_ms_ = std::clamp((y - ms_per_token_ * x) / n, kMinFixedMs, kMaxFixedMs);
+}
+
+void ServiceForecast::RecordEventGap(Duration gap, int64_t pending_prefill,
+                                     TimePoint now, ObservedPace* pace) const {
+  double ms = ToSeconds(gap) * 1000;
+  if (now - pace->longest_gap_since >= kLongestGapWindow) {
+    pace->previous_longest_gap_ms = RecentLongestGap(*pace, now);
+    pace->longest_gap_ms = 0;
+    pace->longest_gap_since = now;
+  }
+  pace->longest_gap_ms = std::max(pace->longest_gap_ms, ms);
+  if (pending_prefill > kIdlePendingTokens) return;
+  double& idle = pace->idle_gap_ms;
+  if (idle == 0) {
+    idle = ms;
+  } else if (ms >= idle) {
+    idle += kLongerGapSmoothing * (ms - idle);
+  } else if (ms > kBunchedEventsShare * idle) {
+    idle += kShorterGapSmoothing * (ms - idle);
+  }
+  pace->idle_gap_at = now;
+}
+
+EngineForecast ServiceForecast::ForecastFor(const ObservedPace& own,
+                                            const EnginePace& published,
+                                            double service_idle_gap_ms,
+                                            TimePoint now) const {
+  EngineForecast f;
+  f.fixed_ms = fixed_ms_;
+  bool use_published = published.age <= policy_.max_published_age;
+  double published_weight =
+      use_published ? WeightAtAge(static_cast<double>(published.age.count()))
+                    : 0;
+  // The logarithm of the pace relative to the service, which is 0 without any
+  // observation and to which an old observation returns.
+  double sum = 0;
+  double weight = 0;
+  if (own.slowdown_at != TimePoint{}) {
+    double age_ms = MsSince(own.slowdown_at, now);
+    weight = WeightAtAge(age_ms);
+    sum = weight * own.log_slowdown *
+          std::exp(-age_ms / 1000 / policy_.engine_memory_s);
+  }
+  if (use_published && published.prefill_tokens_per_ms > 0) {
+    sum += published_weight *
+           std::log(prefill_rate() / published.prefill_tokens_per_ms);
+    weight += published_weight;
+  }
+  double slowdown = weight > 0 ? std::exp(sum / std::max(weight, 0.3)) : 1;
+  f.prefill_rate =
+      std::clamp(prefill_rate() / slowdown, kMinPrefillRate, kMaxPrefillRate);
+
+  double gap_sum = 0;
+  double gap_weight = 0;
+  if (own.idle_gap_ms > 0) {
+    gap_weight = WeightAtAge(MsSince(own.idle_gap_at, now));
+    gap_sum = gap_weight * own.idle_gap_ms;
+  }
+  if (use_published && published.idle_event_gap > Millis::zero()) {
+    gap_sum += published_weight *
+               static_cast<double>(published.idle_event_gap.count());
+    gap_weight += published_weight;
+  }
+  double service_gap = service_idle_gap_ms > 0 ? service_idle_gap_ms
+                                               : policy_.default_idle_gap_ms;
+  // The service's gap has a small weight beside observations of the engine.
+  constexpr double kServiceWeight = 0.05;
+  f.idle_gap_ms =
+      (gap_sum + kServiceWeight * service_gap) / (gap_weight + kServiceWeight);
+  f.longest_gap_ms = RecentLongestGap(own, now);
+  if (use_published) {
+    f.longest_gap_ms =
+        std::max(f.longest_gap_ms,
+                 static_cast<double>(published.longest_event_gap.count()));
+  }
+  return f;
+}
+
+EnginePace ServiceForecast::PaceToPublish(const ObservedPace& own,
+                                          TimePoint now) const {
+  EnginePace out;
+  TimePoint newest = std::max(own.slowdown_at, own.idle_gap_at);
+  if (newest == TimePoint{} || now - newest > policy_.max_published_age)
+    return out;
+  out.age = std::chrono::duration_cast<Millis>(now - newest);
+  if (own.slowdown_at != TimePoint{}) {
+    double fade =
+        std::exp(-ToSeconds(now - own.slowdown_at) / policy_.engine_memory_s);
+    out.prefill_tokens_per_ms =
+        prefill_rate() / std::exp(own.log_slowdown * fade);
+  }
+  out.idle_event_gap = Millis(std::lround(own.idle_gap_ms));
+  out.longest_event_gap = Millis(std::lround(RecentLongestGap(own, now)));
+  return out;
+}
+
+double PredictFirstEventMs(const EngineForecast& f, double tokens_ahead,
+                           double own_tokens) {
+  return f.fixed_ms + (tokens_ahead + own_tokens) / f.prefill_rate;
+}
+
+double PredictLongestGapMs(const EngineForecast& f, double pending_tokens) {
+  return f.idle_gap_ms + pending_tokens / f.prefill_rate;
+}
+
+double PendingPrefillLimit(const EngineForecast& f, double gap_target_ms,
+                           double share) {
+  if (gap_target_ms <= 0) return std::numeric_limits<double>::infinity();
+  return std::max(0.0, gap_target_ms - f.idle_gap_ms) * share * f.prefill_rate;
+}
+
+}  // namespace medlarwalk
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -18,6 +18,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/types/span.h"
+#include "engine_forecast.h"
 #include "engine_load.h"
 #include "types.h"
 #include "upstream_list.h"
@@ -121,6 +122,11 @@
   EngineWork own_work;
   std::vector<GapTargetCount> own_gap_targets;
   EnginePace own_pace;
+  // The observations behind `own_pace`; the unfinished work of all other
+  // processes and the pace to predict with, both as of the last refresh.
+  ObservedPace observed_pace;
+  EngineWork others_work;
+  EngineForecast forecast;
 };
 
 // The kind of engine work that dominates a request.
@@ -388,6 +394,17 @@
                                      TimePoint now,
                                      const PlacementPolicy& policy);
 
+// Returns the mean failure share of the upstreams of `request.service`.
+double MeanFailureShare(absl::Span<const UpstreamState> upstreams,
+                        const PlacementRequest& request, TimePoint now,
+                        const PlacementPolicy& policy);
+// Returns whether `u` fails so much more than `mean_failure_share` that
+// `request` should go elsewhere.
+bool FailsMoreThanOthers(const UpstreamState& u,
+                         const PlacementRequest& request,
+                         double mean_failure_share, TimePoint now,
+                         const PlacementPolicy& policy);
+
 // Number of upstreams that placement avoids because of what this process
 // observed of them, by reason. An upstream may count under several.
 struct AvoidanceCounts {
@@ -448,6 +465,9 @@
 void RecordStreamSent(UpstreamState& u, TimePoint now);
 // Records that a stream sent to `u` got its first event after `took`.
 void RecordFirstEventTime(UpstreamState& u, Duration took, TimePoint now);
+// Returns the estimated number of prompt tokens that `u` still has to prefill.
+double RemainingPrefillTokens(const UpstreamState& u, TimePoint now,
+                              const PlacementPolicy& policy);
 // Records that a prompt of `tokens` tokens was sent to `u`.
 void RecordPrefillSent(UpstreamState& u, double tokens, TimePoint now,
                        const PlacementPolicy& policy);
