--- a/src/policy/waiting_queue.cc
+++ b/src/policy/waiting_queue.cc
@@ -10,15 +10,21 @@
 // Weight of the newest interval in the smoothed dispatch rate.
 constexpr double kRateSmoothing = 0.1;
 
+// Returns whether `a` is served before `b`, whichever began to wait first.
+bool Precedes(const WaitingRequest& a, const WaitingRequest& b) {
+  if (a.tier != b.tier) return a.tier < b.tier;
+  return a.returning && !b.returning;
+}
+
 }  // namespace
 
-// Returns the expected wait of a new request of `tier` if slots keep becoming
-// free at the recent rate; zero if that rate is unknown.
+// Returns the expected wait of the new request `w` if slots keep becoming free
+// at the recent rate; zero if that rate is unknown.
 Duration WaitingQueue::ExpectedWait(const ServiceQueue& queue,
-                                    Tier tier) const {
+                                    const WaitingRequest& w) const {
   if (queue.dispatch_rate <= 0) return Duration::zero();
   auto ahead = std::count_if(queue.waiting.begin(), queue.waiting.end(),
-                             [&](const auto& w) { return w.tier <= tier; });
+                             [&](const auto& o) { return !Precedes(w, o); });
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
       static_cast<double>(ahead) / queue.dispatch_rate));
 }
@@ -30,19 +36,19 @@
   shed->reset();
   if (!policy_.tier_order) w.tier = 0;
   if (policy_.reject_unmeetable &&
-      ExpectedWait(queue, w.tier) > w.reject_at - w.enqueued_at) {
+      ExpectedWait(queue, w) > w.reject_at - w.enqueued_at) {
     return MakeError(ErrorKind::kTargetUnmeetable,
                      "expected wait exceeds the class target");
   }
   if (q.size() >= policy_.max_waiting) {
-    if (q.back().tier <= w.tier) {
+    if (!Precedes(w, q.back())) {
       return MakeError(ErrorKind::kOverloaded, "waiting room full");
     }
     *shed = q.back().seq;
     q.pop_back();
   }
   auto position = std::find_if(q.begin(), q.end(),
-                               [&](const auto& o) { return o.tier > w.tier; });
+                               [&](const auto& o) { return Precedes(w, o); });
   q.insert(position, std::move(w));
   return absl::OkStatus();
 }
@@ -123,6 +129,17 @@
   return out;
 }
 
+std::vector<uint64_t> WaitingQueue::ReturningRequests(
+    const std::string& service, Tier tier) const {
+  std::vector<uint64_t> out;
+  auto it = queues_.find(service);
+  if (it == queues_.end()) return out;
+  for (const WaitingRequest& w : it->second.waiting) {
+    if (w.tier == tier && w.returning) out.push_back(w.seq);
+  }
+  return out;
+}
+
 std::vector<uint64_t> WaitingQueue::ExpiredRequests(TimePoint now) const {
   std::vector<uint64_t> out;
   for (const auto& [service, queue] : queues_) {
--- a/src/policy/waiting_queue.h
+++ b/src/policy/waiting_queue.h
@@ -48,6 +48,9 @@
   Tier tier = 0;
   TimePoint enqueued_at{};  // When the wait began.
   TimePoint reject_at{};    // When the request is rejected if it still waits.
+  // The request was rejected before and returned when it was told to: it is
+  // served before other requests of its tier.
+  bool returning = false;
   std::string service;
 };
 
@@ -75,10 +78,14 @@
   // Returns the services that have waiting requests.
   std::vector<std::string> WaitingServices() const;
   // Returns the waiting requests of `service` in serving order: most urgent
-  // tier first, then longest wait. A starving request comes first when a slot
-  // is due to it.
+  // tier first, then returning requests, then longest wait. A starving request
+  // comes first when a slot is due to it.
   std::vector<uint64_t> ServingOrder(const std::string& service,
                                      TimePoint now) const;
+  // Returns the waiting requests of `service` and `tier` that were rejected
+  // before and returned when they were told to, longest wait first.
+  std::vector<uint64_t> ReturningRequests(const std::string& service,
+                                          Tier tier) const;
   // Returns the requests whose maximum wait has passed.
   std::vector<uint64_t> ExpiredRequests(TimePoint now) const;
   size_t size(const std::string& service) const;
@@ -95,7 +102,8 @@
   };
   const WaitingRequest* FirstStarving(const ServiceQueue& queue,
                                       TimePoint now) const;
-  Duration ExpectedWait(const ServiceQueue& queue, Tier tier) const;
+  Duration ExpectedWait(const ServiceQueue& queue,
+                        const WaitingRequest& w) const;
 
   WaitingPolicy policy_;
   std::map<std::string, ServiceQueue> queues_;
--- a/test/policy/waiting_queue_test.cc
+++ b/test/policy/waiting_queue_test.cc
@@ -23,8 +23,10 @@
     clock.Advance(std::chrono::hours(1));
   }
   absl::Status Enqueue(uint64_t seq, Tier tier,
-                       Duration max_wait = std::chrono::seconds(100)) {
+                       Duration max_wait = std::chrono::seconds(100),
+                       bool returning = false) {
     WaitingRequest w;
+    w.returning = returning;
     w.seq = seq;
     w.tier = tier;
     w.enqueued_at = clock.Now();
@@ -82,6 +84,24 @@
   CHECK_EQUAL(1u, r.DispatchNext());
 }
 
+// Guards against newcomers that are served, or keep their place in a full
+// queue, before a returning request of their tier, and against a returning
+// request that goes before a more urgent tier.
+TEST(waiting_queue, ReturningRequestsGoBeforeNewcomersOfTheirTier) {
+  Rig r(PolicyWithLimit(4));
+  constexpr Duration kWait = std::chrono::seconds(100);
+  CHECK_TRUE(r.Enqueue(1, kLow).ok());
+  CHECK_TRUE(r.Enqueue(2, kLow).ok());
+  CHECK_TRUE(r.Enqueue(3, kLow, kWait, true).ok());
+  CHECK_TRUE(r.Enqueue(4, kTop).ok());
+  CHECK_TRUE(r.Enqueue(5, kLow, kWait, true).ok());
+  CHECK_EQUAL(2u, *r.shed);
+  CHECK_EQUAL(2u, r.queue.ReturningRequests(kService, kLow).size());
+  CHECK_EQUAL(0u, r.queue.ReturningRequests(kService, kTop).size());
+  for (uint64_t expected : {4u, 3u, 5u, 1u})
+    CHECK_EQUAL(expected, r.DispatchNext());
+}
+
 // Checks the baseline of comparisons: a queue that ignores tiers.
 TEST(waiting_queue, WithoutTiersServesInArrivalOrder) {
   WaitingPolicy p;
