Gateway: callers that return when they were told to go before newcomers

Change: for services with shared_load, a rejection that promises that the request has not run names a time from ReturnSchedule and records it. A request that is recognized waits before newcomers of its rank, up to its latency target; a newcomer that arrives meanwhile queues behind it and is sent after it. The predicted delay comes from Request::place_delay, which placement is to set; without it, today's value is the earliest time. request_ended gets `returning` and `promised_ms`; metrics returns_total{what} and return_rows_dropped_total. Gateway::returns() is the table for the exchange among entries. Without shared_load no branch changes.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -81,6 +81,15 @@
                       .Help("Requests that crash upstreams, sent nowhere")
                       .Register(*registry_)
                       .Add({});
+  returns_ = &prometheus::BuildCounter()
+                  .Name(prefix + "returns_total")
+                  .Help("Rejected callers told when to return, by what came")
+                  .Register(*registry_);
+  dropped_return_rows_ = &prometheus::BuildCounter()
+                              .Name(prefix + "return_rows_dropped_total")
+                              .Help("Rows of such callers that were dropped")
+                              .Register(*registry_)
+                              .Add({});
   list_updates_ = &prometheus::BuildCounter()
                        .Name(prefix + "list_updates_total")
                        .Help("Updates of the upstream list, by how they came")
@@ -151,6 +160,14 @@
   quarantined_->Set(static_cast<double>(n));
 }
 
+void Metrics::CountReturn(absl::string_view what) {
+  returns_->Add({{"what", std::string(what)}}).Increment();
+}
+
+void Metrics::CountDroppedReturnRows(uint64_t n) {
+  dropped_return_rows_->Increment(static_cast<double>(n));
+}
+
 void Metrics::SetQueuedRequests(absl::string_view klass, double n) {
   queued_->Add({{"class", std::string(klass)}}).Set(n);
 }
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -55,6 +55,13 @@
   void SetAvoidedUpstreams(absl::string_view why, int n);
   // Sets the number of quarantined request fingerprints.
   void SetQuarantined(size_t n);
+  // Counts one rejected request whose caller was told when to return
+  // ("promised"), or one that returned as told ("kept"), returned sooner
+  // ("early"), or was rejected once more after it had returned as told
+  // ("rejected_again").
+  void CountReturn(absl::string_view what);
+  // Counts rows dropped from the table of rejected requests.
+  void CountDroppedReturnRows(uint64_t n);
   // Sets the number of queued requests of `klass`.
   void SetQueuedRequests(absl::string_view klass, double n);
 
@@ -75,6 +82,8 @@
   prometheus::Gauge* limited_upstreams_;
   prometheus::Family<prometheus::Gauge>* avoided_upstreams_;
   prometheus::Gauge* quarantined_;
+  prometheus::Family<prometheus::Counter>* returns_;
+  prometheus::Counter* dropped_return_rows_;
   prometheus::Family<prometheus::Counter>* list_updates_;
   prometheus::Family<prometheus::Counter>* list_bytes_;
   prometheus::Family<prometheus::Histogram>* list_age_;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -153,6 +153,7 @@
     FailRequest(r, ErrorKindOf(s), s.message());
     return;
   }
+  RecognizeReturn(r);
   RetryBudgetFor(r.service->name).RecordFirstAttempt(options_.retry);
   Dispatch(r);
 }
@@ -227,7 +228,8 @@
 }
 
 void Gateway::Dispatch(Request& r) {
-  if (TrySend(r)) {
+  std::vector<uint64_t> returning = ReturningBefore(r);
+  if (returning.empty() && TrySend(r)) {
     waiting_queue_.RecordDispatch(r.service->name, clock_.Now());
     return;
   }
@@ -235,10 +237,8 @@
   w.seq = r.seq;
   w.tier = r.rank;
   w.enqueued_at = clock_.Now();
-  w.reject_at = std::min(
-      r.deadline, w.enqueued_at + std::chrono::duration_cast<Duration>(
-                                      r.route->latency_target *
-                                      options_.waiting.max_wait_target_share));
+  w.reject_at = RejectAt(r, w.enqueued_at);
+  w.returning = r.returning;
   w.service = r.service->name;
   r.starving_from = StarvesAt(w, options_.waiting);
   std::optional<uint64_t> shed;
@@ -249,7 +249,11 @@
     other->waiting = false;
     FailRequest(*other, ErrorKind::kShed, "room needed for a higher tier");
   }
-  if (!r.waiting) FailRequest(r, ErrorKindOf(entered), entered.message());
+  if (!r.waiting) {
+    FailRequest(r, ErrorKindOf(entered), entered.message());
+    return;
+  }
+  if (!returning.empty()) DispatchReturningThen(returning, r);
 }
 
 PlacementRequest Gateway::PlacementRequestFor(const Request& r) const {
@@ -344,8 +348,11 @@
   TimePoint now = clock_.Now();
   UpstreamState& u = pool_.upstreams()[upstream];
   ++r.attempt;
-  if (++r.sends == 1)
+  if (++r.sends == 1) {
     TierAdmissionFor(r.service->name).RecordDispatch(r.tier, now);
+    if (r.service->shared_load)
+      ReturnScheduleFor(r.service->name).RecordPlace(now);
+  }
   r.upstream = u.info.id;
   r.tried_upstreams.push_back(u.info.id);
   r.sent_at = r.progress_at = now;
@@ -480,6 +487,8 @@
        {"tier", r.tier},
        {"rank", r.rank},
        {"sends", r.sends},
+       {"returning", r.returning ? 1 : 0},
+       {"promised_ms", r.promised_delay ? ToMs(*r.promised_delay) : -1},
        {"ms", ToMs(elapsed)},
        {"first_ms",
         r.stream_started ? ToMs(r.first_event_at - r.exchange->arrived) : -1},
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -28,6 +28,8 @@
 #include "quarantine.h"
 #include "rate_limit_table.h"
 #include "retry_budget.h"
+#include "return_schedule.h"
+#include "return_table.h"
 #include "routing_config.h"
 #include "send_slots.h"
 #include "tier_admission.h"
@@ -102,6 +104,9 @@
   // Returns the rate limits that upstreams have announced, as far as this
   // process knows them.
   const RateLimitTable& limits() const { return limits_; }
+  // Returns the rejected requests whose callers were told when to return, of
+  // services whose load is shared.
+  ReturnTable& returns() { return returns_; }
   // Merges rate limits published by control.
   void MergeLimits(absl::Span<const LimitRecord> records);
   // Records an upstream's load that was reported separately from its answers.
@@ -178,6 +183,14 @@
   void FailQuarantinedRequests();
   void RetryIfStalled(Request& r, TimePoint now);
   void DispatchWaitingRequests();
+  void DispatchReturningThen(absl::Span<const uint64_t> returning, Request& r);
+  void RecognizeReturn(Request& r);
+  bool PromisesReturn(const Request& r, ErrorKind kind) const;
+  Duration PromiseReturn(Request& r, Duration unpredicted);
+  std::vector<uint64_t> ReturningBefore(const Request& r) const;
+  TimePoint RejectAt(const Request& r, TimePoint now) const;
+  void UpdateReturns(TimePoint now);
+  ReturnSchedule& ReturnScheduleFor(const std::string& service);
   static std::string MetricLabel(const Request& r);
   Request* FindAttempt(uint64_t seq, int attempt);
   void UpdateDecodeDemand(TimePoint now);
@@ -204,6 +217,9 @@
   uint64_t quarantine_changes_seen_ = 0;
   PrefixCacheIndex prefix_cache_index_;
   WaitingQueue waiting_queue_;
+  ReturnTable returns_;
+  std::map<std::string, ReturnSchedule> return_schedules_;  // By service.
+  uint64_t reported_return_drops_ = 0;  // Dropped rows already in the metrics.
   int entry_count_;
   // Number of entry processes and index of this process among them, which
   // determine its send slots, and the time when the number was last set. A
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -249,8 +249,9 @@
   if (r.sends == 0 && r.service && IsCapacityRejection(kind))
     RecordCapacityRejection(r);
   metrics_.CountRejection(a.code);
-  ErrorResponse refusal =
-      dialect_.write_error_response(kind, why, ComputeRetryAfter(r, kind));
+  Duration retry_after = ComputeRetryAfter(r, kind);
+  if (PromisesReturn(r, kind)) retry_after = PromiseReturn(r, retry_after);
+  ErrorResponse refusal = dialect_.write_error_response(kind, why, retry_after);
   r.exchange->Respond(a.http_status, refusal.headers, refusal.body);
   FinishRequest(r, a.code, why);
 }
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -47,6 +47,14 @@
   std::multimap<TimePoint, uint64_t>::iterator deadline_entry;
   bool waiting = false;
   TimePoint starving_from{};  // Valid while `waiting`.
+  // The request was rejected before, by any entry process, and its caller
+  // returned when it was told to.
+  bool returning = false;
+  // Time from the rejection until a place is predicted to be free for the
+  // request; nullopt if it is not known.
+  std::optional<Duration> place_delay;
+  // Time until the caller was told to return with precedence, if it was.
+  std::optional<Duration> promised_delay;
   bool may_have_run = false;  // An upstream may have run the request.
   bool run_counted = false;   // on_request_run was called for this request.
   int sends = 0;  // Number of times the request was sent to an upstream.
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -154,6 +154,7 @@
   quarantine_.Tick(now);
   FailQuarantinedRequests();
   ExpireLimits(now);
+  UpdateReturns(now);
   std::vector<uint64_t> due;
   for (auto it = deadlines_.begin(); it != deadlines_.end() && it->first <= now;
        ++it) {
