--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -157,6 +157,7 @@
     FailRequest(r, ErrorKindOf(s), s.message());
     return;
   }
+  RecognizeReturn(r);
   RetryBudgetFor(r.service->name).RecordFirstAttempt(options_.retry);
   Dispatch(r);
 }
@@ -231,7 +232,8 @@
 }
 
 void Gateway::Dispatch(Request& r) {
-  if (TrySend(r)) {
+  std::vector<uint64_t> returning = ReturningBefore(r);
+  if (returning.empty() && TrySend(r)) {
     waiting_queue_.RecordDispatch(r.service->name, clock_.Now());
     return;
   }
@@ -244,6 +246,7 @@
   w.tier = r.rank;
   w.enqueued_at = clock_.Now();
   w.reject_at = WaitEnd(r, w.enqueued_at);
+  w.returning = r.returning;
   w.service = r.service->name;
   r.starving_from = StarvesAt(w, options_.waiting);
   std::optional<uint64_t> shed;
@@ -254,15 +257,20 @@
     other->waiting = false;
     FailRequest(*other, ErrorKind::kShed, "room needed for a higher tier");
   }
-  if (!r.waiting) FailRequest(r, ErrorKindOf(entered), entered.message());
+  if (!r.waiting) {
+    FailRequest(r, ErrorKindOf(entered), entered.message());
+    return;
+  }
+  if (!returning.empty()) DispatchReturningThen(returning, r);
 }
 
 // Returns the time at which `r` is rejected if it still waits.
 TimePoint Gateway::WaitEnd(const Request& r, TimePoint now) const {
   double share = options_.waiting.max_wait_target_share;
   bool timed = r.service->shared_load && r.facts.pinned == 0;
-  // Placement decides at each try whether a request can still be in time.
-  if (timed && r.sends == 0 && r.connect_failures == 0) {
+  // Placement decides at each try whether a request can still be in time. A
+  // returning request has been rejected before and may wait as long.
+  if (r.returning || (timed && r.sends == 0 && r.connect_failures == 0)) {
     TimePoint target = r.exchange->arrived + r.route->latency_target;
     return std::max(now, std::min(r.deadline, target));
   }
@@ -372,8 +380,11 @@
   TimePoint now = clock_.Now();
   UpstreamState& u = pool_.upstreams()[upstream];
   ++r.attempt;
-  if (++r.sends == 1)
+  if (++r.sends == 1) {
     TierAdmissionFor(r.service->name).RecordDispatch(r.tier, now);
+    if (r.service->shared_load)
+      ReturnScheduleFor(r.service->name).RecordPlace(now);
+  }
   r.upstream = u.info.id;
   r.tried_upstreams.push_back(u.info.id);
   r.sent_at = r.progress_at = now;
@@ -522,6 +533,8 @@
        {"tier", r.tier},
        {"rank", r.rank},
        {"sends", r.sends},
+       {"returning", r.returning ? 1 : 0},
+       {"promised_ms", r.promised_delay ? ToMs(*r.promised_delay) : -1},
        {"ms", ToMs(elapsed)},
        {"first_ms",
         r.stream_started ? ToMs(r.first_event_at - r.exchange->arrived) : -1},
