Account: named in the log and in metrics of rejected and late requests

Cause: no log line or metric named the client account of a rejected or late request, so an overload by one account looked like an overload by all.

request_ended and no_place get account=. The new counters account_refusals_total{account} and account_late_total{account} are bounded: 32 accounts with most have a series each, the rest is summed as "other" (TopCounter, Space-Saving with an exact sum). Names are escaped to printable ASCII, so an operator's words break neither a log line nor a series. The product's own API passes the account that it has checked.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -23,11 +23,34 @@
               .Add({}, LatencyBuckets());
 }
 
+// Number of client accounts with a series of their own.
+constexpr size_t kMaxAccountSeries = 32;
+
+prometheus::MetricFamily AccountFamily(std::string name, std::string help,
+                                       const TopCounter& counter) {
+  prometheus::MetricFamily out;
+  out.name = std::move(name);
+  out.help = std::move(help);
+  out.type = prometheus::MetricType::Counter;
+  auto add = [&out](std::string label, int64_t n) {
+    prometheus::ClientMetric m;
+    m.label = {{"account", std::move(label)}};
+    m.counter.value = static_cast<double>(n);
+    out.metric.push_back(std::move(m));
+  };
+  for (const TopCounter::Entry& e : counter.entries()) add(e.key, e.count);
+  add(kOtherAccounts, counter.other());
+  return out;
+}
+
 }  // namespace
 
 Metrics::Metrics(absl::string_view role)
-    : registry_(std::make_shared<prometheus::Registry>()) {
-  std::string prefix = "medlarwalk_" + std::string(role) + "_";
+    : prefix_("medlarwalk_" + std::string(role) + "_"),
+      registry_(std::make_shared<prometheus::Registry>()),
+      account_rejections_(kMaxAccountSeries),
+      account_late_(kMaxAccountSeries) {
+  const std::string& prefix = prefix_;
   rejections_ = &prometheus::BuildCounter()
                      .Name(prefix + "refusals_total")
                      .Help("Requests turned away, by reason")
@@ -100,6 +123,14 @@
   rejections_->Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void Metrics::CountAccountRejection(absl::string_view account) {
+  account_rejections_.Increment(AccountLabel(account));
+}
+
+void Metrics::CountAccountLate(absl::string_view account) {
+  account_late_.Increment(AccountLabel(account));
+}
+
 void Metrics::CountRetry(absl::string_view reason) {
   retries_->Add({{"reason", std::string(reason)}}).Increment();
 }
@@ -155,7 +186,18 @@
   queued_->Add({{"class", std::string(klass)}}).Set(n);
 }
 
-std::string Metrics::Render() const { return RenderRegistry(*registry_); }
+std::string Metrics::Render() const {
+  prometheus::TextSerializer serializer;
+  return absl::StrCat(
+      serializer.Serialize(
+          {AccountFamily(prefix_ + "account_refusals_total",
+                         "Requests turned away, by client account",
+                         account_rejections_),
+           AccountFamily(prefix_ + "account_late_total",
+                         "First events and answers over target, by account",
+                         account_late_)}),
+      RenderRegistry(*registry_));
+}
 
 ControlMetrics::ControlMetrics()
     : registry_(std::make_shared<prometheus::Registry>()) {
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -13,6 +13,7 @@
 #include "prometheus/gauge.h"
 #include "prometheus/histogram.h"
 #include "prometheus/registry.h"
+#include "top_counter.h"
 
 namespace medlarwalk {
 
@@ -24,6 +25,11 @@
 
   // Counts one rejected request, by the code of its error kind.
   void CountRejection(absl::string_view reason);
+  // Counts one rejected request by client account ("" if it has none).
+  void CountAccountRejection(absl::string_view account);
+  // Counts one request by client account whose first event or answer came after
+  // the latency target of its route.
+  void CountAccountLate(absl::string_view account);
   // Counts one retry, by its reason (e.g. not_run, connection_lost).
   void CountRetry(absl::string_view reason);
   // Counts one finished request, by class and outcome ("ok" or a code).
@@ -62,7 +68,10 @@
   std::string Render() const;
 
  private:
+  std::string prefix_;
   std::shared_ptr<prometheus::Registry> registry_;
+  TopCounter account_rejections_;
+  TopCounter account_late_;
   prometheus::Family<prometheus::Counter>* rejections_;
   prometheus::Family<prometheus::Counter>* retries_;
   prometheus::Family<prometheus::Counter>* finished_;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -27,7 +27,10 @@
   std::string id;  // Id of this attempt of the caller; the upstream repeats it.
   // Time for which the caller waits for the answer.
   std::optional<Duration> time_limit;
-  std::string key;   // Key of the client account; may be empty.
+  std::string key;  // Key of the client account; may be empty.
+  // Name of the client account where the dialect itself has checked it; else
+  // empty, and the account is the one that owns `key`.
+  std::string account;
   std::string host;  // Host and path select the route.
   std::string path;
   int64_t prompt_tokens = 0;  // 0 if not stated by the caller.
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -185,6 +185,7 @@
   if (!r.route) return MakeError(ErrorKind::kUnknownRoute, "no route");
   r.tier = r.route->tier;
   Tier account_tier = r.tier;
+  r.account = r.facts.account;
   if (!config_->accounts.empty() && !r.route->anonymous) {
     const AccountRule* a = FindAccount(*config_, r.facts.key);
     if (!a) return MakeError(ErrorKind::kUnknownKey, "key not held");
@@ -473,6 +474,7 @@
       "request_ended",
       {{"request", r.facts.id},
        {"asks", FingerprintToHex(r.fingerprint)},
+       {"account", AccountLabel(r.account)},
        {"outcome", outcome},
        {"why", why},
        {"route", r.route ? r.route->name : ""},
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -152,6 +152,9 @@
   bool HasSendSlot(const UpstreamState& u, TimePoint now) const;
   void UseSendSlot(UpstreamState& u, TimePoint now);
   void CountAccountRequest(Request& r);
+  // Counts the request for its account if its first event or answer at the time
+  // `now` is over the latency target.
+  void CountIfLate(const Request& r, TimePoint now);
   void OnPrefillDone(Request& r, TimePoint now);
   bool RelayEvent(Request& r, absl::string_view event);
   void MeasureEventGap(Request& r, TimePoint now);
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -72,6 +72,12 @@
   options_.on_request_run(r.account);
 }
 
+void Gateway::CountIfLate(const Request& r, TimePoint now) {
+  Duration target = r.route->latency_target;
+  if (target > Duration::zero() && now - r.exchange->arrived > target)
+    metrics_.CountAccountLate(r.account);
+}
+
 void Gateway::OnAnswerBody(Request& r, absl::string_view data) {
   TimePoint now = clock_.Now();
   r.progress_at = now;
@@ -162,6 +168,7 @@
     r.first_event_at = clock_.Now();
     metrics_.ObserveFirstToken(
         MetricLabel(r), ToSeconds(r.first_event_at - r.exchange->arrived));
+    CountIfLate(r, r.first_event_at);
   }
   TimePoint now = clock_.Now();
   if (r.events > 0) MeasureEventGap(r, now);
@@ -256,6 +263,7 @@
 }
 
 void Gateway::SendBufferedAnswer(Request& r) {
+  CountIfLate(r, clock_.Now());
   r.exchange->Respond(r.answer.status, HeadersForCaller(r.answer),
                       r.buffered_body);
 }
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -249,6 +249,7 @@
   if (r.sends == 0 && r.service && IsCapacityRejection(kind))
     RecordCapacityRejection(r);
   metrics_.CountRejection(a.code);
+  metrics_.CountAccountRejection(r.account);
   ErrorResponse refusal =
       dialect_.write_error_response(kind, why, ComputeRetryAfter(r, kind));
   r.exchange->Respond(a.http_status, refusal.headers, refusal.body);
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -89,6 +89,7 @@
   TierAdmissionFor(r.service->name).MostUrgentRejectedTier(now, &rejected_tier);
   const PrefillLimiter& limiter = PrefillLimiterFor(r.service->name);
   LogEvent("no_place", {{"request", r.facts.id},
+                        {"account", AccountLabel(r.account)},
                         {"tier", r.tier},
                         {"rank", r.rank},
                         {"sends", r.sends},
--- a/src/native_api.cc
+++ b/src/native_api.cc
@@ -155,6 +155,7 @@
   if (!c.ok()) return c.status();
   RequestFacts facts;
   facts.host = (*c)->name;
+  facts.account = head.HeaderValue(kHeaderAccount);
   absl::string_view path = PathWithoutQuery(head);
   absl::Status st = path == kChatPath ? ReadChatRequest(s, body, &facts)
                     : absl::StartsWith(path, kServicePrefix)
