--- a/src/gateway.h
+++ b/src/gateway.h
@@ -184,6 +184,9 @@
   bool HasSendSlot(const UpstreamState& u, TimePoint now) const;
   void UseSendSlot(UpstreamState& u, TimePoint now);
   void CountAccountRequest(Request& r);
+  // Counts the request for its account if its first event or answer at the time
+  // `now` is over the latency target.
+  void CountIfLate(const Request& r, TimePoint now);
   void OnPrefillDone(Request& r, TimePoint now);
   // Counts the attempt of `r` in the own work at `u`. `copied`: the engine
   // copies the shared prompt parts that it lacks.
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -249,6 +249,7 @@
   if (r.sends == 0 && r.service && IsCapacityRejection(kind))
     RecordCapacityRejection(r);
   metrics_.CountRejection(a.code);
+  metrics_.CountAccountRejection(r.account);
   Duration retry_after = ComputeRetryAfter(r, kind);
   if (PromisesReturn(r, kind)) retry_after = PromiseReturn(r, retry_after);
   ErrorResponse refusal = dialect_.write_error_response(kind, why, retry_after);
--- a/src/gateway_timed.cc
+++ b/src/gateway_timed.cc
@@ -221,6 +221,7 @@
   TierAdmissionFor(r.service->name).MostUrgentRejectedTier(now, &rejected_tier);
   const TimedDecision& d = r.placement;
   LogEvent("no_place", {{"request", r.facts.id},
+                        {"account", EscapedAccount(r)},
                         {"tier", r.tier},
                         {"rank", r.rank},
                         {"sends", r.sends},
