Routing: shared engine load: entry side

Cause: an entry knows only its own requests exactly; the part that places requests by predicted times needs the work of all other processes.

SharedEngineLoad holds the newest answer of a control process and gives the others' work at an engine, decayed with its age (whole to 500 ms, zero at 2 s), the observed pace and the age of the answer. Gateway has one, and tells its own records (OwnEngineRecords) from UpstreamState::own_work and own_pace, which nothing fills yet. No behaviour changes.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -90,6 +90,15 @@
   if (u) RecordLoadReport(*u, running, waiting, clock_.Now());
 }
 
+std::vector<EngineRecord> Gateway::OwnEngineRecords() const {
+  std::vector<EngineRecord> out;
+  for (const UpstreamState& u : pool_.upstreams()) {
+    if (u.own_work.empty()) continue;
+    out.push_back({KeyOfEngine(u.info), u.own_work, u.own_pace});
+  }
+  return out;
+}
+
 void Gateway::SetReachable(const std::string& upstream, bool reachable) {
   UpstreamState* u = pool_.Find(upstream);
   if (!u || u->reachable == reachable) return;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -30,6 +30,7 @@
 #include "retry_budget.h"
 #include "routing_config.h"
 #include "send_slots.h"
+#include "shared_engine_load.h"
 #include "tier_admission.h"
 #include "upstream_link.h"
 #include "upstream_pool.h"
@@ -104,6 +105,11 @@
   const RateLimitTable& limits() const { return limits_; }
   // Merges rate limits published by control.
   void MergeLimits(absl::Span<const LimitRecord> records);
+  // Returns the engine load that other processes report.
+  SharedEngineLoad& shared_load() { return shared_load_; }
+  // Returns this process's unfinished work at each engine where it has some,
+  // and the pace that it observes there.
+  std::vector<EngineRecord> OwnEngineRecords() const;
   // Records an upstream's load that was reported separately from its answers.
   void RecordPolledLoad(const std::string& upstream, int running, int waiting);
   // Records whether the upstream is reachable, according to a source other than
@@ -200,6 +206,7 @@
   CrashWatch crash_watch_;
   Quarantine quarantine_;
   RateLimitTable limits_;
+  SharedEngineLoad shared_load_;
   uint64_t limit_changes_applied_ = 0;
   uint64_t quarantine_changes_seen_ = 0;
   PrefixCacheIndex prefix_cache_index_;
--- a/src/policy/engine_load.h
+++ b/src/policy/engine_load.h
@@ -44,7 +44,11 @@
 
   // Adds the work of other processes.
   void Add(const EngineWork& other);
+  // Multiplies all counts by `factor`, rounded to the nearest whole number.
+  // Precondition: `factor` is not negative.
+  void Scale(double factor);
   bool empty() const;
+  bool operator==(const EngineWork& other) const;
 };
 
 // Observed pace of one engine. Zero values are unknown.
@@ -53,6 +57,11 @@
   Millis idle_event_gap{};     // Event gap while no prompt is in prefill.
   Millis longest_event_gap{};  // Longest event gap of the last second.
   Millis age{};                // Age of the observation.
+
+  // Combines this observation with that of another process: the newer known
+  // value of each kind, and the longest gap if both are from the last second.
+  void Merge(const EnginePace& other);
+  bool empty() const;
 };
 
 // Work and pace of one engine, as reported and published.
@@ -62,6 +71,15 @@
   EnginePace pace;
 };
 
+// Ages between which a report of work falls from its whole value to zero. A
+// process reports ten times a second, so the whole value survives a few lost
+// reports, and the part of a process that has ended is gone within 2 s.
+inline constexpr auto kWholeUntil = Millis(500);
+inline constexpr auto kGoneAfter = Millis(2000);
+
+// Returns the share, in [0, 1], of a report of work that still counts at `age`.
+double DecayFactor(Duration age);
+
 }  // namespace medlarwalk
 
 #endif  // MEDLARWALK_ENGINE_LOAD_H_
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -18,6 +18,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/types/span.h"
+#include "engine_load.h"
 #include "types.h"
 #include "upstream_list.h"
 #include "upstream_subset.h"
@@ -107,6 +108,10 @@
   // which the upstream keeps an idle connection (zero: not known or forever).
   int idle_links = 0;
   Duration link_idle_time{};
+  // Unfinished work of this process at the engine, and the pace that it
+  // observes there. Only for services with shared load.
+  EngineWork own_work;
+  EnginePace own_pace;
 };
 
 // The kind of engine work that dominates a request.
