--- /dev/null
+++ b/test/engine_load_wire_test.cc
@@ -0,0 +1,115 @@
+// Tests of the encoding of engine load: size, rounding and malformed bytes.
+#include "engine_load_wire.h"
+
+#include <random>
+
+#include "CppUTest/TestHarness.h"
+
+using namespace medlarwalk;
+
+namespace {
+
+// A message with `n` engines, each with prompts of two levels and streams.
+EngineLoadMessage BusyMessage(int n) {
+  std::mt19937_64 random(1);
+  EngineLoadMessage m;
+  m.kind = EngineLoadMessage::Kind::kAnswer;
+  m.process = random();
+  m.seq = 4000;
+  m.oldest = Millis(140);
+  m.processes = 26;
+  for (int i = 0; i < n; ++i) {
+    EngineRecord r;
+    r.engine = static_cast<EngineKey>(random());
+    r.work.pending_prefill[0] = static_cast<int64_t>(random() % 5000);
+    r.work.pending_prefill[2] = static_cast<int64_t>(random() % 60000);
+    r.work.awaiting_first_event = static_cast<int>(random() % 20);
+    r.work.generating = static_cast<int>(random() % 90);
+    r.work.tightest_gap_target = Millis(200);
+    r.work.memory_tokens = static_cast<int64_t>(random() % 400000);
+    m.records.push_back(r);
+  }
+  return m;
+}
+
+}  // namespace
+
+TEST_GROUP(engine_load_wire){};
+
+// The budget of an entry's link is 12 bytes an engine ten times a second.
+TEST(engine_load_wire, TakesTwelveBytesAnEngine) {
+  EngineLoadMessage m = BusyMessage(53);
+  // Paces are sent of a fifth of the engines at most, on average.
+  for (size_t i = 0; i < m.records.size(); i += 5)
+    m.records[i].pace = {38, Millis(12), Millis(90), Millis(300)};
+  CHECK(EncodeEngineLoad(m).size() <= 53 * 12 + 40);
+}
+
+// Rounded numbers must stay within 1/32, items must arrive as they are.
+TEST(engine_load_wire, RoundsWithinOnePart32) {
+  EngineLoadMessage m = BusyMessage(200);
+  m.records[0].pace = {38.04, Millis(12), Millis(4000), Millis(330)};
+  m.arrivals = {{0xfedcba9876543210, 77}};
+  m.accounts = {{0xffffffff, 1 << 30}};
+  m.returns = {{5, 3, Millis(-1500)}};
+  absl::StatusOr<EngineLoadMessage> d = DecodeEngineLoad(EncodeEngineLoad(m));
+  CHECK(d.ok());
+  LONGS_EQUAL(200, d->records.size());
+  auto check_near = [](int64_t in, int64_t out) {
+    DOUBLES_EQUAL(in, out, in / 32.0 + 4);
+  };
+  for (size_t i = 0; i < 200; ++i) {
+    const EngineWork& in = m.records[i].work;
+    const EngineWork& out = d->records[i].work;
+    LONGS_EQUAL(m.records[i].engine, d->records[i].engine);
+    LONGS_EQUAL(in.awaiting_first_event, out.awaiting_first_event);
+    check_near(in.pending_prefill[0], out.pending_prefill[0]);
+    check_near(in.pending_prefill[2], out.pending_prefill[2]);
+    check_near(in.memory_tokens, out.memory_tokens);
+  }
+  DOUBLES_EQUAL(38, d->records[0].pace.prefill_tokens_per_ms, 1.2);
+  CHECK(d->oldest == Millis(140));
+  CHECK(d->arrivals[0].process == 0xfedcba9876543210);
+  LONGS_EQUAL(1 << 30, d->accounts[0].tokens);
+  CHECK(d->returns[0].remaining == Millis(-1500));
+}
+
+// A stream's target must not be taken for wider than it is, and numbers beyond
+// the range must not wrap around.
+TEST(engine_load_wire, LimitsOfTheRange) {
+  EngineLoadMessage m;
+  for (int ms : {5, 199, 330}) {
+    EngineRecord r;
+    r.work.generating = 1;
+    r.work.tightest_gap_target = Millis(ms);
+    r.work.pending_prefill = {int64_t{1} << 60, -5, 31, 32};
+    m.records.push_back(r);
+  }
+  absl::StatusOr<EngineLoadMessage> d = DecodeEngineLoad(EncodeEngineLoad(m));
+  CHECK(d.ok());
+  CHECK(d->records[0].work.tightest_gap_target == Millis(10));
+  CHECK(d->records[1].work.tightest_gap_target == Millis(190));
+  CHECK(d->records[2].work.tightest_gap_target == Millis(320));
+  CHECK((d->records[0].work.pending_prefill ==
+         std::array<int64_t, kUrgencyLevels>{507904, 0, 31, 32}));
+}
+
+// Bytes from a failing peer must be rejected, not read beyond their end.
+TEST(engine_load_wire, MalformedBytesAreRejected) {
+  EngineLoadMessage m = BusyMessage(3);
+  m.arrivals = {{1, 2}};
+  m.accounts = {{3, 400}};
+  m.returns = {{5, 3, Millis(100)}};
+  std::string bytes = EncodeEngineLoad(m);
+  CHECK(DecodeEngineLoad(bytes).ok());
+  for (size_t n = 0; n < bytes.size(); ++n)
+    CHECK_FALSE(DecodeEngineLoad(bytes.substr(0, n)).ok());
+  std::mt19937_64 random(2);
+  for (int i = 0; i < 20000; ++i) {
+    std::string damaged = bytes;
+    for (int k = 0; k < 3; ++k)
+      damaged[random() % damaged.size()] = static_cast<char>(random());
+    absl::StatusOr<EngineLoadMessage> d = DecodeEngineLoad(damaged);
+    if (d.ok()) CHECK(DecodeEngineLoad(EncodeEngineLoad(*d)).ok());
+  }
+}
