Routing: exchange of shared engine load

Cause: an entry learns what other entries send only from the engines' load reports, after the short latency targets of their callers have passed.

Entries post their work to the control process that they follow, every 90 ms while they have some, and get the sum of all others in the answer; control processes send each other the sum of the entries that report to them. Three intervals of 90 ms, not 100, leave time for transmission within 300 ms. A failed or silent control process is replaced by the next one after 0.5 s at most. Without a service with shared_load no timer runs and no link is opened. OwnEngineRecords is empty until the tracking of own work is merged, so that nothing is sent on a deployment yet.

Groups load_exchange, watch_client, serving and control pass.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -25,6 +25,34 @@
 
 }  // namespace
 
+SharedLoadMetrics::SharedLoadMetrics(const std::string& prefix,
+                                     prometheus::Registry& registry) {
+  auto& bytes = prometheus::BuildCounter()
+                    .Name(prefix + "shared_load_bytes_total")
+                    .Help("Bytes of messages of engine load, by direction")
+                    .Register(registry);
+  sent_ = &bytes.Add({{"direction", "sent"}});
+  received_ = &bytes.Add({{"direction", "received"}});
+  dropped_ = &prometheus::BuildCounter()
+                  .Name(prefix + "shared_load_dropped_total")
+                  .Help("Messages of engine load not applied, by reason")
+                  .Register(registry);
+  age_ = &prometheus::BuildGauge()
+              .Name(prefix + "shared_load_age_seconds")
+              .Help("Age of the known engine load of other processes")
+              .Register(registry)
+              .Add({});
+  processes_ = &prometheus::BuildGauge()
+                    .Name(prefix + "shared_load_processes")
+                    .Help("Processes whose engine load is known")
+                    .Register(registry)
+                    .Add({});
+}
+
+void SharedLoadMetrics::CountDropped(absl::string_view why) {
+  dropped_->Add({{"reason", std::string(why)}}).Increment();
+}
+
 Metrics::Metrics(absl::string_view role)
     : registry_(std::make_shared<prometheus::Registry>()) {
   std::string prefix = "medlarwalk_" + std::string(role) + "_";
@@ -94,6 +122,7 @@
                    .Help("Age of the upstream list when heard of")
                    .Register(*registry_);
   loop_iterations_ = LoopIterationHistogram(prefix, *registry_);
+  shared_load_ = std::make_unique<SharedLoadMetrics>(prefix, *registry_);
 }
 
 void Metrics::CountRejection(absl::string_view reason) {
@@ -184,6 +213,8 @@
                  .Help("Steps of duties, by what they came to")
                  .Register(*registry_);
   loop_iterations_ = LoopIterationHistogram("medlarwalk_control_", *registry_);
+  shared_load_ =
+      std::make_unique<SharedLoadMetrics>("medlarwalk_control_", *registry_);
 }
 
 void ControlMetrics::ObserveCall(absl::string_view call,
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -16,6 +16,32 @@
 
 namespace medlarwalk {
 
+// The metrics of the exchange of engine load between processes. Thread safety:
+// loop thread only.
+class SharedLoadMetrics {
+ public:
+  // Registers the metrics with names that begin with `prefix`.
+  SharedLoadMetrics(const std::string& prefix, prometheus::Registry& registry);
+  // Count one message by its size.
+  void CountSent(size_t bytes) { sent_->Increment(static_cast<double>(bytes)); }
+  void CountReceived(size_t bytes) {
+    received_->Increment(static_cast<double>(bytes));
+  }
+  // Counts one message that was not applied, by its reason.
+  void CountDropped(absl::string_view why);
+  // Sets the age of the known load of other processes.
+  void SetAge(double seconds) { age_->Set(seconds); }
+  // Sets the number of processes whose work is known.
+  void SetProcesses(int n) { processes_->Set(n); }
+
+ private:
+  prometheus::Counter* sent_;
+  prometheus::Counter* received_;
+  prometheus::Family<prometheus::Counter>* dropped_;
+  prometheus::Gauge* age_;
+  prometheus::Gauge* processes_;
+};
+
 // The metrics of an entry or agent process. Thread safety: prometheus-cpp
 // metrics are thread safe; the process uses them from its loop thread only.
 class Metrics {
@@ -57,6 +83,7 @@
   void SetQuarantined(size_t n);
   // Sets the number of queued requests of `klass`.
   void SetQueuedRequests(absl::string_view klass, double n);
+  SharedLoadMetrics& shared_load() { return *shared_load_; }
 
   // Returns all metrics in the Prometheus text format.
   std::string Render() const;
@@ -79,6 +106,7 @@
   prometheus::Family<prometheus::Counter>* list_bytes_;
   prometheus::Family<prometheus::Histogram>* list_age_;
   prometheus::Histogram* loop_iterations_;
+  std::unique_ptr<SharedLoadMetrics> shared_load_;
 };
 
 // The metrics of a control process. Thread safety: loop thread only.
@@ -128,6 +156,7 @@
   }
   // Sets the gauges of the process's state.
   void SetState(const State& s);
+  SharedLoadMetrics& shared_load() { return *shared_load_; }
   std::string Render() const;
 
  private:
@@ -139,6 +168,7 @@
   prometheus::Family<prometheus::Gauge>* state_;
   prometheus::Family<prometheus::Counter>* duties_;
   prometheus::Histogram* loop_iterations_;
+  std::unique_ptr<SharedLoadMetrics> shared_load_;
 };
 
 // Returns `registry` in the Prometheus text format, with the heap use of the
--- a/src/control.cc
+++ b/src/control.cc
@@ -66,6 +66,9 @@
           loop, clock,
           [this](Duration d) { metrics_.ObserveLoopIteration(ToSeconds(d)); }),
       links_(loop, clock),
+      load_(
+          loop, clock, links_, [this] { return OtherControls(); },
+          metrics_.shared_load()),
       forwarded_changes_(kMaxForwardedBytes,
                          [this](int64_t, Document document, SubmitDone done) {
                            ForwardToLeader(std::move(document),
@@ -249,6 +252,10 @@
     HandleReplica(req, std::move(stream));
     return;
   }
+  if (req.path == kEngineLoadPath) {
+    load_.HandleRequest(req, std::move(stream));
+    return;
+  }
   if (req.path == kSubmitPath) {
     absl::StatusOr<std::string> text =
         DecompressDocument(req.body, kMaxLinkBodyBytes);
--- a/src/control.h
+++ b/src/control.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "control_load.h"
 #include "control_wire.h"
 #include "h2.h"
 #include "link_pool.h"
@@ -141,6 +142,8 @@
   std::optional<Member> Leader() const;
   WatchReply MakeWatchReply(const WatchRequest& r);
   std::vector<ControlEndpoint> ControlEndpoints() const;
+  // Returns the addresses of the other control processes.
+  std::vector<std::string> OtherControls() const;
   std::string DataCentreOf(const std::string& address) const;
   void OnLeaderReply(const WatchReply& r, bool in_sync);
   void MergeCrashRecords(absl::string_view encoded, bool from_leader);
@@ -175,6 +178,7 @@
   // snapshot.
   std::set<std::string> members_with_load_in_flight_;
   LinkPool links_;
+  ControlLoad load_;
   // Configurations forwarded to the leader.
   ConflatingSender forwarded_changes_;
   SharedLister lister_;
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -79,6 +79,15 @@
   return out;
 }
 
+std::vector<std::string> Control::OtherControls() const {
+  std::vector<std::string> out;
+  for (ControlEndpoint& e : ControlEndpoints()) {
+    if (e.address != options_.peer.ToString())
+      out.push_back(std::move(e.address));
+  }
+  return out;
+}
+
 void Control::OnLeaderReply(const WatchReply& r, bool in_sync) {
   if (r.quarantine) MergeCrashRecords(*r.quarantine, true);
   if (r.limits) MergeLimitRecords(*r.limits, true);
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -104,6 +104,15 @@
           [this](const WatchReply& r, bool in_sync) {
             OnWatchReply(r, in_sync);
           }),
+      load_exchange_(
+          loop, clock, process_id_,
+          [&] {
+            LoadExchangeHooks h;
+            h.targets = [this] { return watch_.Targets(); };
+            h.own_records = [this] { return gateway_.OwnEngineRecords(); };
+            return h;
+          }(),
+          gateway_.shared_load(), metrics_.shared_load()),
       lister_(loop, clock, options_.list),
       // Initialized to the current time, so that this process does not read the
       // list itself at startup. Even if all processes start at once, control
@@ -258,6 +267,9 @@
   }
   BuildConfigIndexes(&*c);
   callers_.set_limits(c->limits);
+  load_exchange_.SetActive(
+      std::any_of(c->services.begin(), c->services.end(),
+                  [](const auto& s) { return s.second.shared_load; }));
   LogEvent("config_in_force", {{"version", version},
                                {"routes", c->routes.size()},
                                {"services", c->services.size()},
--- a/src/serving.h
+++ b/src/serving.h
@@ -14,6 +14,7 @@
 #include "caller_server.h"
 #include "gateway.h"
 #include "lister.h"
+#include "load_exchange.h"
 #include "loop_watch.h"
 #include "metrics.h"
 #include "source_read_pacer.h"
@@ -91,6 +92,7 @@
   UsageTable usage_;
   WatchReports reports_;
   WatchClient watch_;
+  LoadExchange load_exchange_;
   Lister lister_;
   UpstreamList list_;
   TimePoint list_current_at_{};
--- a/src/watch_client.cc
+++ b/src/watch_client.cc
@@ -108,6 +108,17 @@
   return addresses;
 }
 
+std::vector<std::string> WatchClient::Targets() const {
+  std::vector<std::string> out = OrderedTargets();
+  auto it = std::find(out.begin(), out.end(), target_);
+  if (it != out.end()) {
+    std::rotate(out.begin(), it, out.end());
+  } else if (!target_.empty()) {
+    out.insert(out.begin(), target_);
+  }
+  return out;
+}
+
 // Keeps the followed process, unless it is no longer a candidate or the
 // preferred candidate may have recovered from its failure.
 void WatchClient::ChooseTarget(TimePoint now) {
--- a/src/watch_client.h
+++ b/src/watch_client.h
@@ -57,6 +57,9 @@
   // Does nothing if no watch is open or its answer has begun to arrive.
   void RestartWatch();
   void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+  // Returns the addresses of all known control processes: the followed one,
+  // then the others in the order in which they would be tried.
+  std::vector<std::string> Targets() const;
   // Returns the request that the next watch sends. Callers set in it the
   // versions that they hold.
   WatchRequest& next_request() { return next_request_; }
