--- a/src/gateway_timed.cc
+++ b/src/gateway_timed.cc
@@ -221,7 +221,7 @@
   TierAdmissionFor(r.service->name).MostUrgentRejectedTier(now, &rejected_tier);
   const TimedDecision& d = r.placement;
   LogEvent("no_place", {{"request", r.facts.id},
-                        {"account", EscapedAccount(r)},
+                        {"account", AccountLabel(r.account)},
                         {"tier", r.tier},
                         {"rank", r.rank},
                         {"sends", r.sends},
@@ -241,7 +241,7 @@
 OthersView Gateway::ViewOfOthers(TimePoint now) const {
   OthersView view;
   view.process_count = entry_count_;
-  view.age = Duration(-1);
+  view.age = shared_load_.usable(now) ? shared_load_.Age(now) : Duration(-1);
   return view;
 }
 
@@ -253,7 +253,9 @@
   EngineWork mean = DividedWork(sum, static_cast<int>(service.order.size()));
   for (size_t i : service.order) {
     UpstreamState& u = pool_.upstreams()[i];
-    u.others_work = EstimateOthersWork(u.own_work, mean, entry_count_);
+    u.others_work = shared_load_.usable(now)
+                        ? shared_load_.OthersAt(u.engine_key, now)
+                        : EstimateOthersWork(u.own_work, mean, entry_count_);
   }
 }
 
@@ -268,8 +270,9 @@
     for (size_t i : service.order) {
       UpstreamState& u = pool_.upstreams()[i];
       u.own_pace = service.forecast.PaceToPublish(u.observed_pace, now);
-      u.forecast = service.forecast.ForecastFor(u.observed_pace, EnginePace{},
-                                                service.idle_gap_ms, now);
+      u.forecast = service.forecast.ForecastFor(
+          u.observed_pace, shared_load_.PaceOf(u.engine_key, now),
+          service.idle_gap_ms, now);
     }
   }
 }
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -104,6 +104,19 @@
           [this](const WatchReply& r, bool in_sync) {
             OnWatchReply(r, in_sync);
           }),
+      load_exchange_(
+          loop, clock, process_id_,
+          [&] {
+            LoadExchangeHooks h;
+            h.targets = [this] { return watch_.Targets(); };
+            h.own_records = [this] { return gateway_.OwnEngineRecords(); };
+            h.take_returns = [this] { return TakeNewReturns(); };
+            h.on_answer = [this](const EngineLoadMessage& m) {
+              MergeReturns(m.returns);
+            };
+            return h;
+          }(),
+          gateway_.shared_load(), metrics_.shared_load()),
       lister_(loop, clock, options_.list),
       // Initialized to the current time, so that this process does not read the
       // list itself at startup. Even if all processes start at once, control
@@ -197,6 +210,24 @@
   gateway_.MergeLimits(*r);
 }
 
+std::vector<PromisedReturn> Serving::TakeNewReturns() {
+  std::vector<PromisedReturn> out;
+  for (const ReturnRecord& r :
+       gateway_.returns().TakeNew(kMaxReturnItems, clock_.Now())) {
+    out.push_back({r.fingerprint, r.tier,
+                   std::chrono::duration_cast<Millis>(r.remaining)});
+  }
+  return out;
+}
+
+void Serving::MergeReturns(absl::Span<const PromisedReturn> returns) {
+  std::vector<ReturnRecord> records;
+  records.reserve(returns.size());
+  for (const PromisedReturn& r : returns)
+    records.push_back({r.fingerprint, r.tier, r.remaining});
+  gateway_.returns().Merge(records, clock_.Now());
+}
+
 void Serving::CountAccountRequest(const std::string& account) {
   std::optional<int64_t> unix_ms = group_time_.UnixMsAt(clock_.Now());
   if (unix_ms) {
@@ -258,6 +289,9 @@
   }
   BuildConfigIndexes(&*c);
   callers_.set_limits(c->limits);
+  load_exchange_.SetActive(
+      std::any_of(c->services.begin(), c->services.end(),
+                  [](const auto& s) { return s.second.shared_load; }));
   LogEvent("config_in_force", {{"version", version},
                                {"routes", c->routes.size()},
                                {"services", c->services.size()},
--- a/src/serving.h
+++ b/src/serving.h
@@ -14,6 +14,7 @@
 #include "caller_server.h"
 #include "gateway.h"
 #include "lister.h"
+#include "load_exchange.h"
 #include "loop_watch.h"
 #include "metrics.h"
 #include "source_read_pacer.h"
@@ -69,6 +70,8 @@
   void OnWatchReply(const WatchReply& r, bool in_sync);
   void MergeCrashRecords(absl::string_view encoded);
   void MergeLimitRecords(absl::string_view encoded);
+  std::vector<PromisedReturn> TakeNewReturns();
+  void MergeReturns(absl::Span<const PromisedReturn> returns);
   void CountAccountRequest(const std::string& account);
   void ApplyListUpdate(const WatchReply& r);
   void ApplyNewerList(const WatchReply& r);
@@ -91,6 +94,7 @@
   UsageTable usage_;
   WatchReports reports_;
   WatchClient watch_;
+  LoadExchange load_exchange_;
   Lister lister_;
   UpstreamList list_;
   TimePoint list_current_at_{};
