--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -85,6 +85,8 @@
   crash_watch_.OnListUpdate();
   ApplyLimitsToUpstreams();
   decode_paces_changed_ = true;
+  // The order of engines holds positions in the list of upstreams.
+  RefreshForecasts(clock_.Now());
   DispatchWaitingRequests();
 }
 
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -166,7 +166,6 @@
 void Gateway::Tick() {
   TimePoint now = clock_.Now();
   UpdateDecodeDemand(now);
-  RefreshForecasts(now);
   prefix_cache_index_.RemoveExpired(now);
   crash_watch_.Tick(now);
   quarantine_.Tick(now);
@@ -205,6 +204,9 @@
     if (it != requests_.end()) RetryIfStalled(*it->second, now);
   }
   pool_.Tick();
+  // After the pool has removed upstreams: the order of engines holds positions
+  // in its list.
+  RefreshForecasts(now);
   if (std::exchange(decode_paces_changed_, false)) {
     MarkSlowDecoders(absl::MakeSpan(pool_.upstreams()), options_.placement);
   }
