--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -76,8 +76,6 @@
   // `placement.delay`: see TimedDecision.
   TimedDecision placement;
   bool unplaceable = false;  // The last placement was a rejection.
-  // Prompt tokens ahead of this attempt when it was sent.
-  double tokens_ahead = 0;
   // Work of this attempt that is counted at `upstream`.
   AttemptWork work;
   // State of a streamed answer.
--- a/src/policy/engine_forecast.cc
+++ b/src/policy/engine_forecast.cc
@@ -18,7 +18,12 @@
 constexpr double kPriorTokens = 2000;
 // Weight of a first event that took longer than predicted, beside one that took
 // less. Most late ones waited behind prompts that were not known here.
-constexpr double kLateWeight = 0.35;
+constexpr double kLateWeight = 0.1;
+// A first event counts as at most this many times as long as predicted.
+constexpr double kMaxLateFactor = 1.5;
+// Weight of a sample that shows an engine as slower than known, beside one that
+// shows it as faster.
+constexpr double kSlowerWeight = 0.3;
 // Least weight of a prompt that waited behind others.
 constexpr double kMinQueuedWeight = 0.05;
 // Weight of the newest sample in the slowness of one engine, and bounds of one
@@ -36,6 +41,12 @@
 // An engine with more pending prefill than this says nothing of idle gaps.
 constexpr int64_t kIdlePendingTokens = 200;
 constexpr auto kLongestGapWindow = std::chrono::seconds(1);
+// Weight of the newest published observation in the mean of them.
+constexpr double kPublishedSmoothing = 0.1;
+// Weights of the mean over all other processes, and of the service's pace,
+// beside a new observation of this process.
+constexpr double kOthersWeight = 2;
+constexpr double kServiceWeight = 0.3;
 // Age at which an observation has a third of the weight of a new one.
 constexpr double kObservationMemoryMs = 2000;
 
@@ -65,6 +76,7 @@
   double weight =
       std::max(kMinQueuedWeight, sample.own_tokens / std::max(1.0, tokens));
   if (sample.took_ms > predicted) weight *= kLateWeight;
+  double took_ms = std::min(sample.took_ms, kMaxLateFactor * predicted);
   double keep =
       fitted_
           ? std::exp(-ToSeconds(now - updated_at_) / policy_.service_memory_s)
@@ -73,9 +85,9 @@
   fitted_ = true;
   n_ = n_ * keep + weight;
   x_ = x_ * keep + weight * tokens;
-  y_ = y_ * keep + weight * sample.took_ms;
+  y_ = y_ * keep + weight * took_ms;
   xx_ = xx_ * keep + weight * tokens * tokens;
-  xy_ = xy_ * keep + weight * tokens * sample.took_ms;
+  xy_ = xy_ * keep + weight * tokens * took_ms;
   Fit();
 
   double prefill_ms = tokens * ms_per_token_;
@@ -86,6 +98,7 @@
       pace->log_slowdown *
       std::exp(-ToSeconds(now - pace->slowdown_at) / policy_.engine_memory_s);
   double share = kSlowdownSmoothing * prefill_ms / (prefill_ms + fixed_ms_);
+  if (ratio > 1) share *= kSlowerWeight;
   pace->log_slowdown = known + share * (std::log(ratio) - known);
   pace->slowdown_at = now;
 }
@@ -117,7 +130,7 @@
   if (pending_prefill > kIdlePendingTokens) return;
   double& idle = pace->idle_gap_ms;
   if (idle == 0) {
-    idle = ms;
+    idle = std::min(ms, policy_.default_idle_gap_ms);
   } else if (ms >= idle) {
     idle += kLongerGapSmoothing * (ms - idle);
   } else if (ms > kBunchedEventsShare * idle) {
@@ -126,58 +139,54 @@
   pace->idle_gap_at = now;
 }
 
-EngineForecast ServiceForecast::ForecastFor(const ObservedPace& own,
-                                            const EnginePace& published,
+void ServiceForecast::RecordPublished(const EnginePace& published,
+                                      double reference_rate, TimePoint now,
+                                      ObservedPace* pace) const {
+  TimePoint observed_at = now - published.age;
+  if (published.age > policy_.max_published_age ||
+      observed_at <= pace->others_at) {
+    return;
+  }
+  pace->others_at = observed_at;
+  if (published.prefill_tokens_per_ms > 0) {
+    double slowdown =
+        std::log(reference_rate / published.prefill_tokens_per_ms);
+    pace->others_log_slowdown +=
+        kPublishedSmoothing * (slowdown - pace->others_log_slowdown);
+  }
+  auto gap_ms = static_cast<double>(published.idle_event_gap.count());
+  double& known = pace->others_idle_gap_ms;
+  if (gap_ms <= 0) return;
+  double smoothing = gap_ms < known ? kPublishedSmoothing : kLongerGapSmoothing;
+  known = known == 0 ? gap_ms : known + smoothing * (gap_ms - known);
+}
+
+EngineForecast ServiceForecast::ForecastFor(const ObservedPace& pace,
+                                            Millis longest_gap,
                                             double service_idle_gap_ms,
                                             TimePoint now) const {
   EngineForecast f;
   f.fixed_ms = fixed_ms_;
-  bool use_published = published.age <= policy_.max_published_age;
-  double published_weight =
-      use_published ? WeightAtAge(static_cast<double>(published.age.count()))
-                    : 0;
-  // The logarithm of the pace relative to the service, which is 0 without any
-  // observation and to which an old observation returns.
-  double sum = 0;
-  double weight = 0;
-  if (own.slowdown_at != TimePoint{}) {
-    double age_ms = MsSince(own.slowdown_at, now);
-    weight = WeightAtAge(age_ms);
-    sum = weight * own.log_slowdown *
-          std::exp(-age_ms / 1000 / policy_.engine_memory_s);
-  }
-  if (use_published && published.prefill_tokens_per_ms > 0) {
-    sum += published_weight *
-           std::log(prefill_rate() / published.prefill_tokens_per_ms);
-    weight += published_weight;
-  }
-  double slowdown = weight > 0 ? std::exp(sum / std::max(weight, 0.3)) : 1;
+  double others_weight =
+      kOthersWeight * WeightAtAge(MsSince(pace.others_at, now));
+  double own_weight = WeightAtAge(MsSince(pace.slowdown_at, now));
+  double slowdown = std::exp((own_weight * pace.log_slowdown +
+                              others_weight * pace.others_log_slowdown) /
+                             (kServiceWeight + own_weight + others_weight));
   f.prefill_rate =
       std::clamp(prefill_rate() / slowdown, kMinPrefillRate, kMaxPrefillRate);
 
-  double gap_sum = 0;
-  double gap_weight = 0;
-  if (own.idle_gap_ms > 0) {
-    gap_weight = WeightAtAge(MsSince(own.idle_gap_at, now));
-    gap_sum = gap_weight * own.idle_gap_ms;
-  }
-  if (use_published && published.idle_event_gap > Millis::zero()) {
-    gap_sum += published_weight *
-               static_cast<double>(published.idle_event_gap.count());
-    gap_weight += published_weight;
-  }
-  double service_gap = service_idle_gap_ms > 0 ? service_idle_gap_ms
-                                               : policy_.default_idle_gap_ms;
-  // The service's gap has a small weight beside observations of the engine.
-  constexpr double kServiceWeight = 0.05;
+  double service_gap_ms = service_idle_gap_ms > 0 ? service_idle_gap_ms
+                                                  : policy_.default_idle_gap_ms;
+  own_weight =
+      pace.idle_gap_ms > 0 ? WeightAtAge(MsSince(pace.idle_gap_at, now)) : 0;
+  if (pace.others_idle_gap_ms == 0) others_weight = 0;
   f.idle_gap_ms =
-      (gap_sum + kServiceWeight * service_gap) / (gap_weight + kServiceWeight);
-  f.longest_gap_ms = RecentLongestGap(own, now);
-  if (use_published) {
-    f.longest_gap_ms =
-        std::max(f.longest_gap_ms,
-                 static_cast<double>(published.longest_event_gap.count()));
-  }
+      (own_weight * pace.idle_gap_ms + others_weight * pace.others_idle_gap_ms +
+       kServiceWeight * service_gap_ms) /
+      (own_weight + others_weight + kServiceWeight);
+  f.longest_gap_ms = std::max(RecentLongestGap(pace, now),
+                              static_cast<double>(longest_gap.count()));
   return f;
 }
 
--- a/src/policy/engine_forecast.h
+++ b/src/policy/engine_forecast.h
@@ -55,6 +55,12 @@
   double longest_gap_ms = 0;
   double previous_longest_gap_ms = 0;
   TimePoint longest_gap_since{};
+  // What other processes have observed: mean over the recent observations of
+  // log_slowdown and of the event gap without prefills (0: unknown), and the
+  // time of the newest.
+  double others_log_slowdown = 0;
+  double others_idle_gap_ms = 0;
+  TimePoint others_at{};
 };
 
 // Pace of one engine as used in predictions.
@@ -82,12 +88,18 @@
   double prefill_rate() const { return 1 / ms_per_token_; }
   double fixed_ms() const { return fixed_ms_; }
 
-  // Returns the pace to predict with, from this process's own observation of an
-  // engine and the published one of others. Of two observations the younger one
-  // has more weight. Where neither is known, the pace is that of the service;
-  // `service_idle_gap_ms`: its median event gap without prefills, 0 if unknown.
-  EngineForecast ForecastFor(const ObservedPace& own,
-                             const EnginePace& published,
+  // Records the newest observation `published` of any other process. Single
+  // observations vary, and all processes get the same ones, so that an engine
+  // which one of them shows as fast would get the prompts of all.
+  // `reference_rate`: the median published prefill rate of the service, because
+  // processes that judge all engines differently still agree on the order.
+  void RecordPublished(const EnginePace& published, double reference_rate,
+                       TimePoint now, ObservedPace* pace) const;
+  // Returns the pace to predict with, from the observations of an engine; the
+  // younger ones have more weight. Where none is known, the pace is that of the
+  // service; `service_idle_gap_ms`: its median event gap without prefills, 0 if
+  // unknown. `longest_gap`: the published one.
+  EngineForecast ForecastFor(const ObservedPace& pace, Millis longest_gap,
                              double service_idle_gap_ms, TimePoint now) const;
   // Returns the observation `own` in the form in which it is published.
   EnginePace PaceToPublish(const ObservedPace& own, TimePoint now) const;
--- a/src/policy/timed_placement.h
+++ b/src/policy/timed_placement.h
@@ -30,33 +30,42 @@
   // the time left until its target. The rest is for prompts that are not known
   // yet.
   double first_event_share = 0.8;
-  // A gap may be filled up to this share of its target, by the request's own
-  // prompt and by `pending_factor` times what is known to wait.
-  double gap_share = 0.9;
-  double pending_factor = 2;
-  // An engine has ample room for a prompt up to this share of what its targets
-  // allow. Such engines are used first, those without tight streams before the
-  // others.
-  double ample_share = 0.6;
+  // Share of a gap target, beyond the gap without prefills, that the prompts
+  // known to wait at an engine may fill. The rest is for prompts that arrive
+  // during the gap.
+  double gap_share = 0.45;
+  // Factor of that share for each level that a prompt is less urgent, so that
+  // more urgent prompts find room where less urgent ones wait.
+  double level_factor = 0.75;
+  // Share of the work of an engine between two reports that packed streams may
+  // count on. Their gaps need an engine that is idle most of the time.
+  double packed_work_share = 0.2;
   // Shares of an engine's slots and memory up to which it is filled. Beyond
   // them it queues and preempts in its own order.
   double slot_share = 0.9;
   double memory_share = 0.9;
   // Share of slots up to which streams are packed on one engine.
   double packed_slot_share = 0.75;
-  // Number of engines after the last one with tight streams where prompts keep
-  // the tightest gap target as well, so that a jump in streams finds them free.
+  // Number of engines after the last one with packed streams that prompts leave
+  // free as well, so that a jump in streams finds them.
   int reserve_engines = 2;
-  // Number of engines of which a prompt without a shared part takes the best.
-  size_t drawn_engines = 4;
-  // Number of engines drawn by random factors up to this where none is in time,
-  // so that entries with the same view do not all choose the same one.
-  double spread = 0.3;
+  // Prompts leave the engines of packed streams alone while the room at all
+  // others is this many times what the entries send unseen.
+  double ample_factor = 2;
+  // An engine with less than this share of its room left takes a prompt whose
+  // home it is with a probability that falls to zero with the room. A threshold
+  // would make all entries leave and return to the engine at the same moments.
+  double home_share = 0.5;
+  // Where no engine is in time, random factors up to 1 + spread keep entries
+  // with the same view from choosing the same engine.
+  double spread = 2;
   // A request of the most urgent tier is also sent where its first event is
   // predicted late, up to this many times its target.
   double max_late_share = 2;
-  // Time until a slot or memory is expected to become free, in milliseconds.
+  // Time until a slot or memory is expected to become free, and time until the
+  // next try of a request that was held back at random. Milliseconds.
   double slot_wait_ms = 50;
+  double next_try_ms = 25;
 };
 
 // One engine, as a candidate for one request.
@@ -72,7 +81,12 @@
   // Time for which the engine has sent no awaited first event, in ms.
   double silent_ms = 0;
   bool avoided = false;  // Used only where no other engine is in time.
-  double room = 0;       // Set by ChooseEngine.
+  // Set by ChooseEngine: prompt tokens that may still be sent here before the
+  // next report, counting what the engine works off meanwhile; the same of an
+  // idle engine; and the predicted first event.
+  double room = 0;
+  double full_room = 0;
+  double first_ms = 0;
 };
 
 // The request to place. Times in milliseconds.
@@ -89,14 +103,17 @@
 
 // Work that the entries are expected to have sent and not yet reported.
 struct UnseenWork {
-  // Prompt tokens for each engine: the mean, and its random variation.
+  // At all engines together: prompt tokens, those of all tries to send a
+  // prompt, and packed streams.
   double prompt_tokens = 0;
-  double prompt_variation = 0;
-  double streams = 0;  // Packed streams, at all engines together.
+  double tried_tokens = 0;
+  double streams = 0;
   // Time that the engines have worked on what is reported, in ms.
   double worked_ms = 0;
-  // Tightest event gap target of the service's packed streams; 0: none.
-  double tightest_gap_ms = 0;
+  // Tightest event gap targets of the service's recent packed streams and of
+  // its other streams; 0: none.
+  double packed_gap_ms = 0;
+  double other_gap_ms = 0;
 };
 
 // Number of engines by the first reason that rules them out.
@@ -117,6 +134,7 @@
   // Prediction at the chosen engine, or at the best one. -1: no engine.
   double first_event_ms = -1;
   double gap_ms = -1;
+  double tokens_ahead = 0;  // Expected at the chosen engine; for the forecast.
   // Time after which a new request of this kind is predicted to be served
   // within its target at the best engine; unset if no engine allows it.
   std::optional<Duration> delay;
@@ -130,10 +148,6 @@
                            const UnseenWork& unseen, std::mt19937_64& random,
                            const TimedPolicy& policy);
 
-// Returns the prompt tokens of `level` and more urgent ones that are expected
-// to wait at an engine now.
-double ExpectedTokensAhead(const TimedEngine& e, int level,
-                           const UnseenWork& unseen);
 // Returns the prompt tokens that an engine prefills before a prompt of `level`.
 double TokensAhead(const EngineWork& work, int level);
 // Returns all prompt tokens that wait at an engine.
--- a/src/policy/timed_service.cc
+++ b/src/policy/timed_service.cc
@@ -9,15 +9,17 @@
 // Time constant of recent rates: long enough for some requests, short enough to
 // follow a jump.
 constexpr double kRateMemoryS = 0.5;
-// Time for which a packed stream keeps engines free for others of its kind.
-constexpr auto kTightGapMemory = std::chrono::seconds(5);
+// Time for which a gap target counts after a request with it was sent.
+constexpr auto kGapTargetMemory = std::chrono::seconds(5);
 // Bounds of the time for which sends of other processes are unseen: what is
 // told takes at least a reporting interval, and an estimate over more than a
 // second says nothing.
 constexpr double kMinUnseenS = 0.1;
 constexpr double kMaxUnseenS = 1;
+// Age up to which a published longest event gap counts as recent.
+constexpr auto kLongestGapTrust = Millis(1500);
 // Share of its time that a busy engine spends on prefills.
-constexpr double kBusyShare = 0.7;
+constexpr double kBusyShare = 0.4;
 
 }  // namespace
 
@@ -30,45 +32,47 @@
   return sum_ * std::exp(-ToSeconds(now - at_) / kRateMemoryS) / kRateMemoryS;
 }
 
+void RecentGapTarget::Record(double gap_target_ms, TimePoint now) {
+  if (gap_target_ms <= 0) return;
+  if (Current(now) > 0 && gap_target_ms > ms) return;
+  ms = gap_target_ms;
+  at = now;
+}
+
+double RecentGapTarget::Current(TimePoint now) const {
+  return now - at <= kGapTargetMemory ? ms : 0;
+}
+
+void RecordTry(const TimedRequest& request, double prompt_tokens, TimePoint now,
+               TimedService* service) {
+  if (!request.packed) service->tried_tokens.Add(prompt_tokens, now);
+}
+
 void RecordTimedSend(const TimedRequest& request, double prompt_tokens,
                      TimePoint now, TimedService* service) {
-  if (!request.packed) {
+  if (request.packed) {
+    service->packed_streams.Add(1, now);
+    service->packed_gap.Record(request.gap_target_ms, now);
+  } else {
     service->prompt_tokens.Add(prompt_tokens, now);
-    service->prompts.Add(1, now);
-    return;
-  }
-  service->packed_streams.Add(1, now);
-  bool outdated = now - service->tightest_packed_at > kTightGapMemory;
-  double& tightest = service->tightest_packed_gap_ms;
-  if (request.gap_target_ms <= 0) return;
-  if (tightest == 0 || outdated || request.gap_target_ms <= tightest) {
-    tightest = request.gap_target_ms;
-    service->tightest_packed_at = now;
+    service->other_gap.Record(request.gap_target_ms, now);
   }
 }
 
 UnseenWork EstimateUnseenWork(const TimedService& service,
                               const OthersView& others, TimePoint now) {
   UnseenWork out;
+  bool told = others.age >= Duration::zero();
   double age_s =
-      others.age < Duration::zero()
-          ? kMaxUnseenS
-          : std::clamp(ToSeconds(others.age), kMinUnseenS, kMaxUnseenS);
+      told ? std::clamp(ToSeconds(others.age), kMinUnseenS, kMaxUnseenS)
+           : kMaxUnseenS;
   double factor = age_s * (others.process_count - 1);
-  size_t engines = std::max<size_t>(1, service.order.size());
-  double tokens_per_s = service.prompt_tokens.PerSecond(now);
-  out.prompt_tokens = tokens_per_s * factor / static_cast<double>(engines);
-  double prompts_per_s = service.prompts.PerSecond(now);
-  // The number of prompts at one engine varies like the arrivals of a Poisson
-  // process.
-  if (prompts_per_s > 0) {
-    out.prompt_variation =
-        std::sqrt(out.prompt_tokens * tokens_per_s / prompts_per_s);
-  }
-  if (others.age >= Duration::zero()) out.worked_ms = kBusyShare * age_s * 1000;
+  out.prompt_tokens = service.prompt_tokens.PerSecond(now) * factor;
+  out.tried_tokens = service.tried_tokens.PerSecond(now) * factor;
   out.streams = service.packed_streams.PerSecond(now) * factor;
-  if (now - service.tightest_packed_at <= kTightGapMemory)
-    out.tightest_gap_ms = service.tightest_packed_gap_ms;
+  if (told) out.worked_ms = kBusyShare * age_s * 1000;
+  out.packed_gap_ms = service.packed_gap.Current(now);
+  out.other_gap_ms = service.other_gap.Current(now);
   return out;
 }
 
@@ -76,43 +80,59 @@
                               int process_count) {
   EngineWork out = own;
   out.Add(mean_own);
-  int others = std::max(0, process_count - 1);
-  for (int64_t& n : out.pending_prefill) n = n * others / 2;
-  out.awaiting_first_event = out.awaiting_first_event * others / 2;
-  out.generating = out.generating * others / 2;
-  out.memory_tokens = out.memory_tokens * others / 2;
+  out.Scale(0.5 * std::max(0, process_count - 1));
   return out;
 }
 
-EngineWork DividedWork(const EngineWork& work, int n) {
-  EngineWork out;
-  for (size_t i = 0; i < out.pending_prefill.size(); ++i)
-    out.pending_prefill[i] = work.pending_prefill[i] / n;
-  out.awaiting_first_event = work.awaiting_first_event / n;
-  out.generating = work.generating / n;
-  out.memory_tokens = work.memory_tokens / n;
-  return out;
+double MedianOfKnown(std::vector<double>* values) {
+  auto end = std::remove_if(values->begin(), values->end(),
+                            [](double v) { return v <= 0; });
+  auto middle = values->begin() + (end - values->begin()) / 2;
+  if (middle == end) return 0;
+  std::nth_element(values->begin(), middle, end);
+  return *middle;
+}
+
+void RefreshPaces(absl::Span<UpstreamState> upstreams,
+                  const std::function<EnginePace(EngineKey)>& published,
+                  TimePoint now, TimedService* service) {
+  std::vector<double>& rates = service->scratch;
+  rates.clear();
+  service->published.clear();
+  for (size_t i : service->order) {
+    service->published.push_back(published(upstreams[i].engine_key));
+    rates.push_back(service->published.back().prefill_tokens_per_ms);
+  }
+  double reference = MedianOfKnown(&rates);
+  for (size_t k = 0; k < service->order.size(); ++k) {
+    UpstreamState& u = upstreams[service->order[k]];
+    const EnginePace& pace = service->published[k];
+    service->forecast.RecordPublished(pace, reference, now, &u.observed_pace);
+    Millis longest_gap =
+        pace.age < kLongestGapTrust ? pace.longest_event_gap : Millis::zero();
+    u.own_pace = service->forecast.PaceToPublish(u.observed_pace, now);
+    u.forecast = service->forecast.ForecastFor(u.observed_pace, longest_gap,
+                                               service->idle_gap_ms, now);
+  }
 }
 
 void RefreshService(absl::Span<const UpstreamState> upstreams,
                     absl::string_view name, TimedService* service) {
   service->order.clear();
-  std::vector<double> gaps;
+  std::vector<double>& gaps = service->scratch;
+  gaps.clear();
   for (size_t i = 0; i < upstreams.size(); ++i) {
     const UpstreamState& u = upstreams[i];
     if (u.info.service != name || !u.listed) continue;
     service->order.push_back(i);
-    if (u.observed_pace.idle_gap_ms > 0)
-      gaps.push_back(u.observed_pace.idle_gap_ms);
+    gaps.push_back(u.observed_pace.idle_gap_ms);
   }
   std::sort(service->order.begin(), service->order.end(),
             [&](size_t a, size_t b) {
               return upstreams[a].rank < upstreams[b].rank;
             });
-  if (gaps.empty()) return;
-  auto middle = gaps.begin() + static_cast<std::ptrdiff_t>(gaps.size() / 2);
-  std::nth_element(gaps.begin(), middle, gaps.end());
-  service->idle_gap_ms = *middle;
+  double median = MedianOfKnown(&gaps);
+  if (median > 0) service->idle_gap_ms = median;
 }
 
 }  // namespace medlarwalk
