--- a/src/gateway_timed.cc
+++ b/src/gateway_timed.cc
@@ -235,7 +235,8 @@
                         {"memory", d.ruled_out.memory},
                         {"late", d.ruled_out.first_event},
                         {"own_gap", d.ruled_out.own_gap},
-                        {"others_gap", d.ruled_out.others_gap}});
+                        {"others_gap", d.ruled_out.others_gap},
+            {"set_apart", d.ruled_out.set_apart}});
 }
 
 OthersView Gateway::ViewOfOthers(TimePoint now) const {
--- a/src/policy/engine_forecast.cc
+++ b/src/policy/engine_forecast.cc
@@ -71,10 +71,12 @@
 
 void ServiceForecast::RecordFirstEvent(const FirstEventSample& sample,
                                        TimePoint now, ObservedPace* pace) {
-  double tokens = sample.tokens_ahead + sample.own_tokens;
-  double predicted = fixed_ms_ + tokens * ms_per_token_;
-  double weight =
-      std::max(kMinQueuedWeight, sample.own_tokens / std::max(1.0, tokens));
+  // Only the request's own tokens count in the fit: how many are ahead of it is
+  // known too badly under load, and the early first events are those without.
+  double own = sample.own_tokens;
+  double tokens = sample.tokens_ahead + own;
+  double predicted = fixed_ms_ + own * ms_per_token_;
+  double weight = std::max(kMinQueuedWeight, own / std::max(1.0, tokens));
   if (sample.took_ms > predicted) weight *= kLateWeight;
   double took_ms = std::min(sample.took_ms, kMaxLateFactor * predicted);
   double keep =
@@ -84,10 +86,10 @@
   updated_at_ = now;
   fitted_ = true;
   n_ = n_ * keep + weight;
-  x_ = x_ * keep + weight * tokens;
+  x_ = x_ * keep + weight * own;
   y_ = y_ * keep + weight * took_ms;
-  xx_ = xx_ * keep + weight * tokens * tokens;
-  xy_ = xy_ * keep + weight * tokens * took_ms;
+  xx_ = xx_ * keep + weight * own * own;
+  xy_ = xy_ * keep + weight * own * took_ms;
   Fit();
 
   double prefill_ms = tokens * ms_per_token_;
--- a/src/policy/timed_placement.cc
+++ b/src/policy/timed_placement.cc
@@ -13,7 +13,10 @@
 constexpr double kSilenceFactor = 3;
 // An engine with streams in fewer than this share of its slots is no engine for
 // packed streams.
-constexpr double kMinPackedShare = 0.08;
+constexpr double kMinPackedShare = 0.2;
+// The engines of packed streams are the longest beginning of the common order
+// of which at least this share holds packed streams.
+constexpr double kPackedPrefixShare = 0.7;
 // A prompt longer than this share of an idle engine's room is sent to an engine
 // that has that much room, if no stream there is delayed too long.
 constexpr double kLongPromptShare = 0.8;
@@ -50,9 +53,9 @@
   // other place do not count.
   bool HoldsPackedStreams(const TimedEngine& e) const;
   // Returns whether the engine `i` is left to packed streams where possible.
-  bool IsSetApart(size_t i) const {
-    return i < reserved_ || HoldsPackedStreams(engines_[i]);
-  }
+  bool IsSetApart(size_t i) const { return i < set_apart_; }
+  // Returns whether the request must not go to the engine `i`.
+  bool IsExcluded(size_t i) const { return keep_apart_ && IsSetApart(i); }
   void ComputeRoom(size_t i);
   Reason ReasonAgainst(const TimedEngine& e) const;
   bool Fits(const TimedEngine& e) const {
@@ -65,8 +68,8 @@
 
   std::optional<size_t> ChoosePacked();
   std::optional<size_t> ChooseForPrompt();
-  std::optional<size_t> ChooseByRoom(bool apart, bool avoided);
-  std::optional<size_t> ChooseHome(bool apart);
+  std::optional<size_t> ChooseByRoom(bool avoided);
+  std::optional<size_t> ChooseHome();
   std::optional<size_t> ChooseLeastLate();
   TimedDecision Send(size_t i) const;
   TimedDecision WaitOrReject() const;
@@ -77,9 +80,9 @@
   std::mt19937_64& random_;
   const TimedPolicy& policy_;
   double allowed_ms_ = kNever;  // Latest first event.
-  size_t reserved_ = 0;
+  size_t set_apart_ = 0;        // First engines of the order.
   double sum_room_ = 0;
-  double sum_apart_room_ = 0;  // At engines that are not set apart.
+  bool keep_apart_ = false;  // Prompts leave engines of packed streams alone.
 };
 
 Choice::Choice(absl::Span<TimedEngine> engines, const TimedRequest& request,
@@ -92,16 +95,23 @@
       policy_(policy) {
   if (request_.target_ms > 0)
     allowed_ms_ = policy_.first_event_share * request_.left_ms;
-  int packed = 0;
-  for (const TimedEngine& e : engines_) packed += HoldsPackedStreams(e);
-  if (unseen_.packed_gap_ms > 0)
-    reserved_ = static_cast<size_t>(packed + policy_.reserve_engines);
+  size_t packed = 0;
+  for (size_t i = 0; i < engines_.size(); ++i) {
+    packed += HoldsPackedStreams(engines_[i]);
+    if (static_cast<double>(packed) >=
+        kPackedPrefixShare * static_cast<double>(i + 1)) {
+      set_apart_ = i + 1;
+    }
+  }
+  if (unseen_.packed_gap_ms > 0) set_apart_ += policy_.reserve_engines;
+  set_apart_ = std::min(
+      set_apart_, static_cast<size_t>(policy_.max_set_apart *
+                                      static_cast<double>(engines_.size())));
+  keep_apart_ = !request_.packed;
   for (size_t i = 0; i < engines_.size(); ++i) {
     ComputeRoom(i);
     const TimedEngine& e = engines_[i];
-    if (!Fits(e) || e.avoided) continue;
-    sum_room_ += e.room;
-    if (!IsSetApart(i)) sum_apart_room_ += e.room;
+    if (Fits(e) && !e.avoided && !IsExcluded(i)) sum_room_ += e.room;
   }
   for (TimedEngine& e : engines_) {
     e.first_ms =
@@ -217,11 +227,10 @@
 
 // Chooses by chance in proportion to the room, so that entries with the same
 // view fill the engines evenly.
-std::optional<size_t> Choice::ChooseByRoom(bool apart, bool avoided) {
+std::optional<size_t> Choice::ChooseByRoom(bool avoided) {
   auto weight = [&](size_t i) {
     const TimedEngine& e = engines_[i];
-    if (e.avoided != avoided || (apart && IsSetApart(i)) || !Fits(e))
-      return 0.0;
+    if (e.avoided != avoided || IsExcluded(i) || !Fits(e)) return 0.0;
     return e.room;
   };
   double sum = 0;
@@ -240,10 +249,10 @@
 
 // Returns the first engine in the hash order of the shared part, if it takes
 // the request.
-std::optional<size_t> Choice::ChooseHome(bool apart) {
+std::optional<size_t> Choice::ChooseHome() {
   std::optional<size_t> home;
   for (size_t i = 0; i < engines_.size(); ++i) {
-    if (engines_[i].avoided || (apart && IsSetApart(i))) continue;
+    if (engines_[i].avoided || IsExcluded(i)) continue;
     if (!home || engines_[i].affinity_hash > engines_[*home].affinity_hash)
       home = i;
   }
@@ -258,13 +267,11 @@
   // Less room than is needed for what all entries send unseen: each request is
   // sent with the probability at which it suffices.
   if (sum_room_ < unseen_.tried_tokens * Draw(random_)) return std::nullopt;
-  bool apart = sum_apart_room_ >= policy_.ample_factor * unseen_.prompt_tokens;
   if (request_.follows_prefix) {
-    if (auto i = ChooseHome(apart)) return i;
+    if (auto i = ChooseHome()) return i;
   }
-  if (auto i = ChooseByRoom(apart, false)) return i;
-  if (auto i = ChooseByRoom(false, false)) return i;
-  return ChooseByRoom(false, true);
+  if (auto i = ChooseByRoom(false)) return i;
+  return ChooseByRoom(true);
 }
 
 // Returns an engine with a free slot and memory that breaks the targets least.
@@ -302,9 +309,12 @@
 TimedDecision Choice::WaitOrReject() const {
   TimedDecision d;
   double best_ms = kNever;
-  for (const TimedEngine& e : engines_) {
-    Reason reason = ReasonAgainst(e);
+  for (size_t i = 0; i < engines_.size(); ++i) {
+    const TimedEngine& e = engines_[i];
     RuledOutCounts& n = d.ruled_out;
+    n.set_apart += IsExcluded(i);
+    if (IsExcluded(i)) continue;
+    Reason reason = ReasonAgainst(e);
     n.slots += reason == Reason::kSlots;
     n.memory += reason == Reason::kMemory;
     n.first_event += reason == Reason::kFirstEvent;
--- a/src/policy/timed_placement.h
+++ b/src/policy/timed_placement.h
@@ -33,7 +33,7 @@
   // Share of a gap target, beyond the gap without prefills, that the prompts
   // known to wait at an engine may fill. The rest is for prompts that arrive
   // during the gap.
-  double gap_share = 0.45;
+  double gap_share = 0.3;
   // Factor of that share for each level that a prompt is less urgent, so that
   // more urgent prompts find room where less urgent ones wait.
   double level_factor = 0.75;
@@ -48,14 +48,13 @@
   double packed_slot_share = 0.75;
   // Number of engines after the last one with packed streams that prompts leave
   // free as well, so that a jump in streams finds them.
-  int reserve_engines = 2;
-  // Prompts leave the engines of packed streams alone while the room at all
-  // others is this many times what the entries send unseen.
-  double ample_factor = 2;
+  size_t reserve_engines = 2;
+  // At most this share of the engines is left to packed streams.
+  double max_set_apart = 0.6;
   // An engine with less than this share of its room left takes a prompt whose
   // home it is with a probability that falls to zero with the room. A threshold
   // would make all entries leave and return to the engine at the same moments.
-  double home_share = 0.5;
+  double home_share = 1;
   // Where no engine is in time, random factors up to 1 + spread keep entries
   // with the same view from choosing the same engine.
   double spread = 2;
@@ -123,6 +122,7 @@
   int first_event = 0;  // The request's own first event would be late.
   int own_gap = 0;      // The request's own event gaps would be too long.
   int others_gap = 0;   // Its prompt would delay streams already there.
+  int set_apart = 0;    // Left to streams of many events.
 };
 
 enum class TimedRuling { kSend, kWait, kReject };
--- a/src/policy/timed_service.cc
+++ b/src/policy/timed_service.cc
@@ -19,7 +19,7 @@
 // Age up to which a published longest event gap counts as recent.
 constexpr auto kLongestGapTrust = Millis(1500);
 // Share of its time that a busy engine spends on prefills.
-constexpr double kBusyShare = 0.4;
+constexpr double kBusyShare = 0.5;
 
 }  // namespace
 
