--- a/src/gateway_timed.cc
+++ b/src/gateway_timed.cc
@@ -109,8 +109,6 @@
     r.work.gap_target =
         std::chrono::duration_cast<Millis>(r.route->event_gap_target);
   }
-  r.tokens_ahead = TokensAhead(u.own_work, r.work.level) +
-                   TokensAhead(u.others_work, r.work.level);
   CountSentWork(&r.work, u);
 }
 
@@ -192,6 +190,9 @@
     return i.has_value();
   }
   TimedRequest request = TimedRequestFor(r, now);
+  RecordTry(request,
+            static_cast<double>(UnsharedTokens(r.facts, r.shared_tokens)), now,
+            &service);
   r.placement =
       ChooseEngine(absl::MakeSpan(service.candidates), request,
                    EstimateUnseenWork(service, ViewOfOthers(now), now), random_,
@@ -235,7 +236,8 @@
                         {"memory", d.ruled_out.memory},
                         {"late", d.ruled_out.first_event},
                         {"own_gap", d.ruled_out.own_gap},
-                        {"others_gap", d.ruled_out.others_gap}});
+                        {"others_gap", d.ruled_out.others_gap},
+            {"set_apart", d.ruled_out.set_apart}});
 }
 
 OthersView Gateway::ViewOfOthers(TimePoint now) const {
@@ -247,15 +249,16 @@
 
 // Updates the work of all other processes at the engines of `service`.
 void Gateway::RefreshOthersWork(const TimedService& service, TimePoint now) {
-  if (service.order.empty()) return;
-  EngineWork sum;
-  for (size_t i : service.order) sum.Add(pool_.upstreams()[i].own_work);
-  EngineWork mean = DividedWork(sum, static_cast<int>(service.order.size()));
+  bool usable = shared_load_.usable(now);
+  EngineWork mean;
+  if (!usable && !service.order.empty()) {
+    for (size_t i : service.order) mean.Add(pool_.upstreams()[i].own_work);
+    mean.Scale(1.0 / static_cast<double>(service.order.size()));
+  }
   for (size_t i : service.order) {
     UpstreamState& u = pool_.upstreams()[i];
-    u.others_work = shared_load_.usable(now)
-                        ? shared_load_.OthersAt(u.engine_key, now)
-                        : EstimateOthersWork(u.own_work, mean, entry_count_);
+    u.others_work = usable ? shared_load_.OthersAt(u.engine_key, now)
+                           : EstimateOthersWork(u.own_work, mean, entry_count_);
   }
 }
 
@@ -267,20 +270,17 @@
     TimedService& service = TimedServiceFor(name);
     RefreshService(pool_.upstreams(), name, &service);
     RefreshOthersWork(service, now);
-    for (size_t i : service.order) {
-      UpstreamState& u = pool_.upstreams()[i];
-      u.own_pace = service.forecast.PaceToPublish(u.observed_pace, now);
-      u.forecast = service.forecast.ForecastFor(
-          u.observed_pace, shared_load_.PaceOf(u.engine_key, now),
-          service.idle_gap_ms, now);
-    }
+    RefreshPaces(
+        absl::MakeSpan(pool_.upstreams()),
+        [&](EngineKey key) { return shared_load_.PaceOf(key, now); }, now,
+        &service);
   }
 }
 
 void Gateway::RecordTimedFirstEvent(const Request& r, UpstreamState& u,
                                     TimePoint now) {
   FirstEventSample sample;
-  sample.tokens_ahead = r.tokens_ahead;
+  sample.tokens_ahead = r.placement.tokens_ahead;
   sample.own_tokens = static_cast<double>(r.work.pending_prefill);
   sample.took_ms = Milliseconds(now - r.sent_at);
   TimedServiceFor(r.service->name)
@@ -304,11 +304,7 @@
   if (!config_) return out;
   for (const UpstreamState& u : pool_.upstreams()) {
     if (u.terminated) continue;
-    if (u.own_work.empty() && u.own_pace.prefill_tokens_per_ms == 0 &&
-        u.own_pace.idle_event_gap == Millis::zero() &&
-        u.own_pace.longest_event_gap == Millis::zero()) {
-      continue;
-    }
+    if (u.own_work.empty() && u.own_pace.empty()) continue;
     auto it = config_->services.find(u.info.service);
     if (it == config_->services.end() || !it->second.shared_load) continue;
     out.push_back({u.engine_key, u.own_work, u.own_pace});
--- a/src/policy/timed_service.h
+++ b/src/policy/timed_service.h
@@ -8,6 +8,7 @@
 #ifndef MEDLARWALK_TIMED_SERVICE_H_
 #define MEDLARWALK_TIMED_SERVICE_H_
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -30,22 +31,33 @@
   TimePoint at_{};
 };
 
+// Tightest event gap target that occurred in the last seconds.
+struct RecentGapTarget {
+  double ms = 0;  // 0: none.
+  TimePoint at{};
+
+  void Record(double gap_target_ms, TimePoint now);
+  double Current(TimePoint now) const;
+};
+
 // Thread safety: loop thread only.
 struct TimedService {
   explicit TimedService(const ForecastPolicy& policy) : forecast(policy) {}
 
   ServiceForecast forecast;
-  // Sent by this process: prompt tokens of requests that are not packed, their
-  // number, and the number of packed streams.
+  // Sent by this process: prompt tokens of requests that are not packed, and
+  // number of packed streams.
   RecentRate prompt_tokens;
-  RecentRate prompts;
+  RecentRate tried_tokens;  // Of all tries to send such a request.
   RecentRate packed_streams;
-  // Tightest event gap target of packed streams, and when one was last sent.
-  double tightest_packed_gap_ms = 0;
-  TimePoint tightest_packed_at{};
+  // Tightest event gap targets of packed and of other streams.
+  RecentGapTarget packed_gap;
+  RecentGapTarget other_gap;
   // Indexes of the service's upstreams in the order that all entries share.
   std::vector<size_t> order;
   double idle_gap_ms = 0;               // Median of the engines; 0: unknown.
+  std::vector<EnginePace> published;    // In the order of `order`.
+  std::vector<double> scratch;          // Reused by medians.
   std::vector<TimedEngine> candidates;  // Reused by each placement.
 };
 
@@ -57,6 +69,9 @@
   Duration age{};
 };
 
+// Records a try to send a request with a prompt of `prompt_tokens` tokens.
+void RecordTry(const TimedRequest& request, double prompt_tokens, TimePoint now,
+               TimedService* service);
 // Records a request that is sent; `prompt_tokens`: tokens to prefill.
 void RecordTimedSend(const TimedRequest& request, double prompt_tokens,
                      TimePoint now, TimedService* service);
@@ -72,8 +87,15 @@
 EngineWork EstimateOthersWork(const EngineWork& own, const EngineWork& mean_own,
                               int process_count);
 
-// Returns `work` divided by `n`, rounded down. Precondition: n > 0.
-EngineWork DividedWork(const EngineWork& work, int n);
+// Updates the paces of the engines in the order of `service`. `published`:
+// returns what other processes have observed of an engine.
+void RefreshPaces(absl::Span<UpstreamState> upstreams,
+                  const std::function<EnginePace(EngineKey)>& published,
+                  TimePoint now, TimedService* service);
+
+// Returns the median of the known values among `values`, which it reorders; 0
+// if none is known (above 0).
+double MedianOfKnown(std::vector<double>* values);
 
 // Sets the order of the upstreams of `name`, and the median event gap without
 // prefills, from `upstreams`.
