--- a/src/control_load.cc
+++ b/src/control_load.cc
@@ -93,6 +93,7 @@
   Receiver& to = receivers_[report.process];
   to.seen_at = now;
   EngineLoadSum sum = table_.SumWithout(report.process, now);
+  metrics_.SetAge(ToSeconds(sum.oldest));
   EngineLoadMessage m;
   m.kind = EngineLoadMessage::Kind::kAnswer;
   m.process = process_;
@@ -119,9 +120,22 @@
   KeepItems(m, false, now);
 }
 
+// Returns whether a sum may be sent to `address` now: at most one message at a
+// time, and within the budget of the link.
+bool ControlLoad::MaySendSumTo(const std::string& address, TimePoint now) {
+  Receiver& to = receivers_[StableHash(address)];
+  to.seen_at = now;
+  return !to.in_flight && now >= to.not_before &&
+         links_.LinkTo(address).usable();
+}
+
 // Sends the sum of the processes that report here to each other control
-// process, at most one message at a time to each.
+// process.
 void ControlLoad::SendSums(TimePoint now) {
+  std::vector<std::string> addresses;
+  for (std::string& a : peers_())
+    if (MaySendSumTo(a, now)) addresses.push_back(std::move(a));
+  if (addresses.empty()) return;
   EngineLoadSum sum = table_.DirectSum(now);
   EngineLoadMessage m;
   m.kind = EngineLoadMessage::Kind::kSum;
@@ -131,16 +145,13 @@
   m.processes = sum.processes;
   m.records = std::move(sum.records);
   m.arrivals = table_.Arrivals(now);
-  for (const std::string& address : peers_()) SendSumTo(address, m, now);
+  for (const std::string& a : addresses) SendSumTo(a, m, now);
 }
 
 void ControlLoad::SendSumTo(const std::string& address, EngineLoadMessage m,
                             TimePoint now) {
   uint64_t id = StableHash(address);
   Receiver& to = receivers_[id];
-  to.seen_at = now;
-  if (to.in_flight || now < to.not_before || !links_.LinkTo(address).usable())
-    return;
   to.paces.Apply(&m.records);
   m.accounts = SumByAccount(
       accounts_.TakeFor(id, RelayLog<AccountTokens>::Scope::kDirectOnly, now));
@@ -183,9 +194,7 @@
 void ControlLoad::Tick() {
   TimePoint now = clock_.Now();
   RemoveExpired(now);
-  EngineLoadSum all = table_.SumWithout(0, now);
-  metrics_.SetProcesses(all.processes);
-  metrics_.SetAge(ToSeconds(all.oldest));
+  metrics_.SetProcesses(table_.processes());
   if (table_.has_reporters()) SendSums(now);
   if (table_.empty() && accounts_.empty() && returns_.empty()) {
     ev_timer_stop(loop_, &tick_);
--- a/src/control_load.h
+++ b/src/control_load.h
@@ -58,6 +58,7 @@
   void KeepItems(const EngineLoadMessage& m, bool direct, TimePoint now);
   EngineLoadMessage AnswerTo(const EngineLoadMessage& report, TimePoint now);
   void HandleSum(const EngineLoadMessage& m, TimePoint now);
+  bool MaySendSumTo(const std::string& address, TimePoint now);
   void SendSums(TimePoint now);
   void SendSumTo(const std::string& address, EngineLoadMessage m,
                  TimePoint now);
--- a/src/load_exchange.cc
+++ b/src/load_exchange.cc
@@ -167,7 +167,7 @@
 // Logs when this process loses or regains shared load that it needs.
 void LoadExchange::ReportState(TimePoint now) {
   Duration age = shared_.Age(now);
-  if (age != Duration::max()) metrics_.SetAge(ToSeconds(age));
+  if (reporting_ && age != Duration::max()) metrics_.SetAge(ToSeconds(age));
   bool usable = shared_.usable(now);
   bool lost = reporting_ && now - reporting_since_ > kLossTime && !usable;
   if (lost == lost_ || (!lost && !usable)) return;
--- a/src/policy/engine_load_table.cc
+++ b/src/policy/engine_load_table.cc
@@ -9,9 +9,11 @@
 // int.
 constexpr size_t kMaxProcesses = 4096;
 constexpr size_t kMaxControls = 64;
-// Time for which totals are used again. Without it, each of many reporters
-// would cost a sum over all of them.
-constexpr auto kTotalsLifetime = Millis(20);
+// Time for which totals are used again: a minimum, and a time for each summed
+// record, about ten times what it takes to add one. Without it, each of many
+// reporters would cost a sum over all of them.
+constexpr auto kMinTotalsLifetime = Millis(20);
+constexpr auto kTotalsLifetimePerRecord = std::chrono::microseconds(1);
 // Time for which an engine's pace is kept without another observation.
 constexpr auto kPaceMemory = Millis(5000);
 // Time for which other control processes are told of a new reporter: as long as
@@ -51,7 +53,8 @@
   }
   absl::erase_if(p->engines, [&](const auto& item) {
     const Engine& e = item.second;
-    return e.work.empty() && PaceAt(e.pace, e.pace_at, now).empty();
+    return e.work.empty() && e.counted.empty() &&
+           PaceAt(e.pace, e.pace_at, now).empty();
   });
   p->has_work =
       std::any_of(p->engines.begin(), p->engines.end(),
@@ -68,7 +71,8 @@
     return Result::kNeedsComplete;
   if (!known && direct_.size() >= kMaxProcesses) return Result::kFull;
   Part& p = direct_[r.process];
-  if (!known) p.first_at = now;
+  // A process that changes to another control process reports completely.
+  if (complete) p.arrived_at = now;
   p.seq = r.seq;
   p.received_at = now;
   StoreRecords(r.records, complete, now, &p);
@@ -129,27 +133,26 @@
 std::vector<ReportingProcess> EngineLoadTable::Arrivals(TimePoint now) const {
   std::vector<ReportingProcess> out;
   for (const auto& [process, p] : direct_) {
-    if (now - p.first_at < kArrivalTime) out.push_back({process, p.seq});
+    if (now - p.arrived_at < kArrivalTime) out.push_back({process, p.seq});
   }
   return out;
 }
 
 void EngineLoadTable::AddToTotals(uint64_t process, Part& p, TimePoint now) {
-  p.counted.clear();
   Duration age = AgeOf(p, now);
   double factor = DecayFactor(age);
-  if (factor == 0) return;
-  if (p.has_work) totals_processes_ += p.processes;
+  totals_records_ += p.engines.size();
+  p.is_counted = p.has_work && factor > 0;
+  if (p.is_counted) totals_processes_ += p.processes;
   if (p.has_work && age <= kWholeUntil)
     totals_oldest_ = std::max(totals_oldest_, age);
-  for (const auto& [key, e] : p.engines) {
+  for (auto& [key, e] : p.engines) {
     Total& t = totals_[key];
     t.pace.Merge(PaceAt(e.pace, e.pace_at, now));
-    EngineWork w = CountedWork(e, factor);
-    if (w.empty()) continue;
-    t.work.Add(w);
-    Millis gap = w.tightest_gap_target;
-    p.counted[key] = w;
+    e.counted = CountedWork(e, factor);
+    if (e.counted.empty()) continue;
+    t.work.Add(e.counted);
+    Millis gap = e.counted.tightest_gap_target;
     if (gap == Millis::zero()) continue;
     if (t.tightest == Millis::zero() || gap < t.tightest) {
       t.second_tightest = t.tightest;
@@ -162,9 +165,13 @@
 }
 
 void EngineLoadTable::UpdateTotals(TimePoint now) {
-  if (totals_known_ && now - totals_at_ < kTotalsLifetime) return;
+  Duration lifetime = std::max<Duration>(
+      kMinTotalsLifetime,
+      kTotalsLifetimePerRecord * static_cast<int64_t>(totals_records_));
+  if (totals_known_ && now - totals_at_ < lifetime) return;
   totals_known_ = true;
   totals_at_ = now;
+  totals_records_ = 0;
   totals_.clear();
   totals_oldest_ = {};
   totals_processes_ = 0;
@@ -179,20 +186,28 @@
   sum.processes = totals_processes_;
   auto own = direct_.find(process);
   const Part* part = own == direct_.end() ? nullptr : &own->second;
-  if (part && !part->counted.empty()) --sum.processes;
+  if (part && part->is_counted) --sum.processes;
+  sum.records.reserve(totals_.size());
   for (const auto& [key, t] : totals_) {
     EngineRecord r{key, t.work, t.pace};
     r.work.tightest_gap_target =
         t.tightest_process == process ? t.second_tightest : t.tightest;
     if (part) {
-      auto counted = part->counted.find(key);
-      if (counted != part->counted.end()) Subtract(counted->second, &r.work);
+      auto e = part->engines.find(key);
+      if (e != part->engines.end()) Subtract(e->second.counted, &r.work);
     }
     if (!r.work.empty() || !r.pace.empty()) sum.records.push_back(r);
   }
   return sum;
 }
 
+int EngineLoadTable::processes() const {
+  int n = 0;
+  for (const auto& [process, p] : direct_) n += p.has_work;
+  for (const auto& [control, p] : controls_) n += p.processes;
+  return n;
+}
+
 void EngineLoadTable::RemoveExpiredParts(TimePoint now, Parts* parts) {
   for (auto it = parts->begin(); it != parts->end();) {
     it = now - it->second.received_at >= kGoneAfter ? parts->erase(it)
--- a/src/policy/engine_load_table.h
+++ b/src/policy/engine_load_table.h
@@ -68,14 +68,16 @@
   EngineLoadSum DirectSum(TimePoint now) const;
   // Returns the processes that began to report here within the last 2 s.
   std::vector<ReportingProcess> Arrivals(TimePoint now) const;
-  // Returns the sum of all known processes except `process`. The sum may be up
-  // to 20 ms old.
+  // Returns the sum of all known processes except `process`. The sum may be
+  // 20 ms old, or older where it has tens of thousands of records.
   EngineLoadSum SumWithout(uint64_t process, TimePoint now);
 
   // Removes what has decayed to nothing.
   void RemoveExpired(TimePoint now);
   // Returns whether any process reports here.
   bool has_reporters() const { return !direct_.empty(); }
+  // Returns the number of processes with work.
+  int processes() const;
   bool empty() const { return direct_.empty() && controls_.empty(); }
 
  private:
@@ -83,18 +85,18 @@
     EngineWork work;
     EnginePace pace;
     TimePoint pace_at{};  // Time to which EnginePace::age refers.
+    EngineWork counted;   // The work as it counts in `totals_`.
   };
   // What one process, or all processes of one control process, reported.
   struct Part {
     uint64_t seq = 0;
-    TimePoint first_at{};
+    TimePoint arrived_at{};  // When it last reported completely.
     TimePoint received_at{};
     Duration stated_age{};  // Age of the report when it was received.
     int processes = 1;
     bool has_work = false;
+    bool is_counted = false;  // Counts in `totals_processes_`.
     absl::flat_hash_map<EngineKey, Engine> engines;
-    // The work as it counts in `totals_`.
-    absl::flat_hash_map<EngineKey, EngineWork> counted;
   };
   using Parts = std::map<uint64_t, Part>;
   struct Total {
@@ -122,6 +124,7 @@
   absl::flat_hash_map<EngineKey, Total> totals_;
   Duration totals_oldest_{};
   int totals_processes_ = 0;
+  size_t totals_records_ = 0;  // Number of records in the totals.
   bool totals_known_ = false;
   TimePoint totals_at_{};
 };
