--- a/src/load_exchange.cc
+++ b/src/load_exchange.cc
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr double kLinkBytesPerSecond = 16'000;
+// HTTP/2 frames and the headers of TCP and IP of one message and its
+// acknowledgment.
+constexpr size_t kFramingBytes = 150;
 // Time without an answer after which the next control process is tried: until
 // then this process's last report counts wholly.
 constexpr auto kAnswerTimeout = kWholeUntil;
@@ -27,8 +30,8 @@
 
 Duration LoadIntervalFor(size_t bytes) {
   return std::max<Duration>(
-      kLoadInterval,
-      ClampedSeconds(static_cast<double>(bytes) / kLinkBytesPerSecond));
+      kLoadInterval, ClampedSeconds(static_cast<double>(bytes + kFramingBytes) /
+                                    kLinkBytesPerSecond));
 }
 
 LoadExchange::LoadExchange(struct ev_loop* loop, const Clock& clock,
