Routing: shared engine load: retries while no control process answers

Cause: if every control process had failed, an entry posted a complete report to one of them every 90 ms.

A control process is tried again 250 ms after its failure if all others have failed as well.

--- a/src/load_exchange.cc
+++ b/src/load_exchange.cc
@@ -17,6 +17,9 @@
 constexpr auto kAnswerTimeout = kWholeUntil;
 // Time for which a control process that failed is not preferred.
 constexpr auto kAvoidTime = Millis(3000);
+// Time after a failure before the same control process is tried again if all
+// others have failed as well.
+constexpr auto kRetryDelay = Millis(250);
 // Time after the last work during which reports are still sent, so that the
 // others learn of the end and a short pause costs no view of the others.
 constexpr auto kReportAfterWork = Millis(2000);
@@ -82,7 +85,7 @@
 }
 
 // Returns the first control process that has not failed recently; if all have,
-// the one whose failure is oldest.
+// the one whose failure is oldest, or "" if that was a moment ago.
 std::string LoadExchange::ChooseTarget(TimePoint now) const {
   std::string best;
   TimePoint best_until = TimePoint::max();
@@ -95,7 +98,7 @@
       best_until = until;
     }
   }
-  return best;
+  return best_until - kAvoidTime + kRetryDelay <= now ? best : "";
 }
 
 void LoadExchange::Post(absl::Span<const EngineRecord> own, TimePoint now) {
