--- a/src/load_exchange.cc
+++ b/src/load_exchange.cc
@@ -9,11 +9,17 @@
 namespace {
 
 constexpr double kLinkBytesPerSecond = 16'000;
+// HTTP/2 frames and the headers of TCP and IP of one message and its
+// acknowledgment.
+constexpr size_t kFramingBytes = 150;
 // Time without an answer after which the next control process is tried: until
 // then this process's last report counts wholly.
 constexpr auto kAnswerTimeout = kWholeUntil;
 // Time for which a control process that failed is not preferred.
 constexpr auto kAvoidTime = Millis(3000);
+// Time after a failure before the same control process is tried again if all
+// others have failed as well.
+constexpr auto kRetryDelay = Millis(250);
 // Time after the last work during which reports are still sent, so that the
 // others learn of the end and a short pause costs no view of the others.
 constexpr auto kReportAfterWork = Millis(2000);
@@ -27,8 +33,8 @@
 
 Duration LoadIntervalFor(size_t bytes) {
   return std::max<Duration>(
-      kLoadInterval,
-      ClampedSeconds(static_cast<double>(bytes) / kLinkBytesPerSecond));
+      kLoadInterval, ClampedSeconds(static_cast<double>(bytes + kFramingBytes) /
+                                    kLinkBytesPerSecond));
 }
 
 LoadExchange::LoadExchange(struct ev_loop* loop, const Clock& clock,
@@ -79,7 +85,7 @@
 }
 
 // Returns the first control process that has not failed recently; if all have,
-// the one whose failure is oldest.
+// the one whose failure is oldest, or "" if that was a moment ago.
 std::string LoadExchange::ChooseTarget(TimePoint now) const {
   std::string best;
   TimePoint best_until = TimePoint::max();
@@ -92,7 +98,7 @@
       best_until = until;
     }
   }
-  return best;
+  return best_until - kAvoidTime + kRetryDelay <= now ? best : "";
 }
 
 void LoadExchange::Post(absl::Span<const EngineRecord> own, TimePoint now) {
@@ -167,7 +173,7 @@
 // Logs when this process loses or regains shared load that it needs.
 void LoadExchange::ReportState(TimePoint now) {
   Duration age = shared_.Age(now);
-  if (age != Duration::max()) metrics_.SetAge(ToSeconds(age));
+  if (reporting_ && age != Duration::max()) metrics_.SetAge(ToSeconds(age));
   bool usable = shared_.usable(now);
   bool lost = reporting_ && now - reporting_since_ > kLossTime && !usable;
   if (lost == lost_ || (!lost && !usable)) return;
