--- a/src/gateway_timed.cc
+++ b/src/gateway_timed.cc
@@ -236,7 +236,7 @@
                         {"late", d.ruled_out.first_event},
                         {"own_gap", d.ruled_out.own_gap},
                         {"others_gap", d.ruled_out.others_gap},
-            {"set_apart", d.ruled_out.set_apart}});
+                        {"set_apart", d.ruled_out.set_apart}});
 }
 
 OthersView Gateway::ViewOfOthers(TimePoint now) const {
