Gateway: a request that may have run is never answered as one that has not

Cause: a repeatable request whose first attempt was interrupted is sent again. If no slot was free then and the queue was full, or a more urgent request took its place there, its caller got 429 or 503, which promise that it did not run. Change: FailRequest answers 502 (outcome unknown) where an attempt may have run, whatever the kind of the rejection.

--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -239,6 +239,10 @@
 // Sends an error as the final answer of a request that no upstream has
 // answered.
 void Gateway::FailRequest(Request& r, ErrorKind kind, absl::string_view why) {
+  // A retry that gets no place does not mean that the first attempt did not
+  // run.
+  if (r.may_have_run && ErrorAnswerFor(kind).not_run)
+    kind = ErrorKind::kOutcomeUnknown;
   const ErrorAnswer& a = ErrorAnswerFor(kind);
   if (r.stream_started) {
     // An interrupted stream must not look complete.
--- a/src/gateway_returns.cc
+++ b/src/gateway_returns.cc
@@ -24,7 +24,7 @@
 bool Gateway::PromisesReturn(const Request& r, ErrorKind kind) const {
   const ErrorAnswer& a = ErrorAnswerFor(kind);
   if (!r.service || !r.service->shared_load) return false;
-  if (!a.not_run || !a.retry_after || r.may_have_run) return false;
+  if (!a.not_run || !a.retry_after) return false;
   if (kind == ErrorKind::kQuarantined || kind == ErrorKind::kDraining)
     return false;
   return r.deadline > clock_.Now();
