Returns: times of at most 3 s, and a small spread where few requests come

Cause: a caller with minutes left that did not fit into the coming places was told a time of up to 0.3 of them. At an entry with few requests, one rejected request was told up to a second or two, since the rate of places, which is then the rate of requests, also spread a single one. Change: at most 3 s unless the place is expected later; the random part is at most 100 ms. The replay also checks what spread times alone are worth.

--- a/src/policy/return_schedule.cc
+++ b/src/policy/return_schedule.cc
@@ -24,16 +24,23 @@
 
 Duration ReturnSchedule::Promise(const ReturnRequest& request, TimePoint now,
                                  double draw) {
-  Duration latest = std::max(
-      Duration::zero(), std::chrono::duration_cast<Duration>(
-                            request.time_left * policy_.max_time_left_share));
   Duration earliest = std::max(request.place_delay, policy_.min_delay);
-  // Places that have to come free after `earliest` before this request's turn.
-  double ahead =
-      static_cast<double>(CountFrom(now + earliest, request.tier)) + draw;
+  // A delay of more than max_delay is possible only where the place itself is
+  // expected that late.
+  Duration latest =
+      std::min(std::chrono::duration_cast<Duration>(
+                   request.time_left * policy_.max_time_left_share),
+               std::max(policy_.max_delay, 2 * earliest));
+  latest = std::max(Duration::zero(), latest);
+  // The requests that get the places that come free after `earliest` first.
+  size_t ahead = CountFrom(now + earliest, request.tier);
   double rate = places_per_s(now);
+  double interval_s =
+      rate > 0 ? std::min(1 / rate, ToSeconds(latest)) : ToSeconds(latest);
+  double jitter_s = draw * std::min(interval_s, ToSeconds(policy_.max_jitter));
   Duration delay =
-      earliest + ClampedSeconds(rate > 0 ? ahead / rate : ToSeconds(latest));
+      earliest +
+      ClampedSeconds(static_cast<double>(ahead) * interval_s + jitter_s);
   if (delay > latest) {
     // More were rejected than the places for which the caller can wait. The
     // later half of its time gives the burst the most time to end.
--- a/src/policy/return_schedule.h
+++ b/src/policy/return_schedule.h
@@ -23,6 +23,12 @@
   // Longest delay, in shares of the time that the caller has left. Callers wait
   // up to a third of it; the time on the network takes part of that.
   double max_time_left_share = 0.3;
+  // Longest delay for callers with much time left. A burst of a second or two
+  // is over then.
+  Duration max_delay = std::chrono::seconds(3);
+  // Longest random addition to a delay. Other processes make promises for the
+  // same place at the same moment.
+  Duration max_jitter = Millis(100);
   // Time over which the rate of places is smoothed. It has to follow a burst of
   // a second or two.
   Duration rate_smoothing = Millis(1000);
--- a/test/policy/return_replay_test.cc
+++ b/test/policy/return_replay_test.cc
@@ -124,6 +124,7 @@
   Replay without_table = Replay{false, true, 0}.Run();
   Replay with = Replay{true, true, 0}.Run();
   CHECK_TRUE(before.rejected_once > 200);
+  CHECK_TRUE(without_table.rejected_twice * 5 <= before.rejected_twice * 4);
   CHECK_TRUE(with.rejected_twice * 2 <= before.rejected_twice);
   CHECK_TRUE(with.rejected_twice * 5 <= without_table.rejected_twice * 3);
   CHECK_TRUE(with.served > before.served);
@@ -135,3 +136,17 @@
   CHECK_TRUE(replay.rejected_once > 200);
   LONGS_EQUAL(0, replay.hasty_recognized);
 }
+
+// Guards against times that callers do not wait for, or that are minutes away.
+TEST(return_replay, TimesAreWithinWhatACallerWaits) {
+  TimePoint now = TimePoint{} + std::chrono::hours(1);
+  for (Duration left : {Millis(0), Millis(500), Millis(4000), Millis(600000)}) {
+    ReturnSchedule schedule;
+    schedule.RecordPlace(now);
+    Duration longest = std::min<Duration>(left * 3 / 10, Millis(3000));
+    for (int i = 0; i < 500; ++i) {
+      Duration d = schedule.Promise({0, Millis(300), left}, now, i / 500.0);
+      CHECK_TRUE(d >= Duration::zero() && d <= longest);
+    }
+  }
+}
--- a/test/policy/return_table_test.cc
+++ b/test/policy/return_table_test.cc
@@ -2,6 +2,8 @@
 // precedence, and what other processes learn of them.
 #include "return_table.h"
 
+#include <memory>
+
 #include "CppUTest/TestHarness.h"
 
 using namespace medlarwalk;
@@ -39,16 +41,20 @@
 }
 
 // Guards against precedence at each of many entries for one rejection, with
-// records that arrive late, repeatedly and out of order.
-TEST(return_table, ARowIsUsedOnceAmongAllProcesses) {
-  ReturnTable a;
+// records that arrive late, repeatedly and out of order, and against losing
+// more than the unsent rows of an entry that dies.
+TEST(return_table, ARowIsUsedOnceAndOutlivesItsEntry) {
+  auto died = std::make_unique<ReturnTable>();
   ReturnTable b;
   ReturnTable c;
-  a.RecordPromise(1, 1, kPromised, kNow);
-  std::vector<ReturnRecord> promise = a.TakeNew(kMessage, kNow);
+  died->RecordPromise(1, 1, kPromised, kNow);
+  std::vector<ReturnRecord> promise = died->TakeNew(kMessage, kNow);
+  died->RecordPromise(2, 1, kPromised, kNow);
+  died.reset();
   b.Merge(promise, kNow + Millis(20));
   c.Merge(promise, kNow + Millis(40));
   LONGS_EQUAL(0, b.TakeNew(kMessage, kNow).size());
+  CheckClaim(ReturnClaim::kUnknown, b, 2, kPromised);
   CheckClaim(ReturnClaim::kKept, b, 1, kPromised);
   c.Merge(b.TakeNew(kMessage, kPromised), kPromised + Millis(100));
   c.Merge(promise, kNow + Millis(60));
@@ -59,20 +65,6 @@
   CheckClaim(ReturnClaim::kKept, c, 1, kPromised + Millis(600));
 }
 
-// Guards against losing more than the rows that an entry had not sent when it
-// died.
-TEST(return_table, RowsOutliveTheEntryThatMadeThem) {
-  ReturnTable survivor;
-  {
-    ReturnTable died;
-    died.RecordPromise(1, 1, kPromised, kNow);
-    survivor.Merge(died.TakeNew(kMessage, kNow), kNow);
-    died.RecordPromise(2, 1, kPromised, kNow);
-  }
-  CheckClaim(ReturnClaim::kKept, survivor, 1, kPromised);
-  CheckClaim(ReturnClaim::kUnknown, survivor, 2, kPromised);
-}
-
 // Guards against a table that grows without bound, rows that are dropped
 // without being counted, and messages that begin with the oldest rows.
 TEST(return_table, AFullTableDropsTheRowsThatEndFirst) {
