Accounts: shares in the serving order at services with shared load

Cause: in arrival order an account that sends many times its usual load takes the slots in proportion, and all others are rejected with it.

WaitingQueue serves requests of one rank by it, least first, sheds the heaviest account from a full queue and leaves ranks and the starvation floor as they were. A request of an account above its equal share queues behind waiting ones of its rank instead of being sent on arrival; the queue is then served at once, so no slot stays free.

The heavy account still takes more than an equal share: it fills slots that free while nobody else waits at that entry.

The reason of a shed request reads "room needed for a request with precedence", as it need not be a higher tier. DispatchWaitingRequests skips a request that was shed in the same pass.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -49,6 +49,7 @@
           }),
       prefix_cache_index_(kPrefixHolderTrust, kMaxRememberedParts),
       waiting_queue_(options_.waiting),
+      account_shares_(options_.account_shares),
       entry_count_(kAssumedEntryCount),
       process_index_{kAssumedEntryCount, 0} {}
 
@@ -192,6 +193,7 @@
     r.account = a->name;
     account_tier = a->tier.value_or(r.tier);
   }
+  r.account_key = KeyOfAccount(r.account);
   r.fingerprint =
       ComputeFingerprint(r.exchange->head.target, r.account, r.exchange->body);
   r.rank = RequestRank(r.tier, account_tier);
@@ -228,7 +230,10 @@
 }
 
 void Gateway::Dispatch(Request& r) {
-  if (TrySend(r)) {
+  if (r.service->shared_load)
+    account_shares_.RecordRequest(r.account_key, clock_.Now());
+  bool held = MustQueue(r);
+  if (!held && TrySend(r)) {
     waiting_queue_.RecordDispatch(r.service->name, clock_.Now());
     return;
   }
@@ -241,16 +246,24 @@
                                       r.route->latency_target *
                                       options_.waiting.max_wait_target_share));
   w.service = r.service->name;
+  w.account = r.account_key;
+  w.tokens = r.facts.prompt_tokens;
   r.starving_from = StarvesAt(w, options_.waiting);
   std::optional<uint64_t> shed;
-  absl::Status entered = waiting_queue_.Enqueue(std::move(w), &shed);
+  absl::Status entered =
+      waiting_queue_.Enqueue(std::move(w), &shed, SharesFor(r.service->name));
   r.waiting = entered.ok();
   if (shed) {
     Request* other = requests_.at(*shed).get();
     other->waiting = false;
-    FailRequest(*other, ErrorKind::kShed, "room needed for a higher tier");
+    FailRequest(*other, ErrorKind::kShed,
+                "room needed for a request with precedence");
+  }
+  if (!r.waiting) {
+    FailRequest(r, ErrorKindOf(entered), entered.message());
+  } else if (held) {
+    DispatchHeldRequest();
   }
-  if (!r.waiting) FailRequest(r, ErrorKindOf(entered), entered.message());
 }
 
 PlacementRequest Gateway::PlacementRequestFor(const Request& r) const {
@@ -355,6 +368,7 @@
   r.read_paused = false;
   DiscardBufferedBody(r);
   r.splitter.DiscardPendingBytes();
+  RecordPromptUse(r);
   if (u.in_flight == 0) u.last_activity_at = now;
   ++u.in_flight;
   if (u.limit_per_s) UseSendSlot(u, now);
@@ -468,6 +482,7 @@
   TimePoint now = clock_.Now();
   CancelAttempt(r);
   DiscardBufferedBody(r);
+  RecordOutputUse(r, true);
   if (r.waiting) waiting_queue_.RemoveUnserved(r.seq);
   Duration elapsed = now - r.exchange->arrived;
   LogEvent(
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -16,6 +16,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "account_shares.h"
 #include "caller_server.h"
 #include "crash_watch.h"
 #include "dialect.h"
@@ -46,6 +47,7 @@
   SubsetPolicy subset;
   PrefillLimiterPolicy prefill_limiter;
   TierAdmissionPolicy tier_admission;
+  AccountSharesPolicy account_shares;
   // Share of an upstream's connections that the known entry processes use
   // together. The rest of the connections is for entry processes that control
   // does not count: they have just started, or they are no longer counted but
@@ -104,6 +106,9 @@
   const RateLimitTable& limits() const { return limits_; }
   // Merges rate limits published by control.
   void MergeLimits(absl::Span<const LimitRecord> records);
+  // Returns the accounts' consumption at the services with shared load, to be
+  // exchanged with the other entry processes.
+  AccountShares& account_shares() { return account_shares_; }
   // Records an upstream's load that was reported separately from its answers.
   void RecordPolledLoad(const std::string& upstream, int running, int waiting);
   // Records whether the upstream is reachable, according to a source other than
@@ -155,6 +160,18 @@
   // Counts the request for its account if its first event or answer at the time
   // `now` is over the latency target.
   void CountIfLate(const Request& r, TimePoint now);
+  // Returns the account shares if they order the waiting requests of `service`,
+  // else nullptr.
+  const AccountShares* SharesFor(const std::string& service) const;
+  // Returns whether the request must not be sent on arrival, because its
+  // account is above its equal share and another account's request of its rank
+  // waits.
+  bool MustQueue(const Request& r);
+  // Gives free slots to waiting requests after a request was held, so that none
+  // stays free where those ahead of it cannot use it.
+  void DispatchHeldRequest();
+  void RecordPromptUse(Request& r);
+  void RecordOutputUse(Request& r, bool ended);
   void OnPrefillDone(Request& r, TimePoint now);
   bool RelayEvent(Request& r, absl::string_view event);
   void MeasureEventGap(Request& r, TimePoint now);
@@ -207,6 +224,8 @@
   uint64_t quarantine_changes_seen_ = 0;
   PrefixCacheIndex prefix_cache_index_;
   WaitingQueue waiting_queue_;
+  AccountShares account_shares_;
+  TimePoint held_dispatch_at_{};  // Last pass that a held request started.
   int entry_count_;
   // Number of entry processes and index of this process among them, which
   // determine its send slots, and the time when the number was last set. A
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -72,12 +72,6 @@
   options_.on_request_run(r.account);
 }
 
-void Gateway::CountIfLate(const Request& r, TimePoint now) {
-  Duration target = r.route->latency_target;
-  if (target > Duration::zero() && now - r.exchange->arrived > target)
-    metrics_.CountAccountLate(r.account);
-}
-
 void Gateway::OnAnswerBody(Request& r, absl::string_view data) {
   TimePoint now = clock_.Now();
   r.progress_at = now;
@@ -177,6 +171,7 @@
   r.exchange->Write(event);
   if (id) r.last_event = id;
   ++r.events;
+  RecordOutputUse(r, false);
   return true;
 }
 
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -33,6 +33,10 @@
   const RouteRule* route = nullptr;
   const ServiceRule* service = nullptr;
   std::string account;
+  AccountKey account_key = 0;
+  // Prompt and events that are recorded as consumption of the account.
+  bool prompt_recorded = false;
+  int recorded_events = 0;
   RequestFingerprint fingerprint = 0;
   Tier tier = 0;
   // Priority rank: first by the request's tier, then by the account's tier.
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -43,8 +43,13 @@
     // properties that decide its placement. Later requests with the same
     // properties are skipped.
     std::set<std::tuple<Tier, bool, WorkShape, uint64_t>> unplaceable;
-    for (uint64_t seq : waiting_queue_.ServingOrder(service, now)) {
-      Request& r = *requests_.at(seq);
+    for (uint64_t seq :
+         waiting_queue_.ServingOrder(service, now, SharesFor(service))) {
+      // A request may have been shed by one that failed in this pass and waits
+      // again.
+      auto it = requests_.find(seq);
+      if (it == requests_.end() || !it->second->waiting) continue;
+      Request& r = *it->second;
       auto placement_key =
           std::make_tuple(r.rank, now >= r.starving_from, r.shape, r.affinity);
       bool interchangeable = r.tried_upstreams.empty() && r.facts.pinned == 0;
--- a/src/policy/waiting_queue.cc
+++ b/src/policy/waiting_queue.cc
@@ -10,36 +10,79 @@
 // Weight of the newest interval in the smoothed dispatch rate.
 constexpr double kRateSmoothing = 0.1;
 
+using Waiting = std::deque<WaitingRequest>;
+
+// Returns the request to shed from a full queue for `w`: the newest of the
+// least urgent tier, or with `shares` the newest of that tier's account with
+// the most consumption. Returns end() if `w` has no precedence over it.
+Waiting::iterator FindShed(Waiting& q, const WaitingRequest& w,
+                           const AccountShares* shares) {
+  auto shed = q.end() - 1;
+  Tier tier = shed->tier;
+  if (!shares) return tier > w.tier ? shed : q.end();
+  TimePoint now = w.enqueued_at;
+  double most = shares->Consumption(shed->account, now);
+  for (auto it = shed; it != q.begin() && (it - 1)->tier == tier;) {
+    double consumption = shares->Consumption((--it)->account, now);
+    if (consumption <= most) continue;
+    most = consumption;
+    shed = it;
+  }
+  bool precedes = tier > w.tier || (tier == w.tier &&
+                                    most > shares->Consumption(w.account, now));
+  return precedes ? shed : q.end();
+}
+
+// Appends the sequence numbers of `tier`, which holds the waiting requests of
+// one tier, in the order of their accounts' consumption.
+void AppendByAccount(absl::Span<const WaitingRequest* const> tier,
+                     const AccountShares& shares, TimePoint now,
+                     std::vector<uint64_t>* out) {
+  std::vector<AccountClaim> claims;
+  for (const WaitingRequest* w : tier)
+    claims.push_back({w->account, w->tokens});
+  for (size_t i : shares.ServingOrder(claims, now))
+    out->push_back(tier[i]->seq);
+}
+
 }  // namespace
 
-// Returns the expected wait of a new request of `tier` if slots keep becoming
-// free at the recent rate; zero if that rate is unknown.
+// Returns the expected wait of a new request `w` if slots keep becoming free at
+// the recent rate; zero if that rate is unknown.
 Duration WaitingQueue::ExpectedWait(const ServiceQueue& queue,
-                                    Tier tier) const {
+                                    const WaitingRequest& w,
+                                    const AccountShares* shares) const {
   if (queue.dispatch_rate <= 0) return Duration::zero();
-  auto ahead = std::count_if(queue.waiting.begin(), queue.waiting.end(),
-                             [&](const auto& w) { return w.tier <= tier; });
+  TimePoint now = w.enqueued_at;
+  double own = shares ? shares->Consumption(w.account, now) : 0;
+  auto ahead = std::count_if(
+      queue.waiting.begin(), queue.waiting.end(), [&](const auto& o) {
+        if (o.tier != w.tier || !shares) return o.tier <= w.tier;
+        return shares->Consumption(o.account, now) <= own;
+      });
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
       static_cast<double>(ahead) / queue.dispatch_rate));
 }
 
 absl::Status WaitingQueue::Enqueue(WaitingRequest w,
-                                   std::optional<uint64_t>* shed) {
+                                   std::optional<uint64_t>* shed,
+                                   const AccountShares* shares) {
   ServiceQueue& queue = queues_[w.service];
   std::deque<WaitingRequest>& q = queue.waiting;
   shed->reset();
   if (!policy_.tier_order) w.tier = 0;
   if (policy_.reject_unmeetable &&
-      ExpectedWait(queue, w.tier) > w.reject_at - w.enqueued_at) {
+      ExpectedWait(queue, w, shares) > w.reject_at - w.enqueued_at) {
     return MakeError(ErrorKind::kTargetUnmeetable,
                      "expected wait exceeds the class target");
   }
   if (q.size() >= policy_.max_waiting) {
-    if (q.back().tier <= w.tier) {
+    auto it = FindShed(q, w, shares);
+    if (it == q.end()) {
       return MakeError(ErrorKind::kOverloaded, "waiting room full");
     }
-    *shed = q.back().seq;
-    q.pop_back();
+    *shed = it->seq;
+    q.erase(it);
   }
   auto position = std::find_if(q.begin(), q.end(),
                                [&](const auto& o) { return o.tier > w.tier; });
@@ -81,6 +124,20 @@
   queue.last_dispatch_at = now;
 }
 
+bool WaitingQueue::LessServedAccountWaits(const std::string& service, Tier tier,
+                                          AccountKey account,
+                                          const AccountShares& shares,
+                                          TimePoint now) const {
+  auto it = queues_.find(service);
+  if (it == queues_.end()) return false;
+  double own = shares.Consumption(account, now);
+  const Waiting& q = it->second.waiting;
+  return std::any_of(q.begin(), q.end(), [&](const auto& w) {
+    return w.tier == tier && w.account != account &&
+           shares.Consumption(w.account, now) < own;
+  });
+}
+
 TimePoint StarvesAt(const WaitingRequest& w, const WaitingPolicy& policy) {
   if (policy.starvation_bound <= Duration::zero()) return TimePoint::max();
   auto share = std::chrono::duration_cast<Duration>(
@@ -107,8 +164,9 @@
   return out;
 }
 
-std::vector<uint64_t> WaitingQueue::ServingOrder(const std::string& service,
-                                                 TimePoint now) const {
+std::vector<uint64_t> WaitingQueue::ServingOrder(
+    const std::string& service, TimePoint now,
+    const AccountShares* shares) const {
   std::vector<uint64_t> out;
   auto it = queues_.find(service);
   if (it == queues_.end()) return out;
@@ -117,9 +175,20 @@
   if (queue.dispatches_since_floor + 1 < policy_.floor_interval)
     first = nullptr;
   if (first) out.push_back(first->seq);
+  std::vector<const WaitingRequest*> tier;
   for (const WaitingRequest& w : queue.waiting) {
-    if (&w != first) out.push_back(w.seq);
+    if (&w == first) continue;
+    if (!shares) {
+      out.push_back(w.seq);
+      continue;
+    }
+    if (!tier.empty() && tier.back()->tier != w.tier) {
+      AppendByAccount(tier, *shares, now, &out);
+      tier.clear();
+    }
+    tier.push_back(&w);
   }
+  if (shares) AppendByAccount(tier, *shares, now, &out);
   return out;
 }
 
--- a/src/policy/waiting_queue.h
+++ b/src/policy/waiting_queue.h
@@ -13,6 +13,7 @@
 
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
+#include "account_shares.h"
 #include "types.h"
 
 namespace medlarwalk {
@@ -49,12 +50,17 @@
   TimePoint enqueued_at{};  // When the wait began.
   TimePoint reject_at{};    // When the request is rejected if it still waits.
   std::string service;
+  AccountKey account = 0;  // Used only with AccountShares.
+  int64_t tokens = 0;      // Prompt tokens.
 };
 
 // Returns the time from which `w` starves.
 TimePoint StarvesAt(const WaitingRequest& w, const WaitingPolicy& policy);
 
-// The waiting requests, by service. Thread safety: loop thread only.
+// The waiting requests, by service. Where a function takes `shares`, a non-null
+// value lets the accounts with the least recent consumption go first within
+// each tier; with null, requests of one tier are treated in order of arrival.
+// Thread safety: loop thread only.
 class WaitingQueue {
  public:
   explicit WaitingQueue(WaitingPolicy policy) : policy_(policy) {}
@@ -63,7 +69,10 @@
   // to make room for `w`, if any. Errors: kOverloaded when the queue is full of
   // requests of the same or a more urgent tier; kTargetUnmeetable when `w`
   // would not get a slot in time.
-  absl::Status Enqueue(WaitingRequest w, std::optional<uint64_t>* shed);
+  // With `shares`, a full queue also sheds a request of the same tier whose
+  // account has consumed more than the account of `w`.
+  absl::Status Enqueue(WaitingRequest w, std::optional<uint64_t>* shed,
+                       const AccountShares* shares = nullptr);
   // Removes a request that got a slot. If a request starves, also counts the
   // slots that other requests got.
   void RemoveServed(uint64_t seq, TimePoint now);
@@ -72,13 +81,19 @@
   // Records that a request of `service` got a slot, whether or not it had
   // waited.
   void RecordDispatch(const std::string& service, TimePoint now);
+  // Returns whether a request of the tier waits whose account has consumed less
+  // than `account`.
+  bool LessServedAccountWaits(const std::string& service, Tier tier,
+                              AccountKey account, const AccountShares& shares,
+                              TimePoint now) const;
   // Returns the services that have waiting requests.
   std::vector<std::string> WaitingServices() const;
   // Returns the waiting requests of `service` in serving order: most urgent
-  // tier first, then longest wait. A starving request comes first when a slot
-  // is due to it.
-  std::vector<uint64_t> ServingOrder(const std::string& service,
-                                     TimePoint now) const;
+  // tier first, then by account if `shares` is given, then longest wait. A
+  // starving request comes first when a slot is due to it.
+  std::vector<uint64_t> ServingOrder(
+      const std::string& service, TimePoint now,
+      const AccountShares* shares = nullptr) const;
   // Returns the requests whose maximum wait has passed.
   std::vector<uint64_t> ExpiredRequests(TimePoint now) const;
   size_t size(const std::string& service) const;
@@ -95,7 +110,8 @@
   };
   const WaitingRequest* FirstStarving(const ServiceQueue& queue,
                                       TimePoint now) const;
-  Duration ExpectedWait(const ServiceQueue& queue, Tier tier) const;
+  Duration ExpectedWait(const ServiceQueue& queue, const WaitingRequest& w,
+                        const AccountShares* shares) const;
 
   WaitingPolicy policy_;
   std::map<std::string, ServiceQueue> queues_;
