--- a/src/gateway.h
+++ b/src/gateway.h
@@ -16,6 +16,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "account_shares.h"
 #include "caller_server.h"
 #include "crash_watch.h"
 #include "dialect.h"
@@ -54,6 +55,7 @@
   // Used for services with shared load, in place of prefill_limiter.
   TimedPolicy timed;
   ForecastPolicy forecast;
+  AccountSharesPolicy account_shares;
   // Share of an upstream's connections that the known entry processes use
   // together. The rest of the connections is for entry processes that control
   // does not count: they have just started, or they are no longer counted but
@@ -117,6 +119,9 @@
   void MergeLimits(absl::Span<const LimitRecord> records);
   // Returns the engine load that other processes report.
   SharedEngineLoad& shared_load() { return shared_load_; }
+  // Returns the accounts' consumption at the services with shared load, to be
+  // exchanged with the other entry processes.
+  AccountShares& account_shares() { return account_shares_; }
   // Records an upstream's load that was reported separately from its answers.
   void RecordPolledLoad(const std::string& upstream, int running, int waiting);
   // Records whether the upstream is reachable, according to a source other than
@@ -190,6 +195,18 @@
   // Counts the request for its account if its first event or answer at the time
   // `now` is over the latency target.
   void CountIfLate(const Request& r, TimePoint now);
+  // Returns the account shares if they order the waiting requests of `service`,
+  // else nullptr.
+  const AccountShares* SharesFor(const std::string& service) const;
+  // Returns whether the request must not be sent on arrival, because its
+  // account is above its equal share and another account's request of its rank
+  // waits.
+  bool MustQueue(const Request& r);
+  // Gives free slots to waiting requests after a request was held, so that none
+  // stays free where those ahead of it cannot use it.
+  void DispatchHeldRequest();
+  void RecordPromptUse(Request& r);
+  void RecordOutputUse(Request& r, bool ended);
   void OnPrefillDone(Request& r, TimePoint now);
   // Counts the attempt of `r` in the own work at `u`. `copied`: the engine
   // copies the shared prompt parts that it lacks.
@@ -258,6 +275,8 @@
   ReturnTable returns_;
   std::map<std::string, ReturnSchedule> return_schedules_;  // By service.
   uint64_t reported_return_drops_ = 0;  // Dropped rows already in the metrics.
+  AccountShares account_shares_;
+  TimePoint held_dispatch_at_{};  // Last pass that a held request started.
   int entry_count_;
   // Number of entry processes and index of this process among them, which
   // determine its send slots, and the time when the number was last set. A
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -110,8 +110,10 @@
             LoadExchangeHooks h;
             h.targets = [this] { return watch_.Targets(); };
             h.own_records = [this] { return gateway_.OwnEngineRecords(); };
+            h.take_accounts = [this] { return TakeOwnAccountUse(); };
             h.take_returns = [this] { return TakeNewReturns(); };
             h.on_answer = [this](const EngineLoadMessage& m) {
+              MergeAccountUse(m.accounts);
               MergeReturns(m.returns);
             };
             return h;
@@ -210,6 +212,22 @@
   gateway_.MergeLimits(*r);
 }
 
+std::vector<AccountTokens> Serving::TakeOwnAccountUse() {
+  std::vector<AccountTokens> out;
+  for (const AccountUse& u :
+       gateway_.account_shares().TakeOwnUse(kMaxAccountItems)) {
+    out.push_back({u.account, u.tokens});
+  }
+  return out;
+}
+
+void Serving::MergeAccountUse(absl::Span<const AccountTokens> accounts) {
+  std::vector<AccountUse> use;
+  use.reserve(accounts.size());
+  for (const AccountTokens& a : accounts) use.push_back({a.account, a.tokens});
+  gateway_.account_shares().MergeOthers(use, clock_.Now());
+}
+
 std::vector<PromisedReturn> Serving::TakeNewReturns() {
   std::vector<PromisedReturn> out;
   for (const ReturnRecord& r :
--- a/src/serving.h
+++ b/src/serving.h
@@ -70,6 +70,8 @@
   void OnWatchReply(const WatchReply& r, bool in_sync);
   void MergeCrashRecords(absl::string_view encoded);
   void MergeLimitRecords(absl::string_view encoded);
+  std::vector<AccountTokens> TakeOwnAccountUse();
+  void MergeAccountUse(absl::Span<const AccountTokens> accounts);
   std::vector<PromisedReturn> TakeNewReturns();
   void MergeReturns(absl::Span<const PromisedReturn> returns);
   void CountAccountRequest(const std::string& account);
