Usage: a window is committed once every process alive in it has reported

Cause: the leader committed a window 2.5 s after its end, whoever had reported. Entries that were cut off together with the old leader were missing, and counts that only the old leader held were lost with it.

Change: processes state the windows in which a watch served them and the ones that they have finished. The leader commits a window once all processes alive in it have reported it, or at the last moment, derived from the times that may still follow before the report is due. A second control process holds a copy of what entries report directly to the leader.

--- a/src/control.cc
+++ b/src/control.cc
@@ -75,7 +75,7 @@
       usage_(
           loop, clock, wall, options_.usage, [this] { return replica_.get(); },
           metrics_),
-      reports_(quarantine_, limits_, usage_.usage_table(), wall),
+      reports_(quarantine_, limits_, usage_.ledger(), wall),
       leader_watch_(
           loop, clock,
           [&] {
@@ -432,7 +432,10 @@
       },
       now);
   usage_.Tick();
-  if (reports_.has_urgent()) leader_watch_.RestartWatch();
+  leader_watch_.next_request().usage_copy_received = usage_.copy_received();
+  bool overdue_usage = usage_.TakeOverdueReport();
+  if (overdue_usage) reports_.ReportUsageNext();
+  if (reports_.has_urgent() || overdue_usage) leader_watch_.RestartWatch();
   ConfirmVersionForNewWatches();
   AnswerWatches();
   PollList(now);
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -138,7 +138,7 @@
   w.list_pages = list_pages_;
   w.serving_count = TotalServingCount();
   w.serving_index = ServingIndexOf(r.name);
-  usage_.SetGroupTimeAndCommittedWindow(&w);
+  usage_.FillReply(r.name, &w);
   w.quarantine_version = quarantine_.version();
   if (w.quarantine_version != r.quarantine_version) {
     w.quarantine = std::make_shared<const std::string>(
@@ -174,6 +174,7 @@
   r->limits.clear();
   usage_.MergeFollowerReport(*r);
   r->usage.clear();
+  r->usage_states.clear();
   pending_watches_.push_back(PendingWatch{*std::move(r), has_reports,
                                           std::move(stream), now,
                                           now + kWatchHoldTime});
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -17,6 +17,8 @@
 
 // Upper bound for decoded ages; larger ages are clamped to it.
 constexpr Millis kMaxAge = std::chrono::hours(24);
+// Bound of decoded window numbers, so that their differences fit 64 bits.
+constexpr int64_t kMaxWindow = int64_t{1} << 60;
 
 json ToJson(const UpstreamInfo& u) {
   return {u.id,          u.service,  u.address.ip, u.address.port,
@@ -178,9 +180,11 @@
   });
 }
 
+namespace {
+
 // Groups records by process and window. A group lists its accounts, each
 // followed by its count.
-std::string EncodeUsageRecords(absl::Span<const UsageRecord> records) {
+json UsageRecordsToJson(absl::Span<const UsageRecord> records) {
   std::map<std::pair<uint64_t, int64_t>, json> groups;
   for (const UsageRecord& r : records) {
     json& g = groups[{r.process, r.window}];
@@ -191,41 +195,94 @@
   for (auto& [key, g] : groups) {
     out.push_back({key.first, key.second, std::move(g)});
   }
-  return ToCbor(out);
+  return out;
+}
+
+std::vector<UsageRecord> UsageRecordsFromJson(const json& j) {
+  std::vector<UsageRecord> out;
+  for (const json& g : j) {
+    const json& counts = g.at(2);
+    for (size_t i = 0; i + 1 < counts.size(); i += 2) {
+      out.push_back({IntegerFromJson<uint64_t>(g.at(0)),
+                     IntegerFromJson<int64_t>(g.at(1)),
+                     counts.at(i).get<std::string>(),
+                     IntegerFromJson<int64_t>(counts.at(i + 1))});
+    }
+  }
+  return out;
+}
+
+// A state is its process and last window, and how far the first and the
+// finished window are before that one: small numbers are short in CBOR. A state
+// without a finished window has no fourth number.
+json UsageStatesToJson(absl::Span<const UsageProcessState> states) {
+  json out = json::array();
+  for (const UsageProcessState& s : states) {
+    json item = {s.process, s.last_window, s.last_window - s.first_window};
+    if (s.finished_through > 0) {
+      item.push_back(s.last_window - s.finished_through);
+    }
+    out.push_back(std::move(item));
+  }
+  return out;
+}
+
+std::vector<UsageProcessState> UsageStatesFromJson(const json& j) {
+  auto window = [](const json& n) {
+    return std::clamp(IntegerFromJson<int64_t>(n), -kMaxWindow, kMaxWindow);
+  };
+  std::vector<UsageProcessState> out;
+  for (const json& item : j) {
+    UsageProcessState s;
+    s.process = IntegerFromJson<uint64_t>(item.at(0));
+    s.last_window = window(item.at(1));
+    s.first_window = s.last_window - window(item.at(2));
+    if (item.size() > 3)
+      s.finished_through = s.last_window - window(item.at(3));
+    out.push_back(s);
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string EncodeUsageRecords(absl::Span<const UsageRecord> records) {
+  return ToCbor(UsageRecordsToJson(records));
 }
 
 absl::StatusOr<std::vector<UsageRecord>> DecodeUsageRecords(
     absl::string_view bytes) {
-  return DecodeCbor<std::vector<UsageRecord>>(bytes, [](const json& j) {
-    std::vector<UsageRecord> out;
-    for (const json& g : j) {
-      const json& counts = g.at(2);
-      for (size_t i = 0; i + 1 < counts.size(); i += 2) {
-        out.push_back({IntegerFromJson<uint64_t>(g.at(0)),
-                       IntegerFromJson<int64_t>(g.at(1)),
-                       counts.at(i).get<std::string>(),
-                       IntegerFromJson<int64_t>(counts.at(i + 1))});
-      }
-    }
-    return out;
-  });
+  return DecodeCbor<std::vector<UsageRecord>>(bytes, UsageRecordsFromJson);
+}
+
+std::string EncodeUsageStates(absl::Span<const UsageProcessState> states) {
+  return ToCbor(UsageStatesToJson(states));
+}
+
+absl::StatusOr<std::vector<UsageProcessState>> DecodeUsageStates(
+    absl::string_view bytes) {
+  return DecodeCbor<std::vector<UsageProcessState>>(bytes, UsageStatesFromJson);
 }
 
 std::string EncodeWatchRequest(const WatchRequest& r) {
-  return ToCbor({{"n", r.name},
-                 {"z", r.data_centre},
-                 {"p", r.address},
-                 {"s", r.serves_callers},
-                 {"w", r.serving_followers},
-                 {"c", r.config_version},
-                 {"l", r.list_version},
-                 {"k", r.endpoints_version},
-                 {"q", r.quarantine_version},
-                 {"x", ToJsonBinary(r.crashes)},
-                 {"b", r.limits_version},
-                 {"y", ToJsonBinary(r.limits)},
-                 {"t", r.unix_ms},
-                 {"u", ToJsonBinary(r.usage)}});
+  json j = {{"n", r.name},
+            {"z", r.data_centre},
+            {"p", r.address},
+            {"s", r.serves_callers},
+            {"w", r.serving_followers},
+            {"c", r.config_version},
+            {"l", r.list_version},
+            {"k", r.endpoints_version},
+            {"q", r.quarantine_version},
+            {"x", ToJsonBinary(r.crashes)},
+            {"b", r.limits_version},
+            {"y", ToJsonBinary(r.limits)},
+            {"t", r.unix_ms},
+            {"u", ToJsonBinary(r.usage)}};
+  // Only deployments that report usage have these.
+  if (!r.usage_states.empty()) j["e"] = ToJsonBinary(r.usage_states);
+  if (r.usage_copy_received != 0) j["g"] = r.usage_copy_received;
+  return ToCbor(j);
 }
 
 absl::StatusOr<WatchRequest> DecodeWatchRequest(absl::string_view bytes) {
@@ -245,6 +302,8 @@
     if (Document d = FindDocument(j, "y")) r.limits = *d;
     r.unix_ms = IntegerFromJson<int64_t>(j, "t", 0);
     if (Document d = FindDocument(j, "u")) r.usage = *d;
+    if (Document d = FindDocument(j, "e")) r.usage_states = *d;
+    r.usage_copy_received = IntegerFromJson<int64_t>(j, "g", 0);
     return r;
   });
 }
@@ -257,6 +316,11 @@
             {"t", r.unix_ms},        {"f", r.usage_committed_through},
             {"b", r.limits_version}, {"r", r.serving_index},
             {"p", r.list_pages}};
+  if (r.usage_copy.number != 0) {
+    j["n"] = r.usage_copy.number;
+    j["u"] = UsageRecordsToJson(r.usage_copy.report.records);
+    j["e"] = UsageStatesToJson(r.usage_copy.report.states);
+  }
   std::string head = ToCbor(j);
   // The documents are appended as the last pairs of the map, so that they need
   // no copy. The first byte of a CBOR map holds its number of pairs if that is
@@ -295,6 +359,11 @@
     r.serving_index = IntegerFromJson<int>(j, "r", -1);
     r.unix_ms = IntegerFromJson<int64_t>(j, "t", 0);
     r.usage_committed_through = IntegerFromJson<int64_t>(j, "f", 0);
+    r.usage_copy.number = IntegerFromJson<int64_t>(j, "n", 0);
+    if (r.usage_copy.number != 0) {
+      r.usage_copy.report = {UsageRecordsFromJson(j.at("u")),
+                             UsageStatesFromJson(j.at("e"))};
+    }
     return r;
   });
 }
--- a/src/control_wire.h
+++ b/src/control_wire.h
@@ -15,6 +15,8 @@
 #include "quarantine.h"
 #include "rate_limit_table.h"
 #include "upstream_list.h"
+#include "usage_copies.h"
+#include "usage_processes.h"
 #include "usage_table.h"
 
 namespace medlarwalk {
@@ -54,6 +56,11 @@
   int64_t unix_ms = 0;
   // Reported usage records, encoded; "" if there are none.
   std::string usage;
+  // Reported states of processes that count usage, encoded; "" if there are
+  // none.
+  std::string usage_states;
+  // Number of the last usage copy received; 0 if none.
+  int64_t usage_copy_received = 0;
 };
 
 // Address and data centre of a control process. The data centre is "" if it is
@@ -103,6 +110,9 @@
   // Newest usage window up to which the usage of all windows is committed; 0 if
   // there is none.
   int64_t usage_committed_through = 0;
+  // A copy of usage that the answering process received; its number is 0 if
+  // there is none.
+  UsageCopy usage_copy;
 };
 
 // Asks a control process to read pages of the upstream list.
@@ -137,6 +147,10 @@
 // Errors: InvalidArgument if `bytes` are malformed.
 absl::StatusOr<std::vector<UsageRecord>> DecodeUsageRecords(
     absl::string_view bytes);
+std::string EncodeUsageStates(absl::Span<const UsageProcessState> states);
+// Errors: InvalidArgument if `bytes` are malformed.
+absl::StatusOr<std::vector<UsageProcessState>> DecodeUsageStates(
+    absl::string_view bytes);
 std::string EncodeWatchRequest(const WatchRequest& r);
 absl::StatusOr<WatchRequest> DecodeWatchRequest(absl::string_view bytes);
 // Encodes a reply without copying its documents: the replies to all followers
--- a/src/duty/duty_leadership.cc
+++ b/src/duty/duty_leadership.cc
@@ -28,7 +28,7 @@
 }
 
 bool DutyLeadership::IsHolder(TimePoint now) const {
-  return !refused_ && HasLedFor(policy_.lease + policy_.margin, now);
+  return leads_ && !refused_ && LedFor(now) >= policy_.lease + policy_.margin;
 }
 
 std::optional<uint64_t> DutyLeadership::UsableToken(TimePoint now) const {
--- a/src/duty/duty_leadership.h
+++ b/src/duty/duty_leadership.h
@@ -40,9 +40,9 @@
   // Records that the outside system refused `token`, because a holder with a
   // higher token has acted. The token is not used again.
   void RecordRefusal(uint64_t token);
-  // Returns whether this process has been the leader for at least `d`.
-  bool HasLedFor(Duration d, TimePoint now) const {
-    return leads_ && now - since_ >= d;
+  // Returns the time since this process became the leader; 0 if it is not.
+  Duration LedFor(TimePoint now) const {
+    return leads_ ? now - since_ : Duration::zero();
   }
   // Returns whether this process is the duty holder. A holder may act only
   // while it also has a recent confirmation: see UsableToken().
--- a/src/duty/usage_schedule.cc
+++ b/src/duty/usage_schedule.cc
@@ -1,7 +1,7 @@
 #include "usage_schedule.h"
 
 #include <algorithm>
-#include <vector>
+#include <iterator>
 
 #include "json_numbers.h"
 
@@ -18,22 +18,61 @@
   return Millis(unix_ms - (window + 1) * ToMs(policy.window));
 }
 
-std::optional<int64_t> WindowToCommit(const DutyLog::Subject& subject,
-                                      const UsageTable& table, int64_t unix_ms,
-                                      const UsagePolicy& policy) {
+Duration LastMoment(const UsagePolicy& policy) {
+  Duration calls = policy.calls_before_due * policy.call_time;
+  Duration delay = policy.first_retry_delay;
+  for (int i = 1; i < policy.calls_before_due; ++i) {
+    calls += delay;
+    delay = std::min(2 * delay, policy.max_retry_delay);
+  }
+  Duration reserve = policy.commit_time + policy.election_time +
+                     policy.regather_time + policy.commit_time + calls;
+  auto min_wait =
+      std::chrono::duration_cast<Duration>(policy.due * policy.min_wait_share);
+  return std::max(min_wait, policy.due - reserve);
+}
+
+WindowReports ReportsOf(int64_t window, const UsageLedger& ledger) {
+  std::vector<uint64_t> served = ledger.processes.ServedIn(window);
+  std::vector<uint64_t> counted = ledger.counts.ProcessesIn(window);
+  std::vector<uint64_t> alive;
+  std::set_union(served.begin(), served.end(), counted.begin(), counted.end(),
+                 std::back_inserter(alive));
+  WindowReports out;
+  out.expected = alive.size();
+  for (uint64_t process : alive) {
+    const UsageProcessState* s = ledger.processes.Find(process);
+    if (!s || s->finished_through < window) out.missing.push_back(process);
+  }
+  return out;
+}
+
+std::optional<WindowCommit> WindowToCommit(const DutyLog::Subject& subject,
+                                           const UsageLedger& ledger,
+                                           Duration led_for, int64_t unix_ms,
+                                           const UsagePolicy& policy) {
   if (policy.window <= Duration::zero()) return std::nullopt;
   int64_t window = subject.committed_through + 1;
   if (subject.committed_through == 0) {
-    std::optional<int64_t> first = table.first_window();
+    std::optional<int64_t> first = ledger.counts.first_window();
     if (!first) return std::nullopt;
     window = *first;
   }
   window =
       std::max(window, WindowAt(unix_ms, policy) - policy.max_windows_behind);
-  Duration delay = std::chrono::duration_cast<Duration>(
-      policy.due * policy.commit_delay_share);
-  if (TimeSinceWindowEnd(window, unix_ms, policy) < delay) return std::nullopt;
-  return window;
+  Duration since_end = TimeSinceWindowEnd(window, unix_ms, policy);
+  if (since_end < Duration::zero()) return std::nullopt;
+  // A report that is late already gains nothing from a short wait.
+  bool settled = led_for >= policy.settle_time;
+  bool gathered =
+      settled || (led_for >= policy.regather_time && since_end < policy.due);
+  bool last_moment = gathered && since_end >= LastMoment(policy);
+  if (!settled && !last_moment) return std::nullopt;
+  WindowCommit c{window, CommitReason::kComplete, ReportsOf(window, ledger)};
+  if (settled && c.reports.complete()) return c;
+  if (!last_moment) return std::nullopt;
+  c.reason = CommitReason::kLastMoment;
+  return c;
 }
 
 Document EncodeUsage(const UsageCounts& counts) {
--- a/src/duty/usage_table.cc
+++ b/src/duty/usage_table.cc
@@ -1,7 +1,6 @@
 #include "usage_table.h"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 #include <utility>
 
@@ -57,13 +56,29 @@
   return sum;
 }
 
-size_t UsageTable::CountProcesses(int64_t window) const {
-  std::set<uint64_t> processes;
+std::vector<uint64_t> UsageTable::ProcessesIn(int64_t window) const {
+  std::vector<uint64_t> out;
   for (auto it = cells_.lower_bound({window, 0, ""});
        it != cells_.end() && it->first.window == window; ++it) {
-    processes.insert(it->first.process);
+    uint64_t process = it->first.process;
+    if (out.empty() || out.back() != process) out.push_back(process);
+  }
+  return out;
+}
+
+size_t UsageTable::CountProcesses(int64_t window) const {
+  return ProcessesIn(window).size();
+}
+
+std::map<uint64_t, int64_t> UsageTable::OldestWindowsChangedSince(
+    uint64_t seq) const {
+  std::map<uint64_t, int64_t> out;
+  for (auto it = by_seq_.upper_bound(seq); it != by_seq_.end(); ++it) {
+    const Key& k = it->second;
+    auto [found, inserted] = out.emplace(k.process, k.window);
+    if (!inserted) found->second = std::min(found->second, k.window);
   }
-  return processes.size();
+  return out;
 }
 
 std::optional<int64_t> UsageTable::first_window() const {
--- a/src/duty/usage_table.h
+++ b/src/duty/usage_table.h
@@ -48,6 +48,10 @@
   // Returns the number of processes with counts in `window`. A restarted
   // process counts as another process.
   size_t CountProcesses(int64_t window) const;
+  // Returns the ids of the processes with counts in `window`, ascending.
+  std::vector<uint64_t> ProcessesIn(int64_t window) const;
+  // Returns the oldest window with counts that changed after `seq`, by process.
+  std::map<uint64_t, int64_t> OldestWindowsChangedSince(uint64_t seq) const;
   // Returns the oldest window with counts; nullopt if there is none.
   std::optional<int64_t> first_window() const;
   size_t size() const { return cells_.size(); }
@@ -95,6 +99,13 @@
   // minimum interval between reports has passed.
   std::vector<UsageRecord> RecordsToReport(const std::string& target,
                                            TimePoint now);
+  // Has the next report begin without regard to the minimum interval.
+  void SkipInterval() { last_report_at_.reset(); }
+  // Returns the oldest window with counts that neither the last report nor a
+  // confirmed one holds, by process.
+  std::map<uint64_t, int64_t> OldestUnreportedWindows() const {
+    return table_.OldestWindowsChangedSince(sent_);
+  }
   // Records that the target has received the last report.
   void OnDelivered() { confirmed_ = sent_; }
   // Records that the target failed. It may have lost all earlier reports, so
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -137,6 +137,9 @@
   watch_.Start();
   LogEvent("entry_started", {{"frontend", options_.frontend.ToString()},
                              {"control", options_.control_seeds.size()}});
+  if (options_.usage.window > Duration::zero()) {
+    LogEvent("usage_counted", {{"process", UsageProcessName(process_id_)}});
+  }
   return absl::OkStatus();
 }
 
@@ -163,8 +166,12 @@
     return;
   }
   gateway_.RecordConfigCurrent(clock_.Now() - Millis(r.sync_age_ms));
-  if (r.unix_ms > 0) group_time_.RecordReceivedTime(r.unix_ms, clock_.Now());
+  if (r.unix_ms > 0) {
+    group_time_.RecordReceivedTime(r.unix_ms, clock_.Now());
+    has_group_time_ = true;
+  }
   usage_.DropWindowsThrough(r.usage_committed_through);
+  UpdateUsageState(clock_.Now());
   if (r.serving_count > 0) {
     list_read_pacer_.RecordProcessCount(clock_.Now(), r.serving_count);
     gateway_.SetEntryCount(r.serving_count, r.serving_index);
@@ -199,10 +206,24 @@
 
 void Serving::CountAccountRequest(const std::string& account) {
   std::optional<int64_t> unix_ms = group_time_.UnixMsAt(clock_.Now());
-  if (unix_ms) {
-    usage_.CountRequest(process_id_, WindowAt(*unix_ms, options_.usage),
-                        account);
-  }
+  if (!unix_ms) return;
+  int64_t window = WindowAt(*unix_ms, options_.usage);
+  // The group's time may step back over the end of a window by some
+  // milliseconds. A window that was reported as finished gets no more counts.
+  const UsageProcessState* s = usage_.processes.Find(process_id_);
+  if (s && s->finished_through == window) ++window;
+  usage_.counts.CountRequest(process_id_, window, account);
+}
+
+void Serving::UpdateUsageState(TimePoint now) {
+  if (options_.usage.window <= Duration::zero() || !has_group_time_) return;
+  std::optional<int64_t> unix_ms = group_time_.UnixMsAt(now);
+  if (!unix_ms) return;
+  int64_t window = WindowAt(*unix_ms, options_.usage);
+  const UsageProcessState* s = usage_.processes.Find(process_id_);
+  if (s && s->last_window >= window) return;
+  usage_.processes.RecordServed(process_id_, window);
+  usage_.processes.RecordFinished(process_id_, window - 1);
 }
 
 void Serving::ApplyListUpdate(const WatchReply& r) {
@@ -329,6 +350,7 @@
 void Serving::Tick() {
   TimePoint now = clock_.Now();
   gateway_.Tick();
+  UpdateUsageState(now);
   if (reports_.has_urgent()) watch_.RestartWatch();
   ReadListWithoutControl(now);
   if (draining_) AdvanceDrain(now);
--- a/src/serving.h
+++ b/src/serving.h
@@ -70,6 +70,8 @@
   void MergeCrashRecords(absl::string_view encoded);
   void MergeLimitRecords(absl::string_view encoded);
   void CountAccountRequest(const std::string& account);
+  // Records the windows that this process has finished counting.
+  void UpdateUsageState(TimePoint now);
   void ApplyListUpdate(const WatchReply& r);
   void ApplyNewerList(const WatchReply& r);
   void ApplyConfig(int64_t version, const std::string& document);
@@ -88,7 +90,9 @@
   CallerServer metrics_server_;
   const uint64_t process_id_;  // Random id, generated at each start.
   GroupTime group_time_;
-  UsageTable usage_;
+  // Whether control has published the group's time to this process.
+  bool has_group_time_ = false;
+  UsageLedger usage_;
   WatchReports reports_;
   WatchClient watch_;
   Lister lister_;
--- a/src/usage_reporter.h
+++ b/src/usage_reporter.h
@@ -9,6 +9,7 @@
 #include <ev.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -18,8 +19,9 @@
 #include "http1_client.h"
 #include "metrics.h"
 #include "replica.h"
+#include "usage_copies.h"
+#include "usage_processes.h"
 #include "usage_schedule.h"
-#include "usage_table.h"
 
 namespace medlarwalk {
 
@@ -65,28 +67,41 @@
   UsageReporter(const UsageReporter&) = delete;
   UsageReporter& operator=(const UsageReporter&) = delete;
 
-  // Records the wall clock time and the counts that a follower reports with its
+  // Records the wall clock time and the usage that a follower reports with its
   // watch.
   void MergeFollowerReport(const WatchRequest& r);
-  // Records the group's time and the committed window published by the process
-  // that this one follows. Precondition: that process is up to date with a
-  // leader.
+  // Records the group's time, the committed window and the usage copy published
+  // by the process that this one follows. Precondition: that process is up to
+  // date with a leader.
   void MergePublished(const WatchReply& r);
-  // Sets the group's time and the committed window in `r`, for followers.
-  void SetGroupTimeAndCommittedWindow(WatchReply* r) const;
+  // Sets the group's time, the committed window and the usage copy in the reply
+  // to a watch of `follower`, and records that the watch served it.
+  void FillReply(const std::string& follower, WatchReply* r);
   // Samples the wall clock, commits the window that is due and sends the report
   // that is due. Must be called regularly.
   void Tick();
-  const UsageTable& usage_table() const { return usage_table_; }
+  // Returns all usage that this process holds.
+  const UsageLedger& ledger() const { return ledger_; }
+  // Returns the number of the last usage copy received; 0 if none.
+  int64_t copy_received() const { return copy_received_; }
+  // Returns whether this process is to forward its usage without delay, because
+  // a follower has reported usage of a window whose commit may wait for it. The
+  // next call returns false until another such report arrives.
+  bool TakeOverdueReport();
 
  private:
   bool reports_usage() const {
     return options_.policy.window > Duration::zero() && options_.encode;
   }
   void SampleOwnClock(TimePoint now);
+  void MergeUsage(const WatchRequest& r, const UsageReport& report);
+  // Adds the copies held for a previous leader to the usage of this process.
+  void TakeOverCopies(uint64_t term);
+  void DropCommittedWindows();
+  bool IsMember(const std::string& address) const;
   // Proposes the counts of the window that is due, if any, for commit.
   void CommitDueWindow(TimePoint now);
-  void OnCommitFinished(int64_t window, TimePoint began_at,
+  void OnCommitFinished(const WindowCommit& c, TimePoint began_at,
                         const absl::Status& s);
   // Sends the oldest committed report that is due, if any.
   void SendDueReport(TimePoint now);
@@ -107,7 +122,16 @@
   std::function<Replica*()> replica_;
   ControlMetrics& metrics_;
   GroupTime group_time_;
-  UsageTable usage_table_;
+  UsageLedger ledger_;
+  UsageCopySender copies_sent_;
+  UsageLedger copies_held_;  // Copies held for the leader of copies_term_.
+  uint64_t copies_term_ = 0;
+  int64_t copy_received_ = 0;
+  // The processes that report directly to this one, by the follower's name.
+  std::map<std::string, uint64_t> served_processes_;
+  bool overdue_report_ = false;
+  TimePoint overdue_taken_at_{};
+  TimePoint assessed_at_{};  // Last time at which a commit was considered.
   DutyLeadership leadership_;
   UsageDeliveries deliveries_;
   // Newest committed window known to this process.
--- a/src/watch_reports.cc
+++ b/src/watch_reports.cc
@@ -10,8 +10,9 @@
   r->crashes = crashes.empty() ? "" : EncodeCrashRecords(crashes, now);
   std::vector<LimitRecord> limits = limits_.RecordsToReport(target);
   r->limits = limits.empty() ? "" : EncodeLimitRecords(limits, now);
-  std::vector<UsageRecord> usage = usage_.RecordsToReport(target, now);
-  r->usage = usage.empty() ? "" : EncodeUsageRecords(usage);
+  UsageReport usage = usage_.NextReport(target, now);
+  r->usage = usage.records.empty() ? "" : EncodeUsageRecords(usage.records);
+  r->usage_states = usage.states.empty() ? "" : EncodeUsageStates(usage.states);
   r->unix_ms = wall_.UnixNow().count();
 }
 
--- a/src/watch_reports.h
+++ b/src/watch_reports.h
@@ -9,7 +9,7 @@
 #include "group_time.h"
 #include "quarantine.h"
 #include "rate_limit_table.h"
-#include "usage_table.h"
+#include "usage_processes.h"
 
 namespace medlarwalk {
 
@@ -19,7 +19,7 @@
  public:
   // Precondition: the referenced arguments outlive this object.
   WatchReports(const Quarantine& quarantine, const RateLimitTable& limits,
-               const UsageTable& usage, const WallClock& wall)
+               const UsageLedger& usage, const WallClock& wall)
       : crashes_(quarantine),
         limits_(limits),
         usage_(usage, kUsageInterval),
@@ -40,6 +40,8 @@
   bool has_urgent() const {
     return crashes_.has_unreported() || limits_.has_unreported();
   }
+  // Has the next report carry usage, however short the time since the last one.
+  void ReportUsageNext() { usage_.SkipInterval(); }
 
  private:
   // Time between usage reports. A killed process loses at most the usage that
@@ -48,7 +50,7 @@
 
   CrashReportTracker crashes_;
   LimitReportTracker limits_;
-  UsageReportTracker usage_;
+  UsageLedgerTracker usage_;
   const WallClock& wall_;
 };
 
--- a/test/duty/duty_test.cc
+++ b/test/duty/duty_test.cc
@@ -256,16 +256,38 @@
 TEST(duty, CommitsWindowsWithoutGaps) {
   UsagePolicy p = FiveSecondWindows();
   DutyLog::Subject s;
-  UsageTable table;
-  CHECK_FALSE(WindowToCommit(s, table, 1'000'000, p).has_value());
-  table.CountRequest(1, 200, "a");
-  CHECK_FALSE(WindowToCommit(s, table, 1'007'499, p).has_value());
-  LONGS_EQUAL(200, *WindowToCommit(s, table, 1'007'500, p));
+  UsageLedger l;
+  auto due = [&](int64_t unix_ms, Duration led_for = 5 * kSecond) {
+    std::optional<WindowCommit> c = WindowToCommit(s, l, led_for, unix_ms, p);
+    return c ? c->window : 0;
+  };
+  LONGS_EQUAL(0, due(1'000'000));
+  // A process has counts and has not finished the window.
+  l.counts.CountRequest(1, 200, "a");
+  int64_t last = 1'005'000 + ToMs(LastMoment(p));
+  LONGS_EQUAL(0, due(last - 1));
+  LONGS_EQUAL(200, due(last));
+  LONGS_EQUAL(0, due(last, p.regather_time - Millis(1)));
+  LONGS_EQUAL(200, due(last, p.regather_time));
+  // It finishes the window. A new leader may not know all processes.
+  l.processes.RecordServed(1, 201);
+  l.processes.RecordFinished(1, 200);
+  LONGS_EQUAL(0, due(1'004'999));
+  LONGS_EQUAL(200, due(1'005'000));
+  LONGS_EQUAL(0, due(1'005'000, p.settle_time - Millis(1)));
   s.committed_through = 200;
-  CHECK_FALSE(WindowToCommit(s, table, 1'007'500, p).has_value());
-  LONGS_EQUAL(201, *WindowToCommit(s, table, 1'099'000, p));
-  LONGS_EQUAL(400 - p.max_windows_behind,
-              *WindowToCommit(s, table, 2'000'000, p));
+  LONGS_EQUAL(0, due(last));
+  LONGS_EQUAL(201, due(1'099'000));
+  LONGS_EQUAL(400 - p.max_windows_behind, due(2'000'000));
+}
+
+// The last moment leaves time for a commit, an election, the reports to the new
+// leader, its commit and three calls. It is never early if the time is short.
+TEST(duty, LastMomentFollowsFromNamedTimes) {
+  UsagePolicy p = FiveSecondWindows();
+  LONGS_EQUAL(7150, ToMs(LastMoment(p)));
+  p.due = kSecond;
+  LONGS_EQUAL(250, ToMs(LastMoment(p)));
 }
 
 // An unanswered report is sent again with growing delays and does not delay the
@@ -365,13 +387,18 @@
     h.leadership.UpdateLeadership(leads, r->term(), now);
     if (!leads) return;
     const DutyLog::Subject& s = r->duties().FindSubject(kUsageSubject);
-    UsageTable usage;
-    usage.CountRequest(1, first_window_, "a");
-    std::optional<int64_t> due = WindowToCommit(
-        s, usage, ToMs(now.time_since_epoch()), FiveSecondWindows());
+    UsageLedger usage;
+    usage.counts.CountRequest(1, first_window_, "a");
+    // Half of the windows are complete, the others wait for a process.
+    usage.processes.RecordServed(1, first_window_);
+    usage.processes.RecordServed(1, CurrentWindow());
+    usage.processes.RecordFinished(1, CurrentWindow() / 2 * 2);
+    std::optional<WindowCommit> due =
+        WindowToCommit(s, usage, h.leadership.LedFor(now),
+                       ToMs(now.time_since_epoch()), FiveSecondWindows());
     if (due) {
       UsageCounts counts = {{"a", RandomBelow(1'000'000)}};
-      r->ProposeDuty({kUsageSubject, *due, EncodeUsage(counts),
+      r->ProposeDuty({kUsageSubject, due->window, EncodeUsage(counts),
                       h.deliveries.AcceptedThrough(s)},
                      [](const absl::Status&) {});
     }
