Timed placement: two homes of a prompt part, each by chance

Cause: a home that looked idle took all prompts of its parts, and was overloaded before the entries heard of it. Change: the first two engines in the hash order take a prompt with a probability that falls with their room; from twice that room on they always do.

--- a/src/policy/timed_placement.cc
+++ b/src/policy/timed_placement.cc
@@ -253,20 +253,24 @@
   return chosen;
 }
 
-// Returns the first engine in the hash order of the shared part, if it takes
-// the request.
+// Returns one of the first engines in the hash order of the shared part, the
+// first one that takes the request.
 std::optional<size_t> Choice::ChooseHome() {
-  std::optional<size_t> home;
-  for (size_t i = 0; i < engines_.size(); ++i) {
-    if (engines_[i].avoided || IsExcluded(i)) continue;
-    if (!home || engines_[i].affinity_hash > engines_[*home].affinity_hash)
-      home = i;
+  uint64_t below = std::numeric_limits<uint64_t>::max();
+  for (int n = 0; n < policy_.homes; ++n) {
+    std::optional<size_t> home;
+    for (size_t i = 0; i < engines_.size(); ++i) {
+      const TimedEngine& e = engines_[i];
+      if (e.avoided || IsExcluded(i) || e.affinity_hash >= below) continue;
+      if (!home || e.affinity_hash > engines_[*home].affinity_hash) home = i;
+    }
+    if (!home) return std::nullopt;
+    const TimedEngine& e = engines_[*home];
+    below = e.affinity_hash;
+    if (Fits(e) && e.room >= policy_.home_share * e.full_room * Draw(random_))
+      return home;
   }
-  if (!home || !Fits(engines_[*home])) return std::nullopt;
-  const TimedEngine& e = engines_[*home];
-  if (e.room < policy_.home_share * e.full_room * Draw(random_))
-    return std::nullopt;
-  return home;
+  return std::nullopt;
 }
 
 std::optional<size_t> Choice::ChooseForPrompt() {
--- a/src/policy/timed_placement.h
+++ b/src/policy/timed_placement.h
@@ -53,10 +53,13 @@
   size_t reserve_engines = 3;
   // At most this share of the engines is left to packed streams.
   double max_set_apart = 0.6;
-  // An engine with less than this share of its room left takes a prompt whose
-  // home it is with a probability that falls to zero with the room. A threshold
-  // would make all entries leave and return to the engine at the same moments.
-  double home_share = 1;
+  // Number of engines that hold a shared part, in the order of a hash. A home
+  // takes a prompt with a probability that falls with its room, and is certain
+  // only from home_share of its full room on. A threshold would make all
+  // entries leave and return to the engine at the same moments; and an idle
+  // home that takes all prompts of its parts is overloaded before it shows.
+  int homes = 2;
+  double home_share = 2;
   // Where no engine is in time, random factors up to 1 + spread keep entries
   // with the same view from choosing the same engine.
   double spread = 2;
