Timed placement: room adapts to the event gaps that are seen

Cause: prompts were held back and rejected for gaps that engines keep anyway where they prefill in chunks between decode steps. Change: the share of a gap target that waiting prompts may fill grows while hardly an engine had a gap near the target in the last second, and shrinks while several had. Engines of packed streams keep the fixed share. Groups timed_placement, timed_replay, gateway_timed pass.

--- a/src/policy/timed_placement.cc
+++ b/src/policy/timed_placement.cc
@@ -144,6 +144,8 @@
   if (request_.packed || IsSetApart(i)) {
     worked *= policy_.packed_work_share;
     gap_share *= policy_.packed_gap_factor;
+  } else {
+    gap_share *= unseen_.gap_share_factor;
   }
   double gap_room = PendingPrefillLimit(e.forecast, gap_ms, gap_share) + worked;
   double first_room =
--- a/src/policy/timed_placement.h
+++ b/src/policy/timed_placement.h
@@ -118,6 +118,9 @@
   // its other streams; 0: none.
   double packed_gap_ms = 0;
   double other_gap_ms = 0;
+  // Factor of TimedPolicy::gap_share where no streams are packed: engines that
+  // interleave prefills with decode steps keep gaps short whatever waits there.
+  double gap_share_factor = 1;
 };
 
 // Number of engines by the first reason that rules them out.
--- a/src/policy/timed_service.cc
+++ b/src/policy/timed_service.cc
@@ -20,6 +20,17 @@
 constexpr auto kLongestGapTrust = Millis(1500);
 // Time over which the streams of others count as unseen without shared load.
 constexpr double kEstimatedStreamsS = 0.5;
+// An event gap is near its target from this share on. The factor of the share
+// of gap targets is adapted at this interval, by the share of engines with a
+// gap near the target: raised below the first bound, lowered above the second.
+// At its maximum, known prompts may fill 0.9 of a target.
+constexpr double kNearTargetShare = 0.8;
+constexpr auto kAdaptInterval = Millis(100);
+constexpr double kFewNearTarget = 0.03;
+constexpr double kManyNearTarget = 0.08;
+constexpr double kRaiseFactor = 1.05;
+constexpr double kLowerFactor = 0.75;
+constexpr double kMaxGapShareFactor = 3;
 // Share of its time that a busy engine spends on prefills.
 constexpr double kBusyShare = 0.5;
 
@@ -79,6 +90,7 @@
   out.worked_ms = kBusyShare * age_s * 1000;
   out.packed_gap_ms = service.packed_gap.Current(now);
   out.other_gap_ms = service.other_gap.Current(now);
+  out.gap_share_factor = service.gap_share_factor;
   return out;
 }
 
@@ -120,6 +132,27 @@
     u.forecast = service->forecast.ForecastFor(u.observed_pace, longest_gap,
                                                service->idle_gap_ms, now);
   }
+  AdaptGapShare(upstreams, now, service);
+}
+
+void AdaptGapShare(absl::Span<const UpstreamState> upstreams, TimePoint now,
+                   TimedService* service) {
+  if (now - service->gap_share_adapted_at < kAdaptInterval) return;
+  service->gap_share_adapted_at = now;
+  double near_ms = kNearTargetShare * service->other_gap.Current(now);
+  int known = 0;
+  int near = 0;
+  for (size_t i : service->order) {
+    double gap_ms = upstreams[i].forecast.longest_gap_ms;
+    known += gap_ms > 0;
+    near += gap_ms > 0 && gap_ms > near_ms;
+  }
+  if (known == 0 || near_ms <= 0) return;
+  double share = static_cast<double>(near) / known;
+  double& factor = service->gap_share_factor;
+  if (share > kManyNearTarget) factor *= kLowerFactor;
+  if (share < kFewNearTarget) factor *= kRaiseFactor;
+  factor = std::clamp(factor, 1.0, kMaxGapShareFactor);
 }
 
 void RefreshService(absl::Span<const UpstreamState> upstreams,
--- a/src/policy/timed_service.h
+++ b/src/policy/timed_service.h
@@ -53,6 +53,10 @@
   // Tightest event gap targets of packed and of other streams.
   RecentGapTarget packed_gap;
   RecentGapTarget other_gap;
+  // Factor of the share of gap targets that waiting prompts may fill, and when
+  // it was last adapted.
+  double gap_share_factor = 1;
+  TimePoint gap_share_adapted_at{};
   // Indexes of the service's upstreams in the order that all entries share.
   std::vector<size_t> order;
   double idle_gap_ms = 0;               // Median of the engines; 0: unknown.
@@ -94,6 +98,11 @@
                   const std::function<EnginePace(EngineKey)>& published,
                   TimePoint now, TimedService* service);
 
+// Raises gap_share_factor while hardly an engine had an event gap near the
+// target in the last second, and lowers it while several had.
+void AdaptGapShare(absl::Span<const UpstreamState> upstreams, TimePoint now,
+                   TimedService* service);
+
 // Returns the median of the known values among `values`, which it reorders; 0
 // if none is known (above 0).
 double MedianOfKnown(std::vector<double>* values);
--- a/test/policy/timed_replay_test.cc
+++ b/test/policy/timed_replay_test.cc
@@ -70,6 +70,18 @@
   CheckInAim(2, 0.8);
 }
 
+// Guards against room held back for event gaps that the engines keep anyway,
+// because they prefill in chunks.
+TEST(timed_replay, WherePrefillsDelayStreamsLittleEnginesAreFilled) {
+  replay.chunk = 8192;
+  kinds = {Generations(Steady(200)), Lookups(Jump(200, 1500)),
+           Batch(Jump(100, 600))};
+  Run();
+  CheckInAim(0, 0.97);
+  CheckInAim(1, 0.95);
+  CheckInAim(2, 0.95);
+}
+
 // Guards against engines set apart by what was observed seconds ago.
 TEST(timed_replay, AJumpInGenerationsIsFollowedAtOnce) {
   kinds = {Generations(Jump(60, 700)), Lookups(Steady(300)),
