--- a/tools/model-check.sh
+++ b/tools/model-check.sh
@@ -33,6 +33,7 @@
 check_spec control.pml "1 2 3 4 5"
 check_spec list.pml "1 2 3"
 check_spec list_parts.pml "1 2 3 4 5"
-flags="-O1"
+# The reverse order of transitions finds mutant 1 in a second instead of 14.
+flags="-O1 -DT_REVERSE"
 check_spec usage.pml "1 2 3 4"
 check_spec usage.pml "5 6 7 8 9 10" 2
