Placement: no count of all upstreams and no needless exponential per request

Cause: each request counted the upstreams of its service by a walk over all upstreams, twice where engines serve it. The score of each engine took an exponential even where no first event is recorded.

Change: the number of upstreams is kept where ranks are computed. The decay is computed only for a recorded first event.

The test of ranked counts checks the same numbers through the new interface.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -274,7 +274,7 @@
   int first = r.shape == WorkShape::kPrefill ? decode_engines : 0;
   int end = r.shape == WorkShape::kDecode && decode_engines > 0
                 ? decode_engines
-                : CountRankedUpstreams(pool_.upstreams(), r.service->name);
+                : pool_.RankedCount(r.service->name);
   SubsetDemand demand;
   auto rate = subset_rates_.find({r.service->name, r.shape});
   if (rate != subset_rates_.end())
@@ -323,8 +323,7 @@
     int& engine_count = decode_engines_[r.service->name];
     engine_count = ComputeDecodeEngines(
         decode_demand_[r.service->name], engine_count, r.service->engine->slots,
-        CountRankedUpstreams(pool_.upstreams(), r.service->name),
-        options_.placement);
+        pool_.RankedCount(r.service->name), options_.placement);
     input.decode_engines = engine_count;
   }
   r.decode_engines = input.decode_engines;
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -51,9 +51,13 @@
 // judged by the last one and by the streams that still wait for theirs.
 double ExpectedFirstEvent(const UpstreamState& u, TimePoint now,
                           const PlacementPolicy& policy) {
-  double age = ToSeconds(now - u.first_event_at);
-  double decayed =
-      u.first_event_s * std::exp(-age / policy.first_event_decay_s);
+  double decayed = 0;
+  // The score of each engine takes this for each request. Most engines of a
+  // subset have no first event yet, and need no exponential.
+  if (u.first_event_s > 0) {
+    double age = ToSeconds(now - u.first_event_at);
+    decayed = u.first_event_s * std::exp(-age / policy.first_event_decay_s);
+  }
   if (u.awaiting_first_event == 0) return decayed;
   return std::max(decayed, ToSeconds(now - u.awaiting_since));
 }
@@ -473,17 +477,18 @@
              : WorkShape::kPrefill;
 }
 
-void RankUpstreams(absl::Span<UpstreamState> upstreams) {
+RankedCounts RankUpstreams(absl::Span<UpstreamState> upstreams) {
   struct RankEntry {
     uint64_t hash;
     UpstreamState* upstream;
   };
   std::map<absl::string_view, std::vector<RankEntry>> services;
   for (UpstreamState& u : upstreams) {
-    u.rank = u.ranked_count = 0;
+    u.rank = 0;
     if (!u.listed || u.info.draining) continue;
     services[u.info.service].push_back({StableHash(u.info.id), &u});
   }
+  RankedCounts counts;
   for (auto& [service, entries] : services) {
     std::sort(entries.begin(), entries.end(),
               [](const RankEntry& a, const RankEntry& b) {
@@ -492,18 +497,10 @@
               });
     for (size_t i = 0; i < entries.size(); ++i) {
       entries[i].upstream->rank = static_cast<int>(i);
-      entries[i].upstream->ranked_count = static_cast<int>(entries.size());
     }
+    counts[std::string(service)] = static_cast<int>(entries.size());
   }
-}
-
-int CountRankedUpstreams(absl::Span<const UpstreamState> upstreams,
-                         absl::string_view service) {
-  int n = 0;
-  for (const UpstreamState& u : upstreams) {
-    if (u.info.service == service) n = std::max(n, u.ranked_count);
-  }
-  return n;
+  return counts;
 }
 
 void RecordEventGap(UpstreamState& u, Duration gap, TimePoint now) {
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -12,6 +12,8 @@
 #define MEDLARWALK_PLACEMENT_H_
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -86,11 +88,9 @@
   // limit of that number.
   int prefills_in_flight = 0;
   double prefill_limit = 2;
-  // Position of the upstream in the order of its service's upstreams, and the
-  // number of upstreams in that order. The order is the same in every entry
-  // process.
+  // Position of the upstream in the order of its service's upstreams. The order
+  // is the same in every entry process.
   int rank = 0;
-  int ranked_count = 1;
   // Estimated number of prompt tokens still to prefill, as of
   // `pending_prefill_at`.
   double pending_prefill_tokens = 0;
@@ -330,13 +330,12 @@
 WorkShape ClassifyWork(int64_t prompt_tokens, int64_t output_tokens,
                        const PlacementPolicy& policy);
 
-// Sets the position of each upstream in the order of its service's upstreams.
-// Every process computes the same order.
-void RankUpstreams(absl::Span<UpstreamState> upstreams);
+// Number of upstreams in the order of each service.
+using RankedCounts = std::map<std::string, int, std::less<>>;
 
-// Returns the number of upstreams in the order of `service`.
-int CountRankedUpstreams(absl::Span<const UpstreamState> upstreams,
-                         absl::string_view service);
+// Sets the position of each upstream in the order of its service's upstreams,
+// and returns their number. Every process computes the same order.
+RankedCounts RankUpstreams(absl::Span<UpstreamState> upstreams);
 
 // Returns the estimated number of requests running or waiting at `u`.
 double EstimatedLoad(const UpstreamState& u, TimePoint now,
--- a/src/upstream_pool.cc
+++ b/src/upstream_pool.cc
@@ -75,11 +75,16 @@
     state.info = u;
     state.info.draining |= state.announced_draining;
   }
-  RankUpstreams(absl::MakeSpan(upstreams_));
+  ranked_counts_ = RankUpstreams(absl::MakeSpan(upstreams_));
   Tick();
   return restarted;
 }
 
+int UpstreamPool::RankedCount(absl::string_view service) const {
+  auto it = ranked_counts_.find(service);
+  return it == ranked_counts_.end() ? 0 : it->second;
+}
+
 UpstreamState* UpstreamPool::Find(const std::string& id) {
   auto it = index_.find(id);
   return it == index_.end() ? nullptr : &upstreams_[it->second];
@@ -90,7 +95,7 @@
   if (!state || state->announced_draining) return false;
   state->announced_draining = true;
   state->info.draining = true;
-  RankUpstreams(absl::MakeSpan(upstreams_));
+  ranked_counts_ = RankUpstreams(absl::MakeSpan(upstreams_));
   return true;
 }
 
--- a/src/upstream_pool.h
+++ b/src/upstream_pool.h
@@ -30,6 +30,9 @@
 
   std::vector<UpstreamState>& upstreams() { return upstreams_; }
   const std::vector<UpstreamState>& upstreams() const { return upstreams_; }
+  // Returns the number of upstreams in the order of `service`, as of the last
+  // change of the order.
+  int RankedCount(absl::string_view service) const;
   // Returns the state of upstream `id`, or nullptr.
   UpstreamState* Find(const std::string& id);
 
@@ -72,6 +75,7 @@
   const Clock& clock_;
   LinkOpener open_link_;
   std::vector<UpstreamState> upstreams_;
+  RankedCounts ranked_counts_;
   std::unordered_map<std::string, size_t> index_;
   std::unordered_map<std::string, Connections> connections_;
 };
--- a/test/policy/placement_test.cc
+++ b/test/policy/placement_test.cc
@@ -473,11 +473,11 @@
 // upstream would be 0.
 TEST(placement, DrainingEngineDoesNotChangeRankedCount) {
   std::vector<UpstreamState> upstreams = Engines(9);
-  LONGS_EQUAL(9, CountRankedUpstreams(upstreams, "engine"));
+  LONGS_EQUAL(9, RankUpstreams(absl::MakeSpan(upstreams)).at("engine"));
   upstreams.back().info.draining = true;
-  RankUpstreams(absl::MakeSpan(upstreams));
-  LONGS_EQUAL(8, CountRankedUpstreams(upstreams, "engine"));
-  LONGS_EQUAL(0, CountRankedUpstreams(upstreams, "another"));
+  RankedCounts counts = RankUpstreams(absl::MakeSpan(upstreams));
+  LONGS_EQUAL(8, counts.at("engine"));
+  LONGS_EQUAL(0, static_cast<long>(counts.count("another")));
 }
 
 // Guards against long generations on slow engines when fast engines have room.
