--- a/fuzz/wire.cc
+++ b/fuzz/wire.cc
@@ -10,10 +10,11 @@
 namespace medlarwalk {
 namespace {
 
-// First bytes that select usage records, limit records, parts of the upstream
-// list and requests for them. The remainder modulo 5 of any other first byte
-// selects the type of message.
+// First bytes that select usage records, usage states, limit records, parts of
+// the upstream list and requests for them. The remainder modulo 5 of any other
+// first byte selects the type of message.
 constexpr uint8_t kUsage = 'u';
+constexpr uint8_t kUsageStates = 'U';
 constexpr uint8_t kLimits = 'y';
 constexpr uint8_t kListPart = 'p';
 constexpr uint8_t kListPartRequest = 'P';
@@ -45,6 +46,13 @@
     });
     return 0;
   }
+  if (data[0] == kUsageStates) {
+    RoundTrip(bytes, DecodeUsageStates,
+              [](const std::vector<UsageProcessState>& s) {
+                return EncodeUsageStates(s);
+              });
+    return 0;
+  }
   if (data[0] == kLimits) {
     RoundTrip(
         bytes,
