--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -26,6 +26,9 @@
 // latency target, where entries share the load of engines. Its target does not
 // bound it any more.
 constexpr double kMaxTimedRetryWaitShare = 0.5;
+// Engines drawn for a long generation where all entries see the same loads: the
+// better of two random ones is near the best, and entries spread over all.
+constexpr size_t kDrawnEngines = 2;
 
 LinkOpener Http1Links(struct ev_loop* loop, const Clock& clock) {
   return [loop, &clock](const UpstreamInfo& to, Duration connect_timeout) {
@@ -283,10 +286,9 @@
 // Returns the time at which `r` is rejected if it still waits.
 TimePoint Gateway::WaitEnd(const Request& r, TimePoint now) const {
   double share = options_.waiting.max_wait_target_share;
-  bool timed = r.service->shared_load && r.facts.pinned == 0;
-  // Placement decides at each try whether a request can still be in time. A
-  // returning request has been rejected before and may wait as long.
-  if (r.returning || (timed && r.sends == 0 && r.connect_failures == 0)) {
+  bool timed = r.service->timed_placement && r.facts.pinned == 0;
+  // Placement decides at each try whether a request can still be in time.
+  if (timed && r.sends == 0 && r.connect_failures == 0) {
     TimePoint target = r.exchange->arrived + r.route->latency_target;
     return std::max(now, std::min(r.deadline, target));
   }
@@ -347,7 +349,7 @@
     // one of the `limit` connections is then free.
     u.at_own_limit = u.in_flight >= limit && pool_.AtConnectionLimit(u, limit);
     if (r.shape != WorkShape::kDecode || u.at_own_limit ||
-        r.service->shared_load) {
+        r.service->timed_placement) {
       continue;
     }
     u.at_own_limit = !AcceptsGeneration(u, r.service->engine->slots,
@@ -363,7 +365,7 @@
       !TierAdmissionFor(r.service->name).MayStart(r.tier, clock_.Now())) {
     return false;
   }
-  if (r.service->shared_load && r.facts.pinned == 0) return TrySendTimed(r);
+  if (r.service->timed_placement && r.facts.pinned == 0) return TrySendTimed(r);
   if (r.shape == WorkShape::kPrefill &&
       !PrefillLimiterFor(r.service->name).MaySend(r.tier)) {
     return false;
@@ -379,6 +381,8 @@
     input.decode_engines = engine_count;
   }
   r.decode_engines = input.decode_engines;
+  if (r.service->shared_load && r.shape == WorkShape::kDecode)
+    input.drawn_engines = kDrawnEngines;
   if (!FollowsPrefix(input))
     input.subset = SubsetFor(r, input.decode_engines, now);
   std::uniform_real_distribution<double> draw(0, 1);
@@ -464,10 +468,14 @@
       {"limit", u.limit_per_s.value_or(-1)},
       {"copy_from", f.copy_from.ip},
       {"left_ms", ToMs(f.time_limit)}};
-  if (r.service->shared_load) {
+  if (r.service->timed_placement) {
     fields.emplace_back("predicted_first_ms",
                         std::lround(r.placement.first_event_ms));
     fields.emplace_back("predicted_gap_ms", std::lround(r.placement.gap_ms));
+  }
+  if (r.service->shared_load) {
+    fields.emplace_back("others", u.others_work.awaiting_first_event +
+                                      u.others_work.generating);
     fields.emplace_back("shared_age_ms", ToMs(ViewOfOthers(now).age));
   }
   LogEvent("sent", fields);
--- a/src/gateway_timed.cc
+++ b/src/gateway_timed.cc
@@ -257,6 +257,7 @@
   }
   for (size_t i : service.order) {
     UpstreamState& u = pool_.upstreams()[i];
+    u.others_known = usable;
     u.others_work = usable ? shared_load_.OthersAt(u.engine_key, now)
                            : EstimateOthersWork(u.own_work, mean, entry_count_);
   }
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -73,7 +73,7 @@
         }
         if (interchangeable) unplaceable.insert(placement_key);
         // Bounds the cost of a pass: each placement compares all engines.
-        if (r.service->shared_load && ++failed == kMaxFailedTimedPlacements)
+        if (r.service->timed_placement && ++failed == kMaxFailedTimedPlacements)
           break;
         continue;
       }
@@ -107,7 +107,7 @@
 }
 
 void Gateway::LogPlacementFailure(const Request& r, TimePoint now) {
-  if (r.service->shared_load) {
+  if (r.service->timed_placement) {
     LogTimedPlacementFailure(r, now);
     return;
   }
--- a/src/native_api.cc
+++ b/src/native_api.cc
@@ -260,6 +260,7 @@
     if (u.kind == "engine") {
       rule.engine = EngineLimits{TotalSlots(settings, u)};
       rule.shared_load = settings.entry.shared_load;
+      rule.timed_placement = settings.entry.timed_placement;
       for (const std::string& m : u.models) paths[ModelPath(m)][service] += 1;
     } else {
       paths[ServicePath(u.name)][service] = 1;
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <map>
+#include <random>
 #include <tuple>
 
 #include "absl/strings/str_cat.h"
@@ -182,6 +183,24 @@
   candidates->erase(end, candidates->end());
 }
 
+// Returns the candidate with the lowest score among `request.drawn_engines`
+// random ones that are not busy and do the request's kind of work; nullptr if
+// there is none. `draw` is uniform in [0, 1).
+const Candidate* DrawCandidate(absl::Span<const Candidate> candidates,
+                               const PlacementRequest& request, double draw) {
+  std::vector<const Candidate*> suitable;
+  for (const Candidate& s : candidates) {
+    if (!s.busy && !s.shape_mismatch) suitable.push_back(&s);
+  }
+  std::minstd_rand random(static_cast<uint32_t>(draw * 1e9) + 1);
+  const Candidate* best = nullptr;
+  for (size_t k = 0; k < request.drawn_engines && !suitable.empty(); ++k) {
+    const Candidate* s = suitable[random() % suitable.size()];
+    if (!best || s->score < best->score) best = s;
+  }
+  return best;
+}
+
 }  // namespace
 
 double MeanFailureShare(absl::Span<const UpstreamState> upstreams,
@@ -211,6 +230,9 @@
 double EstimatedLoad(const UpstreamState& u, TimePoint now,
                      const PlacementPolicy& policy) {
   double own = u.in_flight;
+  if (u.others_known) {
+    return own + u.others_work.awaiting_first_event + u.others_work.generating;
+  }
   if (u.reported_at == TimePoint{}) return own;
   Duration age = now - u.reported_at;
   if (age > policy.report_lifetime) return own;
@@ -276,6 +298,10 @@
   if (use_affinity && request.shared_tokens >= policy.min_affinity_tokens) {
     KeepPreferredEngines(PreferredEngineCount(candidates, policy), &candidates);
   }
+  if (request.drawn_engines > 0) {
+    const Candidate* drawn = DrawCandidate(candidates, request, draw);
+    if (drawn) return drawn->index;
+  }
   // A random start index breaks ties, so that entries do not all choose the
   // same upstream.
   size_t n = candidates.size();
@@ -434,6 +460,10 @@
 
 bool AcceptsGeneration(const UpstreamState& u, int slots, int serving,
                        TimePoint now, const PlacementPolicy& policy) {
+  if (u.others_known) {
+    return EstimatedLoad(u, now, policy) <
+           policy.max_known_generations_share * slots;
+  }
   if (u.in_flight < OwnGenerationLimit(slots, serving, policy)) {
     return true;
   }
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -126,6 +126,9 @@
   // processes and the pace to predict with, both as of the last refresh.
   ObservedPace observed_pace;
   EngineWork others_work;
+  // Whether the other processes have reported `others_work`; otherwise it is an
+  // estimate.
+  bool others_known = false;
   EngineForecast forecast;
 };
 
@@ -236,6 +239,10 @@
   double max_own_generations_share = 2;
   double spare_load_share = 0.75;
   Duration max_spare_report_age = Millis(500);
+  // Where the work of all processes is known: share of an engine's slots from
+  // which it gets no further long generation. The rest is for those that other
+  // processes have sent since their last report.
+  double max_known_generations_share = 0.8;
   // Services with fewer engines than this reserve none for long generations.
   int min_engines_to_split = 2;
   // Load, in shares of slots, at which an upstream gets no more requests. Above
@@ -297,6 +304,10 @@
   int decode_engines = 0;
   // The upstreams, by rank, that this process uses first. By default all.
   UpstreamSubset subset;
+  // Not 0: that many engines for the request's kind of work are drawn at random
+  // and the least loaded of them is chosen. Processes that see the same loads
+  // would otherwise all choose the same engine until their next reports.
+  size_t drawn_engines = 0;
 };
 
 // Smoothed demand for the engines of one service.
--- a/src/policy/routing_config.h
+++ b/src/policy/routing_config.h
@@ -60,9 +60,11 @@
   std::string name;
   int max_connections = 0;  // Connections to one upstream from all processes.
   std::optional<EngineLimits> engine;
-  // Entries tell each other what they send to the engines of this service, and
-  // place requests by predicted times instead of counts.
+  // Entries tell each other what they send to the engines of this service.
   bool shared_load = false;
+  // Requests are placed by predicted times instead of counts. Only with
+  // shared_load.
+  bool timed_placement = false;
   // Tiers of the routes that lead to this service, most urgent first. Filled by
   // BuildConfigIndexes.
   std::vector<Tier> tiers;
--- a/src/settings.h
+++ b/src/settings.h
@@ -65,8 +65,10 @@
   Millis ping_interval{0};  // Interval of HTTP/2 PINGs to each agent.
   Millis ping_timeout{0};   // Time without received bytes after which a
                             // connection to an agent is closed.
-  // Places requests by predicted times and by what all entries have sent.
+  // Entries tell each other what they send to engines.
   bool shared_load = false;
+  // Places requests by predicted times. Only with shared_load.
+  bool timed_placement = false;
 };
 
 // The content of a settings file.
