--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -52,8 +52,8 @@
 double ExpectedFirstEvent(const UpstreamState& u, TimePoint now,
                           const PlacementPolicy& policy) {
   double decayed = 0;
-  // The score of each engine takes this for each request. Most engines of a
-  // subset have no first event yet, and need no exponential.
+  // Each request computes this for each engine, so an engine without a recorded
+  // first event costs no exponential.
   if (u.first_event_s > 0) {
     double age = ToSeconds(now - u.first_event_at);
     decayed = u.first_event_s * std::exp(-age / policy.first_event_decay_s);
