Gateway: passes over the queue are paced only with placement by times

Cause: the least time between two passes, which bounds the cost of placement by predicted times, also held back services that only share their load: a free slot stayed empty for up to 20 ms, and an account's held request waited behind others that could not use it. Change: the bound applies where timed_placement is on.

--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -29,8 +29,8 @@
 constexpr std::chrono::duration<double> kDemandSmoothing =
     std::chrono::seconds(3);
 
-// Number of requests that a pass over the queue of a service with shared load
-// tries in vain.
+// Number of requests that a pass over the queue of a service with placement by
+// predicted times tries in vain.
 constexpr int kMaxFailedTimedPlacements = 8;
 // Least time between two passes over that queue: what the engines hold is
 // refreshed no more often.
@@ -46,9 +46,11 @@
     // A request that cannot be placed does not block the requests behind it in
     // the queue.
     TimePoint now = clock_.Now();
-    if (auto it = timed_services_.find(service); it != timed_services_.end()) {
-      if (now - it->second.last_pass_at < kTimedPassInterval) continue;
-      it->second.last_pass_at = now;
+    if (auto rule = config_->services.find(service);
+        rule != config_->services.end() && rule->second.timed_placement) {
+      TimePoint& last_pass_at = TimedServiceFor(service).last_pass_at;
+      if (now - last_pass_at < kTimedPassInterval) continue;
+      last_pass_at = now;
     }
     // Requests that could not be placed in this pass, each stored as the
     // properties that decide its placement. Later requests with the same
