Settings: placement by times and precedence of returns have switches of their own

Change: ServiceRule::timed_placement and return_precedence, in the product's settings entry.timed_placement and entry.return_precedence, each only with shared_load.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -287,8 +287,9 @@
 TimePoint Gateway::WaitEnd(const Request& r, TimePoint now) const {
   double share = options_.waiting.max_wait_target_share;
   bool timed = r.service->timed_placement && r.facts.pinned == 0;
-  // Placement decides at each try whether a request can still be in time.
-  if (timed && r.sends == 0 && r.connect_failures == 0) {
+  // Placement decides at each try whether a request can still be in time. A
+  // returning request has been rejected before and may wait as long.
+  if (r.returning || (timed && r.sends == 0 && r.connect_failures == 0)) {
     TimePoint target = r.exchange->arrived + r.route->latency_target;
     return std::max(now, std::min(r.deadline, target));
   }
@@ -401,7 +402,7 @@
   ++r.attempt;
   if (++r.sends == 1) {
     TierAdmissionFor(r.service->name).RecordDispatch(r.tier, now);
-    if (r.service->shared_load)
+    if (r.service->return_precedence)
       ReturnScheduleFor(r.service->name).RecordPlace(now);
   }
   r.upstream = u.info.id;
--- a/src/gateway_returns.cc
+++ b/src/gateway_returns.cc
@@ -11,7 +11,7 @@
 
 // Recognizes a request that was rejected before, by any entry process.
 void Gateway::RecognizeReturn(Request& r) {
-  if (!r.service->shared_load) return;
+  if (!r.service->return_precedence) return;
   ReturnClaim claim = returns_.Claim(r.fingerprint, r.tier, clock_.Now());
   r.returning = claim == ReturnClaim::kKept;
   if (claim == ReturnClaim::kKept) metrics_.CountReturn("kept");
@@ -23,7 +23,7 @@
 // another one can serve the caller at once.
 bool Gateway::PromisesReturn(const Request& r, ErrorKind kind) const {
   const ErrorAnswer& a = ErrorAnswerFor(kind);
-  if (!r.service || !r.service->shared_load) return false;
+  if (!r.service || !r.service->return_precedence) return false;
   if (!a.not_run || !a.retry_after) return false;
   if (kind == ErrorKind::kQuarantined || kind == ErrorKind::kDraining)
     return false;
@@ -57,7 +57,7 @@
 // Returns the waiting requests that must be tried before `r`, which has just
 // arrived: those of its rank whose callers returned when they were told to.
 std::vector<uint64_t> Gateway::ReturningBefore(const Request& r) const {
-  if (!r.service->shared_load || r.sends > 0 || r.connect_failures > 0)
+  if (!r.service->return_precedence || r.sends > 0 || r.connect_failures > 0)
     return {};
   return waiting_queue_.ReturningRequests(r.service->name, r.rank);
 }
--- a/src/native_api.cc
+++ b/src/native_api.cc
@@ -261,6 +261,7 @@
       rule.engine = EngineLimits{TotalSlots(settings, u)};
       rule.shared_load = settings.entry.shared_load;
       rule.timed_placement = settings.entry.timed_placement;
+      rule.return_precedence = settings.entry.return_precedence;
       for (const std::string& m : u.models) paths[ModelPath(m)][service] += 1;
     } else {
       paths[ServicePath(u.name)][service] = 1;
--- a/src/policy/routing_config.h
+++ b/src/policy/routing_config.h
@@ -65,6 +65,9 @@
   // Requests are placed by predicted times instead of counts. Only with
   // shared_load.
   bool timed_placement = false;
+  // Rejected callers are told when to return, and go before newcomers then.
+  // Only with shared_load.
+  bool return_precedence = false;
   // Tiers of the routes that lead to this service, most urgent first. Filled by
   // BuildConfigIndexes.
   std::vector<Tier> tiers;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -185,8 +185,11 @@
   p.ping_timeout = Millis(r.Int("ping_timeout_ms", 10, 600'000, false, 3000));
   p.shared_load = r.Bool("shared_load", false);
   p.timed_placement = r.Bool("timed_placement", false);
+  p.return_precedence = r.Bool("return_precedence", false);
   if (p.timed_placement && !p.shared_load)
     throw SettingsFault{r.Path("timed_placement"), "needs shared_load"};
+  if (p.return_precedence && !p.shared_load)
+    throw SettingsFault{r.Path("return_precedence"), "needs shared_load"};
   r.RejectUnreadKeys();
   return p;
 }
--- a/src/settings.h
+++ b/src/settings.h
@@ -69,6 +69,9 @@
   bool shared_load = false;
   // Places requests by predicted times. Only with shared_load.
   bool timed_placement = false;
+  // Tells rejected callers when to return, and places them before newcomers
+  // then. Only with shared_load.
+  bool return_precedence = false;
 };
 
 // The content of a settings file.
--- a/test/settings_test.cc
+++ b/test/settings_test.cc
@@ -101,3 +101,17 @@
   STRCMP_EQUAL("settings: $.entry.shared_load: must be true or false",
                ParseErrorOf(d).c_str());
 }
+
+// Guards against settings that seem to be in force but need another one.
+TEST(settings, PlacementByTimesNeedsSharedLoad) {
+  for (const char* key : {"timed_placement", "return_precedence"}) {
+    json d = DefaultSettings();
+    d["entry"][key] = true;
+    STRCMP_EQUAL(
+        (std::string("settings: $.entry.") + key + ": needs shared_load")
+            .c_str(),
+        ParseErrorOf(d).c_str());
+    d["entry"]["shared_load"] = true;
+    STRCMP_EQUAL("", ParseErrorOf(d).c_str());
+  }
+}
