Engine load: findings of a reading by a newcomer

Cause and change, one each: - A promise that was used did not reach the other entries: control gave such a row no lifetime, so a caller could be preferred once at each entry. It is passed on for 500 ms. (Only with return_precedence.) - Paces were learned and sent although only timed_placement uses them, and from requests that it had not placed.

--- a/src/control_load.cc
+++ b/src/control_load.cc
@@ -12,7 +12,10 @@
 
 // Time for which the consumption of an account is passed on.
 constexpr auto kAccountLifetime = Millis(1000);
-// Bounds of the items kept: a second of reports of 64 accounts from 25 entries,
+// Time for which the news that a caller has returned is passed on: some
+// messages to each receiver.
+constexpr auto kUsedReturnLifetime = Millis(500);
+// Bounds of the items kept: a second of reports of 64 accounts from 23 entries,
 // and the rows that an entry keeps of promised returns.
 constexpr size_t kMaxAccountRows = 16384;
 constexpr size_t kMaxReturnRows = 4096;
@@ -75,8 +78,10 @@
     accounts_.Add(m.process, direct, a, now, now + kAccountLifetime);
   // The newest come first in a message and last in the log.
   for (auto it = m.returns.rbegin(); it != m.returns.rend(); ++it) {
-    returns_.Add(m.process, direct, *it, now,
-                 now + it->remaining + kReturnGrace);
+    // A used row has no time left, but must reach the other entries.
+    Duration lifetime =
+        std::max<Duration>(it->remaining + kReturnGrace, kUsedReturnLifetime);
+    returns_.Add(m.process, direct, *it, now, now + lifetime);
   }
 }
 
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -23,11 +23,12 @@
 constexpr auto kPrefixHolderTrust = std::chrono::seconds(12);
 constexpr size_t kMaxRememberedParts = 4096;
 // Longest wait of a request that an upstream has rejected, in shares of its
-// latency target, where entries share the load of engines. Its target does not
-// bound it any more.
+// latency target, at services with timed_placement. Such a request may miss its
+// target, and must not wait until its deadline either.
 constexpr double kMaxTimedRetryWaitShare = 0.5;
-// Engines drawn for a long generation where all entries see the same loads: the
-// better of two random ones is near the best, and entries spread over all.
+// Engines drawn for a long generation at services with shared_load. The better
+// of two random ones is near the best, and entries that see the same loads
+// spread over all.
 constexpr size_t kDrawnEngines = 2;
 
 LinkOpener Http1Links(struct ev_loop* loop, const Clock& clock) {
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -52,9 +52,10 @@
   SubsetPolicy subset;
   PrefillLimiterPolicy prefill_limiter;
   TierAdmissionPolicy tier_admission;
-  // Used for services with shared load, in place of prefill_limiter.
+  // Used with ServiceRule::timed_placement, in place of prefill_limiter.
   TimedPolicy timed;
   ForecastPolicy forecast;
+  // Used with ServiceRule::shared_load.
   AccountSharesPolicy account_shares;
   // Share of an upstream's connections that the known entry processes use
   // together. The rest of the connections is for entry processes that control
@@ -113,7 +114,7 @@
   // process knows them.
   const RateLimitTable& limits() const { return limits_; }
   // Returns the rejected requests whose callers were told when to return, of
-  // services whose load is shared.
+  // services with return_precedence.
   ReturnTable& returns() { return returns_; }
   // Merges rate limits published by control.
   void MergeLimits(absl::Span<const LimitRecord> records);
@@ -161,7 +162,7 @@
   bool TrySend(Request& r);
   // Sets whether this process may send to each upstream of the service of `r`.
   void UpdateSendPermissions(const Request& r, TimePoint now);
-  // TrySend for services with shared load.
+  // TrySend for services with timed_placement, except for pinned requests.
   bool TrySendTimed(Request& r);
   TimedRequest TimedRequestFor(const Request& r, TimePoint now) const;
   void FillCandidates(const Request& r, TimePoint now, TimedService* service);
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -77,7 +77,8 @@
   r.progress_at = now;
   if (UpstreamState* u = pool_.Find(r.upstream)) {
     u->last_activity_at = now;
-    if (r.work.engine != 0 && !r.work.first_event && r.relaying)
+    if (r.service->timed_placement && r.work.engine != 0 &&
+        !r.work.first_event && r.relaying)
       RecordTimedFirstEvent(r, *u, now);
     CountFirstEvent(&r.work, *u);
   }
@@ -190,7 +191,7 @@
   bool same_upstream = r.last_event_at > r.sent_at;
   if (UpstreamState* u = pool_.Find(r.upstream); u && same_upstream) {
     RecordEventGap(*u, gap, now);
-    if (r.service->shared_load) RecordTimedEventGap(r, *u, gap, now);
+    if (r.service->timed_placement) RecordTimedEventGap(r, *u, gap, now);
   }
   if (r.shape != WorkShape::kDecode || !same_upstream) return;
   RecordEventGapShare(ToSeconds(gap) / ToSeconds(r.route->event_gap_target),
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -81,8 +81,7 @@
   // Whether the request is counted at `upstream` as a stream that waits for its
   // first event.
   bool first_event_pending = false;
-  // Decision of the last placement; only where the service has shared load.
-  // `placement.delay`: see TimedDecision.
+  // Decision of the last placement by predicted times, if there was one.
   TimedDecision placement;
   bool unplaceable = false;  // The last placement was a rejection.
   // Work of this attempt that is counted at `upstream`.
--- a/src/gateway_returns.cc
+++ b/src/gateway_returns.cc
@@ -1,5 +1,5 @@
 // Gateway: callers that were rejected and return when they were told to. Only
-// for services whose load is shared.
+// for services with return_precedence.
 #include "gateway.h"
 #include "gateway_request.h"
 
@@ -72,7 +72,11 @@
   for (uint64_t seq : order) {
     auto it = requests_.find(seq);
     if (it == requests_.end() || !it->second->waiting) continue;
-    if (!TrySend(*it->second)) return;
+    if (!TrySend(*it->second)) {
+      if (!it->second->unplaceable) return;
+      FailUnplaceable(*it->second, clock_.Now());
+      continue;
+    }
     it->second->waiting = false;
     TimePoint now = clock_.Now();
     waiting_queue_.RemoveServed(seq, now);
--- a/src/gateway_timed.cc
+++ b/src/gateway_timed.cc
@@ -1,6 +1,5 @@
-// Gateway: services whose entries share the load of their engines. Counts the
-// own work at each engine, learns paces, and places requests by predicted
-// times.
+// Gateway: engine load of services with shared_load, and placement of requests
+// by predicted times at services with timed_placement.
 #include <algorithm>
 #include <cmath>
 
@@ -211,10 +210,7 @@
 // Rejects a request that no engine is predicted to serve in time.
 void Gateway::FailUnplaceable(Request& r, TimePoint now) {
   LogPlacementFailure(r, now);
-  FailRequest(r,
-              r.may_have_run ? ErrorKind::kOutcomeUnknown
-                             : ErrorKind::kTargetUnmeetable,
-              "no place in time");
+  FailRequest(r, ErrorKind::kTargetUnmeetable, "no place in time");
 }
 
 void Gateway::LogTimedPlacementFailure(const Request& r, TimePoint now) {
@@ -271,6 +267,7 @@
     TimedService& service = TimedServiceFor(name);
     RefreshService(pool_.upstreams(), name, &service);
     RefreshOthersWork(service, now);
+    if (!rule.timed_placement) continue;
     RefreshPaces(
         absl::MakeSpan(pool_.upstreams()),
         [&](EngineKey key) { return shared_load_.PaceOf(key, now); }, now,
--- a/src/policy/relay_log.h
+++ b/src/policy/relay_log.h
@@ -28,7 +28,9 @@
 struct PromisedReturn {
   uint32_t fingerprint = 0;  // Low bits of the request's fingerprint.
   Tier tier = 0;
-  Millis remaining{};  // Time until the promised one; negative: it has passed.
+  // Time until the promised one; negative: it has passed; -kReturnGrace: the
+  // promise has been used.
+  Millis remaining{};
 };
 
 // Maximum number of each kind of item in one message.
--- a/src/policy/routing_config.h
+++ b/src/policy/routing_config.h
@@ -99,7 +99,8 @@
 
 // Sets ServiceRule::shared_load for services of engines to which a stream route
 // with a short latency target leads: a target that is over before an entry can
-// learn of the other entries' requests from watches and load reports.
+// learn of the other entries' requests from watches and load reports. Does not
+// set timed_placement and return_precedence.
 void EnableSharedLoad(RoutingConfig* c);
 
 // Fills the derived lookup tables. Precondition: ValidateConfig(*c) is Ok.
--- a/src/policy/shared_engine_load.cc
+++ b/src/policy/shared_engine_load.cc
@@ -41,10 +41,4 @@
   return now - answered_at_ + oldest_part_;
 }
 
-EngineWork EstimateOthers(const EngineWork& own, int entry_count) {
-  EngineWork w = own;
-  w.Scale(std::max(entry_count - 1, 0));
-  return w;
-}
-
 }  // namespace medlarwalk
--- a/src/policy/shared_engine_load.h
+++ b/src/policy/shared_engine_load.h
@@ -34,7 +34,7 @@
   // Duration::max() if there was no answer.
   Duration Age(TimePoint now) const;
   // Returns whether the answer is young enough to rely on. If not, the others'
-  // work is to be estimated (EstimateOthers).
+  // work is to be estimated (EstimateOthersWork).
   bool usable(TimePoint now) const { return Age(now) < kUsableAge; }
 
  private:
@@ -56,11 +56,6 @@
   Duration oldest_part_{};
 };
 
-// Returns an estimate of the work of all other entries at an engine from this
-// process's own, for a time without shared load. `entry_count`: number of
-// entries, this one included.
-EngineWork EstimateOthers(const EngineWork& own, int entry_count);
-
 }  // namespace medlarwalk
 
 #endif  // MEDLARWALK_SHARED_ENGINE_LOAD_H_
--- a/test/policy/shared_engine_load_test.cc
+++ b/test/policy/shared_engine_load_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "CppUTest/TestHarness.h"
+#include "timed_service.h"
 
 using namespace medlarwalk;
 
@@ -40,7 +41,7 @@
   CHECK(load.usable(kStart + Millis(899)));
   CHECK_FALSE(load.usable(kStart + Millis(900)));
   // Then an entry counts the others as itself.
-  LONGS_EQUAL(130, EstimateOthers(half, 27).generating);
+  LONGS_EQUAL(130, EstimateOthersWork(half, half, 27).generating);
 }
 
 // Work that has ended is in no later answer; it must not remain.
