--- a/src/duty/usage_processes.h
+++ b/src/duty/usage_processes.h
@@ -18,7 +18,7 @@
 
 namespace medlarwalk {
 
-// What is known of one process that counts usage.
+// State of one process that counts usage.
 struct UsageProcessState {
   uint64_t process = 0;  // Random id of the process, drawn at each start.
   // First and last window in which a watch served the process.
--- a/src/policy/engine_load_table.h
+++ b/src/policy/engine_load_table.h
@@ -87,7 +87,7 @@
     TimePoint pace_at{};  // Time to which EnginePace::age refers.
     EngineWork counted;   // The work as it counts in `totals_`.
   };
-  // What one process, or all processes of one control process, reported.
+  // Report of one process, or the sum of all processes of one control process.
   struct Part {
     uint64_t seq = 0;
     TimePoint arrived_at{};  // When it last reported completely.
--- a/src/policy/placement_records.cc
+++ b/src/policy/placement_records.cc
@@ -16,7 +16,7 @@
 // engine never looks too fast.
 constexpr double kFasterPaceSmoothing = 0.3;
 constexpr double kSlowerPaceSmoothing = 0.01;
-// A measured pace (seconds per event) below this share of the known pace is
+// A pace (seconds per event) below this share of the known pace is
 // ignored: the events were delayed on their way and arrived together.
 constexpr double kBunchedEventsShare = 0.5;
 // Engines are marked as slow only if the paces of at least kMinKnownPaces
--- a/src/policy/return_table.h
+++ b/src/policy/return_table.h
@@ -41,7 +41,7 @@
 // Longest time until a promised time that Merge() accepts.
 inline constexpr Duration kMaxReturnDelay = std::chrono::minutes(1);
 
-// What the table knows of an arriving request.
+// Result of looking up an arriving request.
 enum class ReturnClaim {
   kUnknown,  // Not rejected before, or its row was used, forgotten or dropped.
   kEarly,    // Returned before the promised time.
--- a/test/policy/shared_engine_load_test.cc
+++ b/test/policy/shared_engine_load_test.cc
@@ -40,7 +40,7 @@
   CHECK(load.OthersAt(1, kStart + Millis(1900)).empty());
   CHECK(load.usable(kStart + Millis(899)));
   CHECK_FALSE(load.usable(kStart + Millis(900)));
-  // Then an entry counts the others as itself.
+  // Without usable load an entry estimates the others from its own work.
   LONGS_EQUAL(130, EstimateOthersWork(half, half, 27).generating);
 }
 
