Observability: software version of upstreams, and streams that go on

Change: the list of upstreams carries each upstream's software version to every process (an upstream whose version changes under its id has restarted). Lines 'sent' name it as build=, and for a stream that goes on after_event= and resumes=; the counter resumed_streams_total says where streams went on and whether at the version that began them. Placement is unchanged.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -83,6 +83,12 @@
                      .Name(prefix + "refusals_total")
                      .Help("Requests turned away, by reason")
                      .Register(*registry_);
+  resumed_streams_ =
+      &prometheus::BuildCounter()
+           .Name(prefix + "resumed_streams_total")
+           .Help(
+               "Streams sent to go on, by place and by version of the upstream")
+           .Register(*registry_);
   retries_ = &prometheus::BuildCounter()
                   .Name(prefix + "retries_total")
                   .Help("Retries, by reason")
@@ -174,6 +180,13 @@
   account_late_.Increment(AccountLabel(account));
 }
 
+void Metrics::CountResumedStream(absl::string_view where,
+                                 absl::string_view build) {
+  resumed_streams_
+      ->Add({{"where", std::string(where)}, {"build", std::string(build)}})
+      .Increment();
+}
+
 void Metrics::CountRetry(absl::string_view reason) {
   retries_->Add({{"reason", std::string(reason)}}).Increment();
 }
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -58,6 +58,11 @@
   void CountAccountLate(absl::string_view account);
   // Counts one retry, by its reason (e.g. not_run, connection_lost).
   void CountRetry(absl::string_view reason);
+  // Counts one stream that was sent to an upstream to go on after an event that
+  // its caller has. `where`: "answer" if the same answer goes on, "caller" if
+  // the caller came back. `build`: whether the upstream runs the software
+  // version that began the stream ("same", "other", "unknown").
+  void CountResumedStream(absl::string_view where, absl::string_view build);
   // Counts one finished request, by class and outcome ("ok" or a code).
   void CountFinishedRequest(absl::string_view klass, absl::string_view outcome);
   // Records the time to first token of a request of `klass`.
@@ -111,6 +116,7 @@
   TopCounter account_late_;
   prometheus::Family<prometheus::Counter>* rejections_;
   prometheus::Family<prometheus::Counter>* retries_;
+  prometheus::Family<prometheus::Counter>* resumed_streams_;
   prometheus::Family<prometheus::Counter>* finished_;
   prometheus::Family<prometheus::Histogram>* first_token_;
   prometheus::Family<prometheus::Histogram>* duration_;
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -21,8 +21,9 @@
 constexpr int64_t kMaxWindow = int64_t{1} << 60;
 
 json ToJson(const UpstreamInfo& u) {
-  return {u.id,          u.service,  u.address.ip, u.address.port,
-          u.data_centre, u.draining, u.slots,      u.started_unix_ms};
+  return {u.id,           u.service,         u.address.ip,
+          u.address.port, u.data_centre,     u.draining,
+          u.slots,        u.started_unix_ms, u.build};
 }
 
 UpstreamInfo UpstreamFromJson(const json& j) {
@@ -35,6 +36,7 @@
   u.draining = j.at(5).get<bool>();
   u.slots = IntegerFromJson<int>(j.at(6));
   u.started_unix_ms = IntegerFromJson<int64_t>(j.at(7));
+  if (j.size() > 8) u.build = j.at(8).get<std::string>();
   return u;
 }
 
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -39,6 +39,9 @@
   std::vector<PromptPart> parts;
   // Id of the last event that the caller has; the answer resumes after it.
   std::optional<int64_t> last_event;
+  // Id of the caller's attempt that brought the first event of the stream that
+  // this request takes up; empty if it takes up none.
+  std::string resumes;
   // Kind and repeatability of the request, if the request sets them. They
   // override the values of the route.
   std::optional<RequestKind> kind;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -461,6 +461,7 @@
       {"request", r.facts.id},
       {"asks", FingerprintToHex(r.fingerprint)},
       {"upstream", u.info.id},
+      {"build", u.info.build},
       {"attempt", r.sends + static_cast<int>(r.connect_failures)},
       {"load", u.reported_load},
       {"load_age_ms",
@@ -480,6 +481,14 @@
                                       u.others_work.generating);
     fields.emplace_back("shared_age_ms", ToMs(ViewOfOthers(now).age));
   }
+  if (f.last_event) {
+    fields.emplace_back("after_event", *f.last_event);
+    fields.emplace_back("resumes", r.facts.resumes);
+    metrics_.CountResumedStream(r.events > 0 ? "answer" : "caller",
+                                !r.build                   ? "unknown"
+                                : *r.build == u.info.build ? "same"
+                                                           : "other");
+  }
   LogEvent("sent", fields);
 }
 
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -176,6 +176,8 @@
   r.last_event_at = now;
   r.exchange->Write(event);
   if (id) r.last_event = id;
+  if (const UpstreamState* u = pool_.Find(r.upstream); u && !r.build)
+    r.build = u->info.build;
   ++r.events;
   RecordOutputUse(r, false);
   return true;
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -93,6 +93,8 @@
   bool read_paused = false;
   EventSplitter splitter;
   std::optional<int64_t> last_event;
+  // Software version of the upstream that began the stream, once it is known.
+  std::optional<std::string> build;
   // How the end of a complete answer was detected; for the log.
   std::string end_detected_by;
   int events = 0;
--- a/src/policy/upstream_list.cc
+++ b/src/policy/upstream_list.cc
@@ -15,7 +15,7 @@
 uint64_t HashOf(const UpstreamInfo& u) {
   std::string text;
   for (const std::string* s :
-       {&u.id, &u.service, &u.address.ip, &u.data_centre}) {
+       {&u.id, &u.service, &u.address.ip, &u.data_centre, &u.build}) {
     absl::StrAppend(&text, s->size(), ":", *s);
   }
   absl::StrAppend(&text, u.address.port, ",", u.draining, ",", u.slots, ",",
@@ -35,7 +35,7 @@
   return a.id == b.id && a.started_unix_ms == b.started_unix_ms &&
          a.service == b.service && a.address == b.address &&
          a.data_centre == b.data_centre && a.draining == b.draining &&
-         a.slots == b.slots;
+         a.slots == b.slots && a.build == b.build;
 }
 
 }  // namespace
--- a/src/policy/upstream_list.h
+++ b/src/policy/upstream_list.h
@@ -36,11 +36,18 @@
   std::string data_centre;
   bool draining = false;  // The upstream is draining and takes no new requests.
   int slots = 1;          // Number of requests that it runs at once.
+  // Version of the upstream's software; "" if unknown. Upstreams of one service
+  // may run several versions at once.
+  std::string build;
 };
 
 // Returns whether `fresh` is a later start of the upstream that was known as
 // `known`. A restarted upstream has lost the cache and the requests of `known`.
 inline bool HasRestarted(const UpstreamInfo& known, const UpstreamInfo& fresh) {
+  if (!known.build.empty() && !fresh.build.empty() &&
+      known.build != fresh.build) {
+    return true;
+  }
   if (known.started_unix_ms && fresh.started_unix_ms)
     return fresh.started_unix_ms > known.started_unix_ms;
   return !(known.address == fresh.address);
--- a/src/upstream_pool.cc
+++ b/src/upstream_pool.cc
@@ -19,6 +19,7 @@
 void UpstreamPool::ResetState(UpstreamState& state, const UpstreamInfo& fresh) {
   LogEvent("upstream_restarted", {{"upstream", fresh.id},
                                   {"address", fresh.address.ToString()},
+                                  {"build", fresh.build},
                                   {"born", fresh.started_unix_ms},
                                   {"born_before", state.info.started_unix_ms},
                                   {"in_flight", state.in_flight}});
@@ -56,7 +57,8 @@
       upstreams_.push_back(std::move(state));
       LogEvent("upstream_added", {{"upstream", u.id},
                                   {"service", u.service},
-                                  {"address", u.address.ToString()}});
+                                  {"address", u.address.ToString()},
+                                  {"build", u.build}});
       continue;
     }
     UpstreamState& state = upstreams_[it->second];
--- a/test/policy/upstream_list_test.cc
+++ b/test/policy/upstream_list_test.cc
@@ -35,7 +35,7 @@
   for (const UpstreamInfo& u : list) {
     absl::StrAppend(&out, u.id, " ", u.started_unix_ms, " ", u.service, " ",
                     u.address.ToString(), " ", u.data_centre, " ", u.draining,
-                    " ", u.slots, "\n");
+                    " ", u.slots, " ", u.build, "\n");
   }
   return out;
 }
@@ -62,6 +62,7 @@
         default:
           ++now_[at].address.port;
           now_[at].started_unix_ms += 1000;
+          now_[at].build = absl::StrCat("v", random_() % 3);
       }
     }
     std::shuffle(now_.begin(), now_.end(), random_);
@@ -94,7 +95,7 @@
   b.Replace(Upstreams(3, 30));
   b.Replace(reversed);
   CHECK_EQUAL(a.version(), b.version());
-  std::vector<UpstreamInfo> others[7];
+  std::vector<UpstreamInfo> others[8];
   for (auto& o : others) o = Upstreams(0, 9);
   others[0][4].draining = true;
   others[1][4].service = "s";
@@ -103,6 +104,7 @@
   others[4][4].slots = 1;
   others[5][4].started_unix_ms = 1;
   others[6].pop_back();
+  others[7][4].build = "v2";
   for (const auto& o : others) {
     b.Replace(o);
     CHECK_TRUE(a.version() != b.version());
