Placement: an answer goes on only at the software version that began it

Cause: a request that goes on after an event was placed like a new one, by service, load and prompt parts. The version that began the stream was not an input of placement.

Evidence: stream_build AnInterruptedAnswerGoesOnAtTheSameVersion and AnAnswerWhoseVersionIsGoneEndsIncomplete failed before and pass now.

Change: a request keeps the version of the upstream that sent its first event, and every placement after that takes only upstreams that fit service and version. Where none is left the answer ends visibly incomplete. Streams that go on are not held back by the limit on long generations of one process: few upstreams may be left to them.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -306,6 +306,7 @@
   input.shared_tokens = r.shared_tokens;
   input.data_centre = options_.data_centre;
   input.tried_ids = r.tried_upstreams;
+  if (r.build) input.build = *r.build;
   input.shape = r.shape;
   input.retryable = r.repeatable() && r.sends + 1 < r.route->max_attempts;
   input.pinned = r.facts.pinned;
@@ -350,7 +351,9 @@
     // `limit` requests at the upstream. Each request holds one connection, so
     // one of the `limit` connections is then free.
     u.at_own_limit = u.in_flight >= limit && pool_.AtConnectionLimit(u, limit);
-    if (r.shape != WorkShape::kDecode || u.at_own_limit ||
+    // A stream that goes on may have few upstreams, and is not held up for the
+    // room of others.
+    if (r.shape != WorkShape::kDecode || u.at_own_limit || r.build ||
         r.service->timed_placement) {
       continue;
     }
--- a/src/gateway_timed.cc
+++ b/src/gateway_timed.cc
@@ -151,7 +151,10 @@
     const UpstreamState& u = pool_.upstreams()[i];
     bool tried = std::find(r.tried_upstreams.begin(), r.tried_upstreams.end(),
                            u.info.id) != r.tried_upstreams.end();
-    if (tried || !MayReceiveRequests(u, now, options_.placement)) continue;
+    if (tried || !Fits(u, input) ||
+        !MayReceiveRequests(u, now, options_.placement)) {
+      continue;
+    }
     TimedEngine e;
     e.index = i;
     e.work = TotalWork(u, shared_age, now);
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -66,7 +66,8 @@
       Request& r = *it->second;
       auto placement_key =
           std::make_tuple(r.rank, now >= r.starving_from, r.shape, r.affinity);
-      bool interchangeable = r.tried_upstreams.empty() && r.facts.pinned == 0;
+      bool interchangeable =
+          r.tried_upstreams.empty() && r.facts.pinned == 0 && !r.build;
       if (interchangeable && unplaceable.count(placement_key)) continue;
       if (!TrySend(r)) {
         if (r.unplaceable) {
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -244,11 +244,16 @@
   return w * reported_now + (1 - w) * own;
 }
 
+bool Fits(const UpstreamState& u, const PlacementRequest& request) {
+  return u.info.service == request.service &&
+         (!request.build || u.info.build == *request.build);
+}
+
 bool HasUntriedUpstream(absl::Span<const UpstreamState> upstreams,
                         const PlacementRequest& request) {
   return std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& u) {
-    return u.info.service == request.service && u.listed && !u.info.draining &&
-           !u.terminated && !Contains(request.tried_ids, u.info.id);
+    return Fits(u, request) && u.listed && !u.info.draining && !u.terminated &&
+           !Contains(request.tried_ids, u.info.id);
   });
 }
 
@@ -275,8 +280,7 @@
   bool use_affinity = FollowsPrefix(request);
   for (size_t i = 0; i < upstreams.size(); ++i) {
     const UpstreamState& u = upstreams[i];
-    if (u.info.service != request.service || !u.listed || u.info.draining)
-      continue;
+    if (!Fits(u, request) || !u.listed || u.info.draining) continue;
     if (Contains(request.tried_ids, u.info.id) || u.at_own_limit ||
         u.terminated)
       continue;
@@ -333,8 +337,7 @@
                                      const PlacementPolicy& policy) {
   AvailabilityCounts n;
   for (const UpstreamState& u : upstreams) {
-    if (u.info.service != request.service || !u.listed || u.info.draining)
-      continue;
+    if (!Fits(u, request) || !u.listed || u.info.draining) continue;
     ++n.upstreams;
     if (u.at_own_limit) {
       ++n.at_own_limit;
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -296,6 +296,9 @@
   // Not 0: only the upstream selected by this hash may take the request,
   // because that upstream holds the state of earlier attempts.
   uint64_t pinned = 0;
+  // Set for a stream that goes on: only upstreams of the software version that
+  // began it may take it. The events of two versions do not fit together.
+  std::optional<absl::string_view> build;
   WorkShape shape = WorkShape::kPlain;
   // If the attempt fails, the request may be sent to another upstream.
   bool retryable = false;
@@ -441,8 +444,12 @@
                                       TimePoint now,
                                       const PlacementPolicy& policy);
 
-// Returns whether `request.service` has an upstream that is not draining and
-// was not tried for this request.
+// Returns whether `u` is an upstream of the service and of the software version
+// that `request` needs.
+bool Fits(const UpstreamState& u, const PlacementRequest& request);
+
+// Returns whether `request` has a fitting upstream that is not draining and was
+// not tried for this request.
 bool HasUntriedUpstream(absl::Span<const UpstreamState> upstreams,
                         const PlacementRequest& request);
 
