Streams: a caller's stream goes on at the service and version that began it

Callers whose entry was killed took their stream up at another entry and got events of another software version.

Cause: the version that began a stream was known to the entry that served it alone, and the entry that is asked to go on placed the request like a new one. On a route split between services the service itself was drawn anew.

Change: before a resumable stream is sent to an upstream, its service and version go by datagram to three other entries chosen by a hash of the attempt's id, and again every 2 s while it lasts. The entry at which a stream is taken up asks the five first in that order, for 200 ms at most. If nobody knows, the stream goes on only where one version alone has served for a minute, and is rejected as not run otherwise.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -89,6 +89,16 @@
            .Help(
                "Streams sent to go on, by place and by version of the upstream")
            .Register(*registry_);
+  stream_origin_lookups_ =
+      &prometheus::BuildCounter()
+           .Name(prefix + "stream_origin_lookups_total")
+           .Help("Lookups of where a stream began, by result")
+           .Register(*registry_);
+  entry_peers_ = &prometheus::BuildGauge()
+                      .Name(prefix + "peers")
+                      .Help("Other entry processes whose address is known")
+                      .Register(*registry_)
+                      .Add({});
   retries_ = &prometheus::BuildCounter()
                   .Name(prefix + "retries_total")
                   .Help("Retries, by reason")
@@ -187,6 +197,14 @@
       .Increment();
 }
 
+void Metrics::CountStreamOriginLookup(absl::string_view result) {
+  stream_origin_lookups_->Add({{"result", std::string(result)}}).Increment();
+}
+
+void Metrics::SetEntryPeers(size_t n) {
+  entry_peers_->Set(static_cast<double>(n));
+}
+
 void Metrics::CountRetry(absl::string_view reason) {
   retries_->Add({{"reason", std::string(reason)}}).Increment();
 }
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -63,6 +63,12 @@
   // the caller came back. `build`: whether the upstream runs the software
   // version that began the stream ("same", "other", "unknown").
   void CountResumedStream(absl::string_view where, absl::string_view build);
+  // Counts one lookup of the origin of a stream that its caller takes up:
+  // "held" by this process, "answered" by another one, "unknown" to all, or
+  // "silent" if some did not answer.
+  void CountStreamOriginLookup(absl::string_view result);
+  // Sets the number of other entry processes whose address is known.
+  void SetEntryPeers(size_t n);
   // Counts one finished request, by class and outcome ("ok" or a code).
   void CountFinishedRequest(absl::string_view klass, absl::string_view outcome);
   // Records the time to first token of a request of `klass`.
@@ -117,6 +123,8 @@
   prometheus::Family<prometheus::Counter>* rejections_;
   prometheus::Family<prometheus::Counter>* retries_;
   prometheus::Family<prometheus::Counter>* resumed_streams_;
+  prometheus::Family<prometheus::Counter>* stream_origin_lookups_;
+  prometheus::Gauge* entry_peers_;
   prometheus::Family<prometheus::Counter>* finished_;
   prometheus::Family<prometheus::Histogram>* first_token_;
   prometheus::Family<prometheus::Histogram>* duration_;
--- a/src/control.cc
+++ b/src/control.cc
@@ -431,6 +431,7 @@
                                                        : std::next(it);
   }
   leader_watch_.next_request().serving_followers = DirectServingCount();
+  leader_watch_.next_request().serving_endpoints = DirectServingEndpoints();
   quarantine_.Tick(now);
   SaveQuarantine(now);
   limits_.RemoveStaleLimits(
--- a/src/control.h
+++ b/src/control.h
@@ -107,6 +107,8 @@
     std::string address;  // Set for control processes only.
     bool serves_callers = false;
     int serving_followers = 0;  // Number of serving processes that watch it.
+    // WatchRequest::serving_endpoints of the follower.
+    std::vector<Endpoint> serving_endpoints;
   };
   // A call that waits until a leader is known.
   struct WaitingCall {
@@ -163,6 +165,10 @@
   void LogMemoryChange(TimePoint now);
   void FollowLeader();
   int DirectServingCount() const;
+  // Return the addresses of the serving processes that follow this process
+  // directly, and of all known ones, sorted.
+  std::vector<Endpoint> DirectServingEndpoints() const;
+  std::vector<Endpoint> ServingEndpoints() const;
   int TotalServingCount() const;
   int ServingIndexOf(const std::string& follower) const;
 
@@ -205,6 +211,8 @@
   // last answer.
   int leader_serving_count_ = 0;
   int leader_serving_index_ = -1;
+  // Serving processes that the leader has published.
+  std::vector<Endpoint> leader_serving_endpoints_;
   // Data centres of the control processes by address, as published by the
   // leader.
   std::map<std::string, std::string> data_centre_by_address_;
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -1,6 +1,7 @@
 // Watches in the control process: publishes new configurations, lists, crash
 // records and limits to the followers.
 #include <algorithm>
+#include <tuple>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -29,6 +30,31 @@
   return n;
 }
 
+std::vector<Endpoint> Control::DirectServingEndpoints() const {
+  std::vector<Endpoint> out;
+  for (const auto& [name, f] : followers_) {
+    if (!f.serves_callers) continue;
+    out.insert(out.end(), f.serving_endpoints.begin(),
+               f.serving_endpoints.end());
+  }
+  return out;
+}
+
+std::vector<Endpoint> Control::ServingEndpoints() const {
+  std::vector<Endpoint> out;
+  if (!IsLeader()) out = leader_serving_endpoints_;
+  for (const auto& [name, f] : followers_) {
+    out.insert(out.end(), f.serving_endpoints.begin(),
+               f.serving_endpoints.end());
+  }
+  auto key = [](const Endpoint& e) { return std::tie(e.ip, e.port); };
+  std::sort(out.begin(), out.end(), [&](const Endpoint& a, const Endpoint& b) {
+    return key(a) < key(b);
+  });
+  out.erase(std::unique(out.begin(), out.end()), out.end());
+  return out;
+}
+
 // Returns the index of `follower` among all serving processes; -1 if unknown.
 // For a control process, this is the index of the first serving process that
 // follows it. The leader numbers its direct serving followers first, then those
@@ -92,6 +118,10 @@
   if (r.quarantine) MergeCrashRecords(*r.quarantine, true);
   if (r.limits) MergeLimitRecords(*r.limits, true);
   if (!in_sync || IsLeader()) return;
+  if (r.serving) {
+    leader_serving_endpoints_ = *r.serving;
+    leader_watch_.next_request().serving_version = ServingVersion(*r.serving);
+  }
   leader_serving_count_ = r.serving_count;
   leader_serving_index_ = r.serving_index;
   announced_leader_ = r.leader;
@@ -147,6 +177,9 @@
   w.list_pages = list_pages_;
   w.serving_count = TotalServingCount();
   w.serving_index = ServingIndexOf(r.name);
+  std::vector<Endpoint> serving = ServingEndpoints();
+  if (ServingVersion(serving) != r.serving_version)
+    w.serving = std::move(serving);
   usage_.FillReply(r.name, &w);
   w.quarantine_version = quarantine_.version();
   if (w.quarantine_version != r.quarantine_version) {
@@ -175,6 +208,7 @@
   f.address = r->address;
   f.serves_callers = r->serves_callers;
   f.serving_followers = r->serving_followers;
+  f.serving_endpoints = std::move(r->serving_endpoints);
   TimePoint now = clock_.Now();
   bool has_reports = !r->crashes.empty() || !r->limits.empty();
   if (!r->crashes.empty()) MergeCrashRecords(r->crashes, false);
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -1,6 +1,9 @@
 #include "control_wire.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
+#include <array>
 #include <map>
 #include <utility>
 
@@ -40,6 +43,36 @@
   return u;
 }
 
+// Each endpoint takes six bytes: IPv4 address and port, in network byte order.
+// The leader receives those of all serving processes several times a second.
+constexpr size_t kIpBytes = 4;
+constexpr size_t kPackedEndpointBytes = 6;
+
+std::string PackEndpoints(absl::Span<const Endpoint> endpoints) {
+  std::string out;
+  for (const Endpoint& e : endpoints) {
+    std::array<char, kIpBytes> ip{};
+    if (inet_pton(AF_INET, e.ip.c_str(), ip.data()) != 1) continue;
+    out.append(ip.data(), ip.size());
+    out += static_cast<char>(e.port >> 8);
+    out += static_cast<char>(e.port);
+  }
+  return out;
+}
+
+std::vector<Endpoint> UnpackEndpoints(absl::string_view packed) {
+  std::vector<Endpoint> out;
+  while (packed.size() >= kPackedEndpointBytes) {
+    std::array<char, INET_ADDRSTRLEN> ip{};
+    inet_ntop(AF_INET, packed.data(), ip.data(), ip.size());
+    auto high = static_cast<unsigned char>(packed[kIpBytes]);
+    auto low = static_cast<unsigned char>(packed[kIpBytes + 1]);
+    out.push_back({ip.data(), high * 256 + low});
+    packed.remove_prefix(kPackedEndpointBytes);
+  }
+  return out;
+}
+
 json ToJson(const std::vector<ControlEndpoint>& endpoints) {
   json out = json::array();
   for (const ControlEndpoint& p : endpoints) {
@@ -97,6 +130,11 @@
 
 }  // namespace
 
+int64_t ServingVersion(absl::Span<const Endpoint> endpoints) {
+  return std::max<int64_t>(
+      1, static_cast<int64_t>(StableHash(PackEndpoints(endpoints)) >> 1));
+}
+
 int64_t EndpointsVersion(const std::vector<ControlEndpoint>& endpoints) {
   std::string text;
   for (const ControlEndpoint& p : endpoints) {
@@ -284,6 +322,9 @@
   // Only deployments that report usage have these.
   if (!r.usage_states.empty()) j["e"] = ToJsonBinary(r.usage_states);
   if (r.usage_copy_received != 0) j["g"] = r.usage_copy_received;
+  if (!r.serving_endpoints.empty())
+    j["o"] = ToJsonBinary(PackEndpoints(r.serving_endpoints));
+  if (r.serving_version != 0) j["v"] = r.serving_version;
   return ToCbor(j);
 }
 
@@ -306,6 +347,9 @@
     if (Document d = FindDocument(j, "u")) r.usage = *d;
     if (Document d = FindDocument(j, "e")) r.usage_states = *d;
     r.usage_copy_received = IntegerFromJson<int64_t>(j, "g", 0);
+    if (Document d = FindDocument(j, "o"))
+      r.serving_endpoints = UnpackEndpoints(*d);
+    r.serving_version = IntegerFromJson<int64_t>(j, "v", 0);
     return r;
   });
 }
@@ -323,6 +367,7 @@
     j["u"] = UsageRecordsToJson(r.usage_copy.report.records);
     j["e"] = UsageStatesToJson(r.usage_copy.report.states);
   }
+  if (r.serving) j["o"] = ToJsonBinary(PackEndpoints(*r.serving));
   std::string head = ToCbor(j);
   // The documents are appended as the last pairs of the map, so that they need
   // no copy. The first byte of a CBOR map holds its number of pairs if that is
@@ -354,6 +399,7 @@
     r.leader = j.at("h").get<std::string>();
     r.config = FindDocument(j, "d");
     r.list = FindDocument(j, "l");
+    if (Document d = FindDocument(j, "o")) r.serving = UnpackEndpoints(*d);
     r.quarantine_version = IntegerFromJson<int64_t>(j, "q", 0);
     r.quarantine = FindDocument(j, "x");
     r.limits_version = IntegerFromJson<int64_t>(j, "b", 0);
--- a/src/control_wire.h
+++ b/src/control_wire.h
@@ -5,6 +5,7 @@
 #define MEDLARWALK_CONTROL_WIRE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,11 @@
   int serving_followers = 0;
   int64_t config_version = 0;
   int64_t list_version = 0;
+  // Addresses at which entry processes reach the serving processes that follow
+  // the sender directly, or the sender itself if it serves callers.
+  std::vector<Endpoint> serving_endpoints;
+  // ServingVersion() of the addresses known to the follower; 0: none.
+  int64_t serving_version = 0;
   // EndpointsVersion() of the control processes known to the follower.
   int64_t endpoints_version = 0;
   int64_t quarantine_version = 0;
@@ -70,6 +76,9 @@
   std::string data_centre;
 };
 
+// Returns a hash that identifies a sorted list of serving processes; never 0.
+int64_t ServingVersion(absl::Span<const Endpoint> endpoints);
+
 // Returns a hash that identifies the set of endpoints; never 0.
 int64_t EndpointsVersion(const std::vector<ControlEndpoint>& endpoints);
 
@@ -102,6 +111,9 @@
   // a control process, this is the index of the first serving process that
   // follows it.
   int serving_index = -1;
+  // Addresses of all known serving processes, sorted; nullopt if the follower
+  // knows the same ones.
+  std::optional<std::vector<Endpoint>> serving;
   // All known control processes; empty if the follower knows the same ones.
   std::vector<ControlEndpoint> control;
   std::string leader;  // Address of the leader; "" if unknown.
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -87,6 +87,7 @@
     prefix_cache_index_.RemoveEngine(id);
     limits_.RecordLimit(id, std::nullopt, clock_.Now());
   }
+  TrackBuilds(clock_.Now());
   crash_watch_.OnListUpdate();
   ApplyLimitsToUpstreams();
   decode_paces_changed_ = true;
@@ -164,11 +165,28 @@
     FailRequest(r, ErrorKindOf(s), s.message());
     return;
   }
+  if (TakesUpStream(r)) {
+    DispatchTakenUpStream(r);
+    return;
+  }
+  DispatchAdmitted(r);
+}
+
+void Gateway::DispatchAdmitted(Request& r) {
   RecognizeReturn(r);
   RetryBudgetFor(r.service->name).RecordFirstAttempt(options_.retry);
   Dispatch(r);
 }
 
+// Sets the kind of engine work of `r`.
+void Gateway::ClassifyRequest(Request& r) const {
+  if (!r.service->engine) return;
+  int64_t output = r.facts.expected_output_tokens > 0
+                       ? r.facts.expected_output_tokens
+                       : r.facts.max_output_tokens;
+  r.shape = ClassifyWork(r.facts.prompt_tokens, output, options_.placement);
+}
+
 // Returns whether a newer configuration may allow a request that this one
 // rejects with `rejection`. An entry process whose event loop was blocked for
 // seconds finds requests that were sent long after a route was added. They must
@@ -217,12 +235,7 @@
   r.deadline = r.exchange->arrived + time_limit;
   r.deadline_entry = deadlines_.emplace(r.deadline, r.seq);
   r.last_event = r.facts.last_event;
-  if (r.service->engine) {
-    int64_t output = r.facts.expected_output_tokens > 0
-                         ? r.facts.expected_output_tokens
-                         : r.facts.max_output_tokens;
-    r.shape = ClassifyWork(r.facts.prompt_tokens, output, options_.placement);
-  }
+  ClassifyRequest(r);
   if (quarantine_.IsQuarantined(r.fingerprint)) {
     return MakeError(ErrorKind::kQuarantined, "crashes upstreams");
   }
@@ -365,8 +378,9 @@
 bool Gateway::TrySend(Request& r) {
   r.unplaceable = false;
   // Tier admission holds back only requests that were not sent yet. A request
-  // that was sent before may be retried even if more urgent requests wait.
-  if (r.sends == 0 &&
+  // that was sent before may be retried even if more urgent requests wait, and
+  // a stream may go on.
+  if (r.sends == 0 && !r.build &&
       !TierAdmissionFor(r.service->name).MayStart(r.tier, clock_.Now())) {
     return false;
   }
@@ -440,6 +454,7 @@
   if (r.service->engine) f.copy_from = FindCopySource(r, u, now);
   if (r.service->shared_load) CountSent(r, u, !f.copy_from.ip.empty());
   LogSent(r, u, f, now);
+  RecordStreamOrigin(r, r.build.value_or(u.info.build));
   uint64_t seq = r.seq;
   int attempt = r.attempt;
   UpstreamCall call;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -34,6 +34,7 @@
 #include "routing_config.h"
 #include "send_slots.h"
 #include "shared_engine_load.h"
+#include "stream_origin_table.h"
 #include "tier_admission.h"
 #include "timed_placement.h"
 #include "timed_service.h"
@@ -70,6 +71,14 @@
   // Called when a request of `account` has begun to run at an upstream, as far
   // as this shows in the answer. May be empty.
   std::function<void(const std::string& account)> on_request_run;
+  // Called when a resumable stream is sent to an upstream, before its caller
+  // gets an event of it. May be empty.
+  std::function<void(const StreamRecord&)> on_stream_sent;
+  // Looks up where a stream began that its caller takes up here, and passes the
+  // result on, possibly before returning. If empty, no origin is known.
+  std::function<void(
+      StreamKey, std::function<void(const std::optional<StreamOrigin>&)> found)>
+      find_stream_origin;
   // Returns the group's time at the local time `now`, counted from an arbitrary
   // epoch that is the same for all processes. If empty, the local clock is
   // used.
@@ -152,6 +161,21 @@
   // Admits and dispatches a request, or rejects it. The request has just
   // arrived or has waited for a configuration.
   void AdmitAndDispatch(Request& r);
+  void DispatchAdmitted(Request& r);
+  void ClassifyRequest(Request& r) const;
+  // Return whether the caller of `r` takes up a stream that was interrupted,
+  // and where that stream began if there is only one place where it can have
+  // begun.
+  static bool TakesUpStream(const Request& r);
+  std::optional<StreamOrigin> SoleOrigin(const Request& r) const;
+  // Dispatches a request that takes up a stream once its origin is known, or
+  // rejects it.
+  void DispatchTakenUpStream(Request& r);
+  void DispatchFromOrigin(Request& r,
+                          const std::optional<StreamOrigin>& origin);
+  void RecordStreamOrigin(Request& r, const std::string& build);
+  void RefreshStreamOrigin(Request& r, TimePoint now);
+  void TrackBuilds(TimePoint now);
   void ResumeRequestsAwaitingConfig();
   bool ConfigMayBeOutdated(const absl::Status& rejection) const;
   absl::Status AdmitRequest(Request& r);
@@ -269,6 +293,14 @@
   Quarantine quarantine_;
   RateLimitTable limits_;
   SharedEngineLoad shared_load_;
+  // Software versions of one service's listed upstreams.
+  struct ServiceBuilds {
+    std::string build;  // One of them.
+    bool several = false;
+    // Until then, streams may exist that other versions began.
+    TimePoint several_until{};
+  };
+  std::map<std::string, ServiceBuilds> service_builds_;
   uint64_t limit_changes_applied_ = 0;
   uint64_t quarantine_changes_seen_ = 0;
   PrefixCacheIndex prefix_cache_index_;
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -95,6 +95,8 @@
   std::optional<int64_t> last_event;
   // Software version of the upstream that began the stream, once it is known.
   std::optional<std::string> build;
+  // Time of the last record of where the stream began.
+  TimePoint origin_recorded_at{};
   // How the end of a complete answer was detected; for the log.
   std::string end_detected_by;
   int events = 0;
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -216,7 +216,9 @@
   for (auto& [seq, r] : requests_) open.push_back(seq);
   for (uint64_t seq : open) {
     auto it = requests_.find(seq);
-    if (it != requests_.end()) RetryIfStalled(*it->second, now);
+    if (it == requests_.end()) continue;
+    RefreshStreamOrigin(*it->second, now);
+    RetryIfStalled(*it->second, now);
   }
   pool_.Tick();
   // After the pool has removed upstreams: the order of engines holds positions
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -28,6 +28,8 @@
 // blocks.
 constexpr int kMaxUnsentBytes = 64 * 1024;
 
+}  // namespace
+
 bool ToSockaddr(const Endpoint& e, sockaddr_in* out) {
   *out = {};
   out->sin_family = AF_INET;
@@ -35,8 +37,6 @@
   return inet_pton(AF_INET, e.ip.c_str(), &out->sin_addr) == 1;
 }
 
-}  // namespace
-
 void SetNonBlocking(int fd) {
   fcntl(fd, F_SETFL, fcntl(fd, F_GETFL, 0) | O_NONBLOCK);
   int one = 1;
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -4,6 +4,7 @@
 #define MEDLARWALK_TCP_H_
 
 #include <ev.h>
+#include <netinet/in.h>
 
 #include <cstdint>
 #include <functional>
@@ -17,6 +18,10 @@
 
 namespace medlarwalk {
 
+// Converts `e` for socket calls. Returns false if its ip is not an IPv4
+// address.
+bool ToSockaddr(const Endpoint& e, sockaddr_in* out);
+
 // Makes socket `fd` non-blocking and disables Nagle's algorithm, so that small
 // writes are sent immediately.
 void SetNonBlocking(int fd);
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -53,11 +53,18 @@
       loop_watch_(
           loop, clock,
           [this](Duration d) { metrics_.ObserveLoopIteration(ToSeconds(d)); }),
+      stream_origins_(loop, clock, metrics_, RandomSeed()),
       gateway_(
           loop, clock,
           [&] {
             GatewayOptions o = options_.gateway;
             o.config_trust = kConfigTrust;
+            o.on_stream_sent = [this](const StreamRecord& record) {
+              stream_origins_.Record(record);
+            };
+            o.find_stream_origin = [this](StreamKey key, auto found) {
+              stream_origins_.Find(key, std::move(found));
+            };
             o.group_time = [this](TimePoint now) {
               return Millis(group_time_.UnixMsAt(now).value_or(0));
             };
@@ -147,6 +154,10 @@
   if (s.ok() && options_.metrics.port) {
     s = metrics_server_.Listen(options_.metrics);
   }
+  if (s.ok() && options_.entry_peer.port) {
+    s = stream_origins_.Bind(options_.entry_peer);
+    watch_.next_request().serving_endpoints = {options_.entry_peer};
+  }
   if (!s.ok()) return s;
   ev_timer_start(loop_, &tick_);
   watch_.Start();
@@ -191,6 +202,10 @@
     list_read_pacer_.RecordProcessCount(clock_.Now(), r.serving_count);
     gateway_.SetEntryCount(r.serving_count, r.serving_index);
   }
+  if (r.serving) {
+    watch_.next_request().serving_version = ServingVersion(*r.serving);
+    stream_origins_.SetPeers(*r.serving);
+  }
   if (r.list) ApplyListUpdate(r);
   if (r.list_age_ms < 0) return;
   list_current_at_ = clock_.Now() - Millis(r.list_age_ms);
@@ -402,6 +417,7 @@
 void Serving::Tick() {
   TimePoint now = clock_.Now();
   gateway_.Tick();
+  stream_origins_.Tick();
   UpdateUsageState(now);
   if (reports_.has_urgent()) watch_.RestartWatch();
   ReadListWithoutControl(now);
--- a/src/serving.h
+++ b/src/serving.h
@@ -18,6 +18,7 @@
 #include "loop_watch.h"
 #include "metrics.h"
 #include "source_read_pacer.h"
+#include "stream_origin_exchange.h"
 #include "usage_schedule.h"
 #include "watch_client.h"
 #include "watch_reports.h"
@@ -30,6 +31,8 @@
   Endpoint frontend;   // Address on which callers connect.
   Endpoint readiness;  // Address for readiness probes of the load balancer.
   std::string readiness_path;
+  // Address for datagrams of other entry processes; none if its port is 0.
+  Endpoint entry_peer;
   Endpoint metrics;  // Address that serves Prometheus text at /metrics.
   std::vector<std::string> control_seeds;
   Duration grace = std::chrono::seconds(8);  // Time from SIGTERM to SIGKILL.
@@ -89,6 +92,7 @@
   ServingOptions options_;
   Metrics metrics_;
   LoopWatch loop_watch_;
+  StreamOriginExchange stream_origins_;
   Gateway gateway_;
   CallerServer callers_;
   CallerServer readiness_;
