Streams: a split route of single versions goes on as before

Cause: a stream of unknown origin went on only where the route has one service.

Change: it goes on where no service of the route has run several versions of late, at the service that is drawn, as before. The exemption of streams that go on from tier admission and from the limit on long generations holds only while their service runs several versions, so that deployments with one are served as before.

Evidence: stream_build AStreamOfUnknownServiceGoesOnWhereEachRunsOneVersion.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -353,6 +353,7 @@
       std::max(2, static_cast<int>(r.service->max_connections *
                                    options_.connection_share / entry_count_));
   bool starving = r.waiting && now >= r.starving_from;
+  bool few_left = MayHaveFewUpstreams(r);
   if (r.tier > 0 && !starving) {
     limit -= static_cast<int>(
         std::ceil(limit * options_.placement.reserved_top_tier_share));
@@ -364,9 +365,7 @@
     // `limit` requests at the upstream. Each request holds one connection, so
     // one of the `limit` connections is then free.
     u.at_own_limit = u.in_flight >= limit && pool_.AtConnectionLimit(u, limit);
-    // A stream that goes on may have few upstreams, and is not held up for the
-    // room of others.
-    if (r.shape != WorkShape::kDecode || u.at_own_limit || r.build ||
+    if (r.shape != WorkShape::kDecode || u.at_own_limit || few_left ||
         r.service->timed_placement) {
       continue;
     }
@@ -378,9 +377,8 @@
 bool Gateway::TrySend(Request& r) {
   r.unplaceable = false;
   // Tier admission holds back only requests that were not sent yet. A request
-  // that was sent before may be retried even if more urgent requests wait, and
-  // a stream may go on.
-  if (r.sends == 0 && !r.build &&
+  // that was sent before may be retried even if more urgent requests wait.
+  if (r.sends == 0 && !MayHaveFewUpstreams(r) &&
       !TierAdmissionFor(r.service->name).MayStart(r.tier, clock_.Now())) {
     return false;
   }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -163,11 +163,15 @@
   void AdmitAndDispatch(Request& r);
   void DispatchAdmitted(Request& r);
   void ClassifyRequest(Request& r) const;
-  // Return whether the caller of `r` takes up a stream that was interrupted,
-  // and where that stream began if there is only one place where it can have
-  // begun.
+  // Returns whether the caller of `r` takes up a stream that was interrupted.
   static bool TakesUpStream(const Request& r);
+  // Returns the service of `r` and its software version if no service of the
+  // route has run several versions of late.
   std::optional<StreamOrigin> SoleOrigin(const Request& r) const;
+  // Returns whether `r` goes on with a stream at one of several versions of its
+  // service. Few upstreams may be left to it: it is not held up for the room of
+  // others.
+  bool MayHaveFewUpstreams(const Request& r) const;
   // Dispatches a request that takes up a stream once its origin is known, or
   // rejects it.
   void DispatchTakenUpStream(Request& r);
--- a/src/gateway_streams.cc
+++ b/src/gateway_streams.cc
@@ -47,19 +47,29 @@
 }
 
 std::optional<StreamOrigin> Gateway::SoleOrigin(const Request& r) const {
-  if (r.route->services.size() != 1) return std::nullopt;
-  const std::string& service = r.route->services[0].service;
-  auto it = service_builds_.find(service);
-  if (it == service_builds_.end() || it->second.several ||
-      clock_.Now() < it->second.several_until) {
-    return std::nullopt;
+  TimePoint now = clock_.Now();
+  std::optional<StreamOrigin> sole;
+  for (const auto& s : r.route->services) {
+    auto it = service_builds_.find(s.service);
+    if (it == service_builds_.end()) continue;
+    if (it->second.several || now < it->second.several_until)
+      return std::nullopt;
+    if (s.service == r.service->name)
+      sole = StreamOrigin{s.service, it->second.build};
   }
-  return StreamOrigin{service, it->second.build};
+  return sole;
+}
+
+bool Gateway::MayHaveFewUpstreams(const Request& r) const {
+  if (!r.build) return false;
+  auto it = service_builds_.find(r.service->name);
+  return it != service_builds_.end() && it->second.several;
 }
 
 void Gateway::DispatchTakenUpStream(Request& r) {
   std::optional<StreamOrigin> sole = SoleOrigin(r);
-  if (sole || r.facts.resumes.empty() || !options_.find_stream_origin) {
+  bool certain = sole && r.route->services.size() == 1;
+  if (certain || r.facts.resumes.empty() || !options_.find_stream_origin) {
     DispatchFromOrigin(r, sole);
     return;
   }
@@ -67,7 +77,9 @@
       KeyOfStream(r.facts.resumes),
       [this, seq = r.seq](const std::optional<StreamOrigin>& origin) {
         auto it = requests_.find(seq);
-        if (it != requests_.end()) DispatchFromOrigin(*it->second, origin);
+        if (it == requests_.end()) return;
+        Request& q = *it->second;
+        DispatchFromOrigin(q, origin ? origin : SoleOrigin(q));
       });
 }
 
