--- a/src/net/datagram_socket.cc
+++ b/src/net/datagram_socket.cc
@@ -50,15 +50,7 @@
   return absl::OkStatus();
 }
 
-int DatagramSocket::port() const {
-  sockaddr_in addr{};
-  socklen_t len = sizeof(addr);
-  if (fd_ < 0 ||
-      getsockname(fd_, reinterpret_cast<sockaddr*>(&addr), &len) != 0) {
-    return 0;
-  }
-  return ntohs(addr.sin_port);
-}
+int DatagramSocket::port() const { return BoundPort(fd_); }
 
 void DatagramSocket::Send(const Endpoint& to, absl::string_view data) {
   sockaddr_in addr{};
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -37,6 +37,16 @@
   return inet_pton(AF_INET, e.ip.c_str(), &out->sin_addr) == 1;
 }
 
+int BoundPort(int fd) {
+  sockaddr_in addr{};
+  socklen_t len = sizeof(addr);
+  if (fd < 0 ||
+      getsockname(fd, reinterpret_cast<sockaddr*>(&addr), &len) != 0) {
+    return 0;
+  }
+  return ntohs(addr.sin_port);
+}
+
 void SetNonBlocking(int fd) {
   fcntl(fd, F_SETFL, fcntl(fd, F_GETFL, 0) | O_NONBLOCK);
   int one = 1;
@@ -274,15 +284,7 @@
   }
 }
 
-int Acceptor::port() const {
-  sockaddr_in addr{};
-  socklen_t len = sizeof(addr);
-  if (fd_ < 0 ||
-      getsockname(fd_, reinterpret_cast<sockaddr*>(&addr), &len) != 0) {
-    return 0;
-  }
-  return ntohs(addr.sin_port);
-}
+int Acceptor::port() const { return BoundPort(fd_); }
 
 void Acceptor::Stop() {
   ev_timer_stop(loop_, &retry_);
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -22,6 +22,10 @@
 // address.
 bool ToSockaddr(const Endpoint& e, sockaddr_in* out);
 
+// Returns the port that socket `fd` is bound to; 0 if it is negative or not
+// bound.
+int BoundPort(int fd);
+
 // Makes socket `fd` non-blocking and disables Nagle's algorithm, so that small
 // writes are sent immediately.
 void SetNonBlocking(int fd);
--- a/test/policy/engine_reporter_test.cc
+++ b/test/policy/engine_reporter_test.cc
@@ -48,7 +48,7 @@
   }
 }
 
-// What has not changed must not be sent again, and a pace only now and then.
+// Unchanged records must not be sent again, and a pace only now and then.
 TEST(engine_reporter, SendsChangesOnly) {
   EngineReporter reporter(5);
   LONGS_EQUAL(2,
