--- a/src/base/request_fingerprint.h
+++ b/src/base/request_fingerprint.h
@@ -9,6 +9,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
+#include "absl/types/span.h"
 #include "types.h"
 
 namespace medlarwalk {
@@ -28,6 +29,16 @@
   return absl::StrCat(absl::Hex(p, absl::kZeroPad16));
 }
 
+// Returns the ids of prompt parts as logs show them: hexadecimal, separated by
+// commas, at most kMaxLoggedParts of them.
+inline std::string PartsToHex(absl::Span<const uint64_t> part_ids) {
+  constexpr size_t kMaxLoggedParts = 8;
+  std::string out;
+  for (uint64_t id : part_ids.subspan(0, kMaxLoggedParts))
+    absl::StrAppend(&out, out.empty() ? "" : ",", absl::Hex(id));
+  return out;
+}
+
 }  // namespace medlarwalk
 
 #endif  // MEDLARWALK_REQUEST_FINGERPRINT_H_
--- a/src/crash_watch.h
+++ b/src/crash_watch.h
@@ -24,6 +24,9 @@
   struct InterruptedCall {
     RequestFingerprint fingerprint = 0;
     Crash crash;  // All fields but the upstream are set.
+    // Ids of the prompt parts that other requests may share, in their order.
+    std::vector<uint64_t> shared_parts;
+    int events = 0;  // Events of the answer that had arrived.
   };
   // Called from the functions below when `upstream` has terminated and
   // interrupted `calls`. `how` names the evidence.
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -88,7 +88,10 @@
     bool just_started = now - r.sent_at < kJustBegunWindow;
     OnUpstreamCrash(
         absl::StrCat(r.upstream, "/", r.answer_facts.termination_id), "told",
-        {{r.fingerprint, {0, r.sent_at, now, just_started, false}}});
+        {{r.fingerprint,
+          {0, r.sent_at, now, just_started, false},
+          r.shared_parts(),
+          r.events}});
   } else if (answered && r.answer_facts.other_upstream) {
     crash_watch_.RecordTermination(r.upstream, "replaced");
   } else if (end == CallEnd::kNotSent) {
@@ -98,7 +101,10 @@
     TimePoint began = r.have_head ? r.head_at : r.sent_at;
     bool just_started = now - began < kJustBegunWindow;
     crash_watch_.RecordInterruptedCall(
-        r.upstream, {r.fingerprint, {0, r.sent_at, now, just_started, false}});
+        r.upstream, {r.fingerprint,
+                     {0, r.sent_at, now, just_started, false},
+                     r.shared_parts(),
+                     r.events});
   }
 }
 
@@ -110,6 +116,8 @@
     quarantine_.RecordCrash(c.fingerprint, upstream, c.crash);
     LogEvent("crashed_under", {{"upstream", upstream},
                                {"asks", FingerprintToHex(c.fingerprint)},
+                               {"parts", PartsToHex(c.shared_parts)},
+                               {"events", c.events},
                                {"sent_ms", ToMs(c.crash.at - c.crash.sent_at)},
                                {"just_begun", c.crash.just_started ? 1 : 0}});
   }
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -111,6 +111,14 @@
   Duration longest_gap{};
   std::string longest_gap_upstream;
 
+  // Returns the ids of the prompt parts that other requests may share: all but
+  // the last one, which belongs to this request or its session alone.
+  std::vector<uint64_t> shared_parts() const {
+    std::vector<uint64_t> out;
+    for (size_t i = 0; i + 1 < facts.parts.size(); ++i)
+      out.push_back(facts.parts[i].id);
+    return out;
+  }
   RequestKind kind() const { return facts.kind.value_or(route->kind); }
   bool stream() const { return kind() == RequestKind::kStream; }
   bool repeatable() const {
