Quarantine: prompt parts that crash engines

Cause: the quarantine knew requests only as a whole, by path, account and body. These requests are all new and share one part of their prompts; each of them began with no record, so that it reached the next engine.

Change: a crash is recorded for each shared part of the requests in flight too, in the same records, reports and files. A served answer (complete by its own length, or going on for 500 ms) clears its parts of all earlier crashes, at every process. A part is blamed for three crashes of at least two different requests; one that was served within ten minutes before needs five crashes over three seconds. Parts that always came together are held only together. A quarantine lapses ten minutes after the last crash; one more crash renews it. An answer that ends with its connection proves nothing about its engine.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -153,6 +153,12 @@
                       .Help("Requests that crash upstreams, sent nowhere")
                       .Register(*registry_)
                       .Add({});
+  quarantined_parts_ =
+      &prometheus::BuildGauge()
+           .Name(prefix + "quarantined_parts")
+           .Help("Prompt parts that crash upstreams, sent nowhere")
+           .Register(*registry_)
+           .Add({});
   returns_ = &prometheus::BuildCounter()
                   .Name(prefix + "returns_total")
                   .Help("Rejected callers told when to return, by what came")
@@ -259,8 +265,9 @@
   avoided_upstreams_->Add({{"why", std::string(why)}}).Set(n);
 }
 
-void Metrics::SetQuarantined(size_t n) {
-  quarantined_->Set(static_cast<double>(n));
+void Metrics::SetQuarantined(size_t requests, size_t parts) {
+  quarantined_->Set(static_cast<double>(requests));
+  quarantined_parts_->Set(static_cast<double>(parts));
 }
 
 void Metrics::CountReturn(absl::string_view what) {
@@ -353,6 +360,7 @@
   set("voters", static_cast<double>(s.voters));
   set("followers", static_cast<double>(s.followers));
   set("quarantined", static_cast<double>(s.quarantined));
+  set("quarantined_parts", static_cast<double>(s.quarantined_parts));
   set("step_age_seconds", s.in_sync_age_s);
   set("list_age_seconds", s.list_age_s);
   set("config_bytes", static_cast<double>(s.memory.config));
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -99,8 +99,8 @@
   void SetLimitedUpstreams(size_t n);
   // Sets the number of upstreams that placement avoids, by reason.
   void SetAvoidedUpstreams(absl::string_view why, int n);
-  // Sets the number of quarantined request fingerprints.
-  void SetQuarantined(size_t n);
+  // Sets the number of quarantined request fingerprints and prompt parts.
+  void SetQuarantined(size_t requests, size_t parts);
   // Counts one rejected request whose caller was told when to return
   // ("promised"), or one that returned as told ("kept"), returned sooner
   // ("early"), or was rejected once more after it had returned as told
@@ -136,6 +136,7 @@
   prometheus::Gauge* limited_upstreams_;
   prometheus::Family<prometheus::Gauge>* avoided_upstreams_;
   prometheus::Gauge* quarantined_;
+  prometheus::Gauge* quarantined_parts_;
   prometheus::Family<prometheus::Counter>* returns_;
   prometheus::Counter* dropped_return_rows_;
   prometheus::Family<prometheus::Counter>* list_updates_;
@@ -168,6 +169,7 @@
     size_t voters = 0;
     size_t followers = 0;
     size_t quarantined = 0;  // Number of quarantined request fingerprints.
+    size_t quarantined_parts = 0;  // Number of quarantined prompt parts.
     // Seconds since the last synchronization with the leader; < 0: never.
     double in_sync_age_s = -1;
     // Seconds since the upstream list was read; < 0: never.
--- a/src/base/request_fingerprint.h
+++ b/src/base/request_fingerprint.h
@@ -24,6 +24,12 @@
   return StableHash(body, StableHash(account, StableHash(target)));
 }
 
+// Returns the fingerprint of the prompt part with id `part_id`. It is the same
+// for all requests with this part, whatever else they hold. Thread safe.
+inline RequestFingerprint ComputePartFingerprint(uint64_t part_id) {
+  return StableHash(absl::StrCat("prompt part ", absl::Hex(part_id)));
+}
+
 // Returns the fingerprint as logs show it: 16 hexadecimal digits.
 inline std::string FingerprintToHex(RequestFingerprint p) {
   return absl::StrCat(absl::Hex(p, absl::kZeroPad16));
--- a/src/control.cc
+++ b/src/control.cc
@@ -381,6 +381,7 @@
     if (age != Duration::max()) s.in_sync_age_s = ToSeconds(age);
   }
   s.quarantined = quarantine_.quarantined_count();
+  s.quarantined_parts = quarantine_.blamed_part_count();
   if (list_read_at_ != TimePoint{})
     s.list_age_s = ToSeconds(now - list_read_at_);
   metrics_.SetState(s);
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -160,8 +160,15 @@
     for (const Crash& c : r.crashes) {
       crashes.push_back({c.upstream, ToMs(now - c.sent_at), ToMs(now - c.at),
                          c.just_started, c.cleared});
+      if (r.is_part()) crashes.back().push_back(c.request);
     }
     out.push_back({r.fingerprint, std::move(crashes)});
+    if (!r.is_part()) continue;
+    out.back().push_back(r.part_position);
+    out.back().push_back(r.part_id);
+    out.back().push_back(r.served_at == TimePoint{} ? -1
+                                                    : ToMs(now - r.served_at));
+    out.back().push_back(r.companions);
   }
   return out;
 }
@@ -176,6 +183,16 @@
                                 now - AgeFromJson(c.at(1)),
                                 now - AgeFromJson(c.at(2)), c.at(3).get<bool>(),
                                 c.at(4).get<bool>()});
+      if (c.size() > 5)
+        r.crashes.back().request = IntegerFromJson<uint64_t>(c.at(5));
+    }
+    if (item.size() > 5) {
+      r.part_position = IntegerFromJson<int>(item.at(2));
+      r.part_id = IntegerFromJson<uint64_t>(item.at(3));
+      if (IntegerFromJson<int64_t>(item.at(4)) >= 0)
+        r.served_at = now - AgeFromJson(item.at(4));
+      for (const json& p : item.at(5))
+        r.companions.push_back(IntegerFromJson<uint64_t>(p));
     }
     out.push_back(std::move(r));
   }
--- a/src/crash_watch.h
+++ b/src/crash_watch.h
@@ -27,6 +27,9 @@
     // Ids of the prompt parts that other requests may share, in their order.
     std::vector<uint64_t> shared_parts;
     int events = 0;  // Events of the answer that had arrived.
+    // Whether the answer had gone on for so long that what the engine does when
+    // it begins an answer did not cause the crash.
+    bool went_on = false;
   };
   // Called from the functions below when `upstream` has terminated and
   // interrupted `calls`. `how` names the evidence.
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -239,6 +239,9 @@
   if (quarantine_.IsQuarantined(r.fingerprint)) {
     return MakeError(ErrorKind::kQuarantined, "crashes upstreams");
   }
+  if (quarantine_.FindQuarantinedPart(r.shared_parts(), clock_.Now())) {
+    return MakeError(ErrorKind::kQuarantined, kPartCrashesUpstreams);
+  }
   if (draining_ && r.shape == WorkShape::kDecode) {
     return MakeError(ErrorKind::kDraining, "stopping");
   }
@@ -427,6 +430,8 @@
   r.have_head = false;
   r.relaying = false;
   r.read_paused = false;
+  r.attempt_began_at = r.steady_since = {};
+  r.served_recorded = false;
   DiscardBufferedBody(r);
   r.splitter.DiscardPendingBytes();
   RecordPromptUse(r);
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -265,6 +265,14 @@
                        const std::vector<CrashWatch::InterruptedCall>& calls);
   // Fails requests that were quarantined after they had been admitted.
   void FailQuarantinedRequests();
+  // Returns whether the request or a part of its prompt is quarantined.
+  bool MustNotBeSent(const Request& r) const;
+  void TrackSteadyAnswer(Request& r, TimePoint now);
+  void RecordServedParts(Request& r);
+  static bool ProvesServed(const Request& r);
+  // Returns whether the answer of the current attempt had begun long before
+  // `now`.
+  static bool WentOn(const Request& r, TimePoint now);
   void RetryIfStalled(Request& r, TimePoint now);
   void DispatchWaitingRequests();
   void DispatchReturningThen(absl::Span<const uint64_t> returning, Request& r);
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -171,6 +171,7 @@
     CountIfLate(r, r.first_event_at);
   }
   TimePoint now = clock_.Now();
+  TrackSteadyAnswer(r, now);
   if (r.events > 0) MeasureEventGap(r, now);
   if (r.shape == WorkShape::kDecode) MeasureDecodePace(r, now);
   r.last_event_at = now;
@@ -183,6 +184,33 @@
   return true;
 }
 
+// Records the parts of the prompt as harmless once events have arrived steadily
+// for a while. A long gap starts the time anew: after a freeze of this process,
+// events that arrived before it would seem to be far apart.
+void Gateway::TrackSteadyAnswer(Request& r, TimePoint now) {
+  if (r.attempt_began_at == TimePoint{}) {
+    r.attempt_began_at = r.steady_since = now;
+    return;
+  }
+  if (now - r.last_event_at >= kBeginsAnswerWindow) r.steady_since = now;
+  if (!r.served_recorded && now - r.steady_since >= kBeginsAnswerWindow)
+    RecordServedParts(r);
+}
+
+void Gateway::RecordServedParts(Request& r) {
+  r.served_recorded = true;
+  TimePoint began =
+      r.attempt_began_at == TimePoint{} ? r.head_at : r.attempt_began_at;
+  quarantine_.RecordServedParts(r.shared_parts(), began);
+}
+
+// Returns whether the complete answer of `r` proves that the upstream did not
+// crash under it. The end of an answer that ends with its connection may be the
+// end of the upstream.
+bool Gateway::ProvesServed(const Request& r) {
+  return r.end_detected_by != EndDetectionName(EndDetection::kClose);
+}
+
 // Records the gap between the previous event and the current one.
 void Gateway::MeasureEventGap(Request& r, TimePoint now) {
   Duration gap = now - r.last_event_at;
@@ -245,7 +273,10 @@
     return;
   }
   if (u) RecordSuccess(*u, now);
-  if (success) quarantine_.RecordServed(r.fingerprint);
+  if (success && ProvesServed(r)) {
+    quarantine_.RecordServed(r.fingerprint);
+    RecordServedParts(r);
+  }
   last_answered_at_[r.service->name] = now;
   ReleaseUpstream(r);
   if (r.stream_started && !r.relaying) {
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -56,7 +56,7 @@
     return false;
   // A quarantined request is not retried, because it would crash the next
   // upstream too.
-  if (quarantine_.IsQuarantined(r.fingerprint)) return false;
+  if (MustNotBeSent(r)) return false;
   // Waiting for a slot helps only if there is an upstream that the request has
   // not tried.
   bool upstream_left =
@@ -91,7 +91,8 @@
         {{r.fingerprint,
           {0, r.sent_at, now, just_started, false},
           r.shared_parts(),
-          r.events}});
+          r.events,
+          WentOn(r, now)}});
   } else if (answered && r.answer_facts.other_upstream) {
     crash_watch_.RecordTermination(r.upstream, "replaced");
   } else if (end == CallEnd::kNotSent) {
@@ -104,23 +105,41 @@
         r.upstream, {r.fingerprint,
                      {0, r.sent_at, now, just_started, false},
                      r.shared_parts(),
-                     r.events});
+                     r.events,
+                     WentOn(r, now)});
   }
 }
 
+bool Gateway::WentOn(const Request& r, TimePoint now) {
+  return r.attempt_began_at != TimePoint{} &&
+         now - r.attempt_began_at >= kBeginsAnswerWindow;
+}
+
 void Gateway::OnUpstreamCrash(
     const std::string& upstream, absl::string_view how,
     const std::vector<CrashWatch::InterruptedCall>& calls) {
   metrics_.CountUpstreamTermination(how);
+  std::vector<Quarantine::Suspect> suspects;
   for (const CrashWatch::InterruptedCall& c : calls) {
-    quarantine_.RecordCrash(c.fingerprint, upstream, c.crash);
+    Quarantine::Suspect s{c.fingerprint, c.crash, {}};
+    int position = 0;
+    for (uint64_t id : c.shared_parts) s.parts.push_back({id, ++position});
+    if (c.went_on) s.parts.clear();
+    suspects.push_back(std::move(s));
     LogEvent("crashed_under", {{"upstream", upstream},
                                {"asks", FingerprintToHex(c.fingerprint)},
                                {"parts", PartsToHex(c.shared_parts)},
                                {"events", c.events},
                                {"sent_ms", ToMs(c.crash.at - c.crash.sent_at)},
-                               {"just_begun", c.crash.just_started ? 1 : 0}});
+                               {"just_begun", c.crash.just_started ? 1 : 0},
+                               {"went_on", c.went_on ? 1 : 0}});
   }
+  quarantine_.RecordCrash(upstream, suspects);
+}
+
+bool Gateway::MustNotBeSent(const Request& r) const {
+  return quarantine_.IsQuarantined(r.fingerprint) ||
+         quarantine_.FindQuarantinedPart(r.shared_parts(), clock_.Now());
 }
 
 // Fails quarantined requests whose answers have not begun. Such a request may
@@ -128,12 +147,11 @@
 void Gateway::FailQuarantinedRequests() {
   if (quarantine_.quarantine_changes() == quarantine_changes_seen_) return;
   quarantine_changes_seen_ = quarantine_.quarantine_changes();
-  metrics_.SetQuarantined(quarantine_.quarantined_count());
+  metrics_.SetQuarantined(quarantine_.quarantined_count(),
+                          quarantine_.blamed_part_count());
   std::vector<uint64_t> to_fail;
   for (const auto& [seq, r] : requests_) {
-    if (!r->stream_started && quarantine_.IsQuarantined(r->fingerprint)) {
-      to_fail.push_back(seq);
-    }
+    if (!r->stream_started && MustNotBeSent(*r)) to_fail.push_back(seq);
   }
   for (uint64_t seq : to_fail) {
     Request& r = *requests_.at(seq);
@@ -205,7 +223,11 @@
 
 Duration Gateway::ComputeRetryAfter(const Request& r, ErrorKind kind) {
   if (kind == ErrorKind::kQuarantined) {
-    return quarantine_.RemainingQuarantine(r.fingerprint, clock_.Now());
+    TimePoint now = clock_.Now();
+    std::optional<uint64_t> part =
+        quarantine_.FindQuarantinedPart(r.shared_parts(), now);
+    return part ? quarantine_.RemainingPartQuarantine(*part, now)
+                : quarantine_.RemainingQuarantine(r.fingerprint, now);
   }
   // Another entry process can serve the caller at once.
   if (kind == ErrorKind::kDraining) return kDrainRetryAfter;
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -25,6 +25,13 @@
 inline constexpr std::array<Millis, 4> kConnectTimeouts = {
     Millis(250), Millis(250), Millis(600), Millis(1200)};
 
+// Time from the first event of an answer within which the engine crashes if the
+// prompt makes it crash when it begins the answer.
+inline constexpr auto kBeginsAnswerWindow = Millis(500);
+// Reason of the rejection of a request with a quarantined part.
+inline constexpr char kPartCrashesUpstreams[] =
+    "a part of the prompt crashes upstreams";
+
 // One request, from its arrival to its final answer.
 struct Gateway::Request {
   uint64_t seq = 0;
@@ -100,6 +107,12 @@
   // How the end of a complete answer was detected; for the log.
   std::string end_detected_by;
   int events = 0;
+  // Time of the first event of the current attempt; TimePoint{} before it.
+  TimePoint attempt_began_at{};
+  // Start of the time in which events of the current attempt have arrived
+  // without long gaps.
+  TimePoint steady_since{};
+  bool served_recorded = false;  // The attempt has proved its parts harmless.
   TimePoint first_event_at{};
   TimePoint last_event_at{};
   // Start of the window of events over which the upstream's decode pace is
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -18,38 +18,6 @@
 
 bool IsOlder(const Crash& a, const Crash& b) { return a.at < b.at; }
 
-// Returns the crashes of `r` that are not cleared, oldest first.
-std::vector<Crash> UnclearedCrashes(const CrashRecord& r) {
-  std::vector<Crash> out;
-  for (const Crash& c : r.crashes) {
-    if (!c.cleared) out.push_back(c);
-  }
-  std::sort(out.begin(), out.end(), IsOlder);
-  return out;
-}
-
-// Counts the crashes that are separate events. Precondition: `crashes` are
-// sorted, oldest first.
-int CountSeparateCrashes(absl::Span<const Crash> crashes,
-                         const QuarantinePolicy& policy) {
-  int n = 0;
-  TimePoint last{};
-  for (const Crash& c : crashes) {
-    bool same_event = c.sent_at + policy.clock_tolerance < last ||
-                      c.at - last < policy.common_cause_interval;
-    if (n > 0 && same_event) continue;
-    ++n;
-    last = c.at;
-  }
-  return n;
-}
-
-bool WasInFlightAt(const CrashRecord& r, const Crash& crash) {
-  return std::any_of(r.crashes.begin(), r.crashes.end(), [&](const Crash& c) {
-    return !c.cleared && c.upstream == crash.upstream;
-  });
-}
-
 // Adds `c` to `*crashes`, which keeps the `max_crashes` newest. Returns whether
 // `c` was added.
 bool AddCrash(const Crash& c, size_t max_crashes, std::vector<Crash>* crashes) {
@@ -63,6 +31,18 @@
   return true;
 }
 
+// Returns the fingerprints of the parts in `all` but `part`, sorted.
+std::vector<RequestFingerprint> CompanionsOf(
+    const PartAtCrash& part, absl::Span<const PartAtCrash> all) {
+  std::vector<RequestFingerprint> out;
+  for (const PartAtCrash& other : all) {
+    if (other.id != part.id && out.size() < kMaxCompanions)
+      out.push_back(ComputePartFingerprint(other.id));
+  }
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
 TimePoint LastCrashAt(const CrashRecord& r) {
   TimePoint at{};
   for (const Crash& c : r.crashes) at = std::max(at, c.at);
@@ -71,64 +51,36 @@
 
 }  // namespace
 
-std::vector<RequestFingerprint> FindCrashInducingRequests(
-    absl::Span<const CrashRecord> all, const QuarantinePolicy& policy) {
-  struct Candidate {
-    const CrashRecord* record;
-    std::vector<Crash> uncleared;
-  };
-  std::vector<Candidate> candidates;
-  for (const CrashRecord& r : all) {
-    std::vector<Crash> uncleared = UnclearedCrashes(r);
-    if (CountSeparateCrashes(uncleared, policy) < policy.min_crashes) continue;
-    candidates.push_back({&r, std::move(uncleared)});
-  }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return std::make_pair(b.uncleared.size(), a.record->fingerprint) <
-                     std::make_pair(a.uncleared.size(), b.record->fingerprint);
-            });
-  std::vector<RequestFingerprint> out;
-  // Upstreams whose crash is attributed to a crash-inducing request that was
-  // found before the current candidate.
-  std::set<uint64_t> explained;
-  for (const Candidate& candidate : candidates) {
-    std::vector<Crash> unexplained;
-    for (const Crash& c : candidate.uncleared) {
-      if (explained.count(c.upstream) == 0) unexplained.push_back(c);
+void Quarantine::RecordCrash(absl::string_view upstream,
+                             absl::Span<const Suspect> suspects) {
+  uint64_t upstream_hash = StableHash(upstream);
+  std::vector<CrashRecord> records;
+  for (const Suspect& s : suspects) {
+    CrashRecord r;
+    r.fingerprint = s.fingerprint;
+    r.crashes = {s.crash};
+    r.crashes.front().upstream = upstream_hash;
+    records.push_back(r);
+    // Requests with one part are sent independently of each other. So the time
+    // of sending says nothing about whether its crashes are separate.
+    r.crashes.front().sent_at = s.crash.at;
+    r.crashes.front().just_started = true;
+    r.crashes.front().request = s.fingerprint;
+    for (const PartAtCrash& part : s.parts) {
+      r.fingerprint = ComputePartFingerprint(part.id);
+      r.companions = CompanionsOf(part, s.parts);
+      r.part_id = part.id;
+      r.part_position = part.position;
+      records.push_back(r);
     }
-    int n = CountSeparateCrashes(unexplained, policy);
-    if (n < policy.min_crashes) continue;
-    // Of the crashes not attributed to another request, those at which the
-    // candidate had just started.
-    std::vector<Crash> crashes_at_start;
-    std::copy_if(unexplained.begin(), unexplained.end(),
-                 std::back_inserter(crashes_at_start),
-                 [](const Crash& c) { return c.just_started; });
-    // Whether another candidate was in flight at all crashes in `unexplained`.
-    bool inseparable = std::any_of(
-        candidates.begin(), candidates.end(), [&](const Candidate& other) {
-          return other.record != candidate.record &&
-                 std::all_of(unexplained.begin(), unexplained.end(),
-                             [&](const Crash& c) {
-                               return WasInFlightAt(*other.record, c);
-                             });
-        });
-    bool cause_is_clear =
-        !inseparable &&
-        CountSeparateCrashes(crashes_at_start, policy) >= policy.min_crashes;
-    if (!cause_is_clear && n < policy.min_crashes_if_ambiguous) continue;
-    out.push_back(candidate.record->fingerprint);
-    for (const Crash& c : candidate.uncleared) explained.insert(c.upstream);
   }
-  return out;
+  MergeRecords(records, true);
 }
 
 void Quarantine::RecordCrash(RequestFingerprint fingerprint,
                              absl::string_view upstream, Crash crash) {
-  crash.upstream = StableHash(upstream);
-  CrashRecord r{fingerprint, {crash}};
-  MergeRecords(absl::MakeConstSpan(&r, 1), true);
+  Suspect s{fingerprint, crash, {}};
+  RecordCrash(upstream, absl::MakeConstSpan(&s, 1));
 }
 
 void Quarantine::RecordServed(RequestFingerprint fingerprint) {
@@ -139,6 +91,18 @@
   MergeRecords(absl::MakeConstSpan(&r, 1), true);
 }
 
+void Quarantine::RecordServedParts(absl::Span<const uint64_t> part_ids,
+                                   TimePoint began_at) {
+  std::vector<CrashRecord> known;
+  for (uint64_t id : part_ids) {
+    RequestFingerprint p = ComputePartFingerprint(id);
+    served_parts_.Record(p, began_at);
+    auto it = entries_.find(p);
+    if (it != entries_.end()) known.push_back(it->second.record);
+  }
+  if (!known.empty()) MergeRecords(known, true);
+}
+
 void Quarantine::MergeReported(absl::Span<const CrashRecord> records) {
   MergeRecords(records, true);
 }
@@ -179,19 +143,57 @@
   }
 }
 
+// Adds what this process knows of served answers on the part. This is forwarded
+// even if the record itself is not: no other process may know it.
+bool Quarantine::MergePartRecord(const CrashRecord& r, Entry* e) {
+  CrashRecord& known = e->record;
+  bool is_new = !known.is_part();
+  known.part_id = r.part_id;
+  known.part_position = std::max(known.part_position, r.part_position);
+  TimePoint served_here = served_parts_.LastServedAt(r.fingerprint);
+  bool served_before = known.served_at != TimePoint{};
+  known.served_at = std::max({known.served_at, r.served_at, served_here});
+  size_t crashes = known.crashes.size();
+  known.crashes.erase(
+      std::remove_if(known.crashes.begin(), known.crashes.end(),
+                     [&](const Crash& c) { return c.at <= known.served_at; }),
+      known.crashes.end());
+  bool cleared = known.crashes.size() < crashes ||
+                 (!served_before && known.served_at != TimePoint{});
+  std::vector<RequestFingerprint> companions;
+  std::set_intersection(r.companions.begin(), r.companions.end(),
+                        known.companions.begin(), known.companions.end(),
+                        std::back_inserter(companions));
+  if (is_new) companions = r.companions;
+  bool fewer_companions = companions.size() < known.companions.size();
+  known.companions = std::move(companions);
+  bool clears_reported =
+      std::any_of(r.crashes.begin(), r.crashes.end(), [&](const Crash& c) {
+        return c.at > r.served_at && c.at <= served_here;
+      });
+  if (clears_reported || (cleared && served_here > r.served_at))
+    e->seq = ++seq_;
+  return cleared || fewer_companions;
+}
+
 bool Quarantine::MergeRecord(const CrashRecord& r, bool forward) {
   Entry& e = entries_[r.fingerprint];
   e.record.fingerprint = r.fingerprint;
+  bool cleared_part = r.is_part() && MergePartRecord(r, &e);
   std::vector<Crash>& known_crashes = e.record.crashes;
-  bool changed = false;
+  bool changed = cleared_part;
   for (const Crash& c : r.crashes) {
     RecordTermination(c);
+    if (r.is_part() && c.at <= e.record.served_at) continue;
     auto it =
         std::find_if(known_crashes.begin(), known_crashes.end(),
                      [&](const Crash& k) { return k.upstream == c.upstream; });
     if (it == known_crashes.end()) {
       changed |= AddCrash(c, policy_.max_crashes_per_record, &known_crashes);
-    } else if (c.cleared && !it->cleared) {
+      continue;
+    }
+    it->request = std::min(it->request, c.request);
+    if (c.cleared && !it->cleared) {
       it->cleared = true;
       changed = true;
     }
@@ -214,12 +216,14 @@
 }
 
 void Quarantine::UpdateQuarantine() {
-  SetQuarantined(
-      FindCrashInducingRequests(RecordsWithRepeatedCrashes(), policy_));
+  SetQuarantined(FindCrashCauses(RecordsWithRepeatedCrashes(), policy_));
+  for (auto& [fingerprint, e] : entries_)
+    e.published |= e.record.crashes.size() >= kMinCrashesToPublish;
   std::vector<CrashRecord> to_publish = RecordsToPublish();
   std::string text;
   for (const CrashRecord& r : to_publish) {
-    absl::StrAppend(&text, r.fingerprint);
+    absl::StrAppend(&text, r.fingerprint, r.served_at != TimePoint{} ? "s" : "",
+                    r.companions.size());
     for (const Crash& c : r.crashes) {
       absl::StrAppend(&text, " ", c.upstream, c.cleared ? "c" : "");
     }
@@ -231,30 +235,86 @@
           : std::max<int64_t>(1, static_cast<int64_t>(StableHash(text) >> 1));
 }
 
-void Quarantine::SetQuarantined(
-    absl::Span<const RequestFingerprint> fingerprints) {
-  std::set<RequestFingerprint> now_quarantined(fingerprints.begin(),
-                                               fingerprints.end());
-  if (now_quarantined == quarantined_) return;
-  for (RequestFingerprint p : now_quarantined) {
-    if (IsQuarantined(p)) continue;
-    LogEvent("quarantined", {{"asks", FingerprintToHex(p)},
-                             {"crashes", entries_[p].record.crashes.size()}});
+void Quarantine::SetQuarantined(absl::Span<const CrashCause> causes) {
+  std::set<RequestFingerprint> requests;
+  std::map<RequestFingerprint, BlamedPart> parts;
+  for (const CrashCause& c : causes) {
+    const CrashRecord& r = entries_[c.fingerprint].record;
+    if (r.is_part()) {
+      parts[c.fingerprint] = {LastCrashAt(r), c.companions};
+    } else {
+      requests.insert(c.fingerprint);
+    }
+  }
+  if (requests == quarantined_ && parts == blamed_parts_) return;
+  for (const CrashCause& c : causes) {
+    if (!IsQuarantined(c.fingerprint) && !blamed_parts_.count(c.fingerprint))
+      LogQuarantineChange("quarantined", c.fingerprint);
   }
   for (RequestFingerprint p : quarantined_) {
-    if (now_quarantined.count(p)) continue;
-    LogEvent("quarantine_ended", {{"asks", FingerprintToHex(p)}});
+    if (requests.count(p) == 0) LogQuarantineChange("quarantine_ended", p);
+  }
+  for (const auto& [p, blamed] : blamed_parts_) {
+    if (parts.count(p) == 0) LogQuarantineChange("quarantine_ended", p);
   }
-  quarantined_ = std::move(now_quarantined);
+  quarantined_ = std::move(requests);
+  blamed_parts_ = std::move(parts);
   ++quarantine_changes_;
 }
 
+void Quarantine::LogQuarantineChange(const char* event,
+                                     RequestFingerprint p) const {
+  auto it = entries_.find(p);
+  if (it == entries_.end()) {
+    LogEvent(event, {{"asks", FingerprintToHex(p)}});
+  } else if (it->second.record.is_part()) {
+    LogEvent(event,
+             {{"part", absl::StrCat(absl::Hex(it->second.record.part_id))},
+              {"crashes", it->second.record.crashes.size()}});
+  } else {
+    LogEvent(event, {{"asks", FingerprintToHex(p)},
+                     {"crashes", it->second.record.crashes.size()}});
+  }
+}
+
+std::optional<uint64_t> Quarantine::FindQuarantinedPart(
+    absl::Span<const uint64_t> part_ids, TimePoint now) const {
+  if (blamed_parts_.empty()) return std::nullopt;
+  std::set<RequestFingerprint> present;
+  for (uint64_t id : part_ids) present.insert(ComputePartFingerprint(id));
+  for (uint64_t id : part_ids) {
+    if (RemainingPartQuarantine(id, now) == Duration::zero()) continue;
+    const std::vector<RequestFingerprint>& companions =
+        blamed_parts_.at(ComputePartFingerprint(id)).companions;
+    if (std::all_of(companions.begin(), companions.end(),
+                    [&](RequestFingerprint p) { return present.count(p); })) {
+      return id;
+    }
+  }
+  return std::nullopt;
+}
+
+Duration Quarantine::RemainingPartQuarantine(uint64_t part_id,
+                                             TimePoint now) const {
+  auto it = blamed_parts_.find(ComputePartFingerprint(part_id));
+  if (it == blamed_parts_.end()) return Duration::zero();
+  TimePoint end = it->second.last_crash_at + policy_.part_quarantine;
+  return std::max<Duration>(Duration::zero(), end - now);
+}
+
+// A record of a part without crashes still tells that the part was served.
+bool Quarantine::IsExpired(const Entry& e, TimePoint now) const {
+  if (e.record.crashes.empty())
+    return now - e.record.served_at > policy_.part_served_memory;
+  return now - LastCrashAt(e.record) > policy_.retention;
+}
+
 void Quarantine::Tick(TimePoint now) {
   if (now - last_expiry_at_ < kExpiryInterval) return;
   last_expiry_at_ = now;
   bool any_expired = false;
   for (auto it = entries_.begin(); it != entries_.end();) {
-    bool expired = now - LastCrashAt(it->second.record) > policy_.retention;
+    bool expired = IsExpired(it->second, now);
     any_expired |= expired;
     it = expired ? entries_.erase(it) : std::next(it);
   }
@@ -300,9 +360,14 @@
 }
 
 std::vector<CrashRecord> Quarantine::RecordsToPublish() const {
-  std::vector<CrashRecord> out = RecordsWithRepeatedCrashes();
+  std::vector<CrashRecord> out;
+  for (const auto& [fingerprint, e] : entries_) {
+    if (e.published) out.push_back(e.record);
+  }
   auto priority = [this](const CrashRecord& r) {
-    return std::make_pair(IsQuarantined(r.fingerprint), LastCrashAt(r));
+    bool blamed =
+        IsQuarantined(r.fingerprint) || blamed_parts_.count(r.fingerprint) > 0;
+    return std::make_pair(blamed, std::max(LastCrashAt(r), r.served_at));
   };
   if (out.size() > policy_.max_published_records) {
     std::sort(out.begin(), out.end(),
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -1,4 +1,5 @@
-// Quarantine of requests that crash the upstreams that run them.
+// Quarantine of requests and prompt parts that crash the upstreams that run
+// them.
 //
 // Load pattern: one caller's request crashes each engine that starts it, along
 // with all other requests on that engine. The caller retries it under a new id,
@@ -7,14 +8,20 @@
 // a request is quarantined only for crashes that no other request explains,
 // and a request that was served is cleared of its earlier crashes.
 //
-// Records only grow, and merging them is order-independent and idempotent:
-// processes may receive them in any order, any number of times and through any
-// other process.
+// Second load pattern: requests that are all different share one part of their
+// prompts, and each crashes the engine that begins an answer on it. The other
+// parts are shared with requests that are served. So the crashes are also
+// recorded by prompt part, and a part is quarantined only for crashes since it
+// was last part of a served request.
+//
+// Merging records is order-independent and idempotent: processes may receive
+// them in any order, any number of times and through any other process.
 #ifndef MEDLARWALK_QUARANTINE_H_
 #define MEDLARWALK_QUARANTINE_H_
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -22,78 +29,42 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/types/span.h"
+#include "crash_explanation.h"
 #include "report_tracker.h"
 #include "request_fingerprint.h"
+#include "served_parts.h"
 #include "types.h"
 
 namespace medlarwalk {
 
-// The termination of an upstream while it had a request in flight.
-struct Crash {
-  uint64_t upstream = 0;  // Hash of the upstream's id.
-  TimePoint sent_at{};    // When the request was sent to the upstream.
-  TimePoint at{};         // When the upstream terminated.
-  // Whether the request had just started on the upstream when the upstream
-  // terminated, as far as known.
-  bool just_started = false;
-  // The request did not cause this crash. Either it was served later, or
-  // another upstream that did not have the request terminated at the same
-  // moment.
-  bool cleared = false;
-};
-
-// The crashes at which one request was in flight.
-struct CrashRecord {
-  RequestFingerprint fingerprint = 0;
-  std::vector<Crash> crashes;
-};
-
-struct QuarantinePolicy {
-  // Number of crashes that quarantine a request when the cause is clear.
-  int min_crashes = 3;
-  // Number of crashes that quarantine a request when the cause is ambiguous.
-  // The cause is ambiguous if another request was in flight at all the same
-  // crashes; a single crash with only one of the two requests resolves this.
-  // The cause is also ambiguous if the request had not just started at each
-  // crash, as most co-located requests had not.
-  int min_crashes_if_ambiguous = 5;
-  // A crash counts separately only if the request was sent to that upstream
-  // after the previous crash: a power loss terminates many upstreams at once,
-  // whatever they run. This tolerance allows for the difference between the
-  // clocks that recorded these times.
-  Duration clock_tolerance = Millis(5);
-  // Terminations closer together than this have a common cause. A request that
-  // was moved away from the first upstream after its termination may still have
-  // been in transit to the second when that one terminated.
-  Duration common_cause_interval = Millis(20);
-  // How long a record is kept after its last crash.
-  Duration retention = std::chrono::hours(1);
-  size_t max_records = 4096;
-  // Maximum number of records published to all processes. Records of
-  // quarantined requests come first, then those with the most recent crashes.
-  size_t max_published_records = 256;
-  // Maximum number of crashes kept in one record: the most recent ones.
-  size_t max_crashes_per_record = 16;
-};
-
-// Returns the requests that explain the crashes in `all`, the request with the
-// most crashes first. Each has at least `policy.min_crashes` crashes that the
-// requests before it in the result do not explain.
-std::vector<RequestFingerprint> FindCrashInducingRequests(
-    absl::Span<const CrashRecord> all, const QuarantinePolicy& policy);
-
-// Collects crash records and decides which requests are quarantined. Thread
-// safety: loop thread only.
+// Collects crash records and decides which requests and prompt parts are
+// quarantined. Thread safety: loop thread only.
 class Quarantine {
  public:
-  explicit Quarantine(QuarantinePolicy policy = {}) : policy_(policy) {}
-
-  // Records that `upstream` terminated while it had the request with
-  // `fingerprint` in flight. Sets `crash.upstream` from `upstream`.
+  explicit Quarantine(QuarantinePolicy policy = {})
+      : policy_(policy),
+        served_parts_(policy.part_served_memory, policy.max_records) {}
+
+  // A request that was in flight at an upstream that terminated.
+  struct Suspect {
+    RequestFingerprint fingerprint = 0;
+    Crash crash;  // All fields but the upstream are set.
+    // The prompt parts that other requests may share, or none if the answer had
+    // gone on for so long that no part can have caused the crash.
+    std::vector<PartAtCrash> parts;
+  };
+  // Records that `upstream` terminated while it had `suspects` in flight.
+  void RecordCrash(absl::string_view upstream,
+                   absl::Span<const Suspect> suspects);
+  // Records one suspect without prompt parts.
   void RecordCrash(RequestFingerprint fingerprint, absl::string_view upstream,
                    Crash crash);
   // Records that the request was served, which clears all its crashes so far.
   void RecordServed(RequestFingerprint fingerprint);
+  // Records that an answer on each of the parts `part_ids`, which began at
+  // `began_at`, was served. Clears the parts of earlier crashes.
+  void RecordServedParts(absl::Span<const uint64_t> part_ids,
+                         TimePoint began_at);
   // Merges records that other processes report to this one. These records are
   // forwarded: ChangedSince returns them.
   void MergeReported(absl::Span<const CrashRecord> records);
@@ -108,14 +79,23 @@
   bool IsQuarantined(RequestFingerprint fingerprint) const {
     return quarantined_.count(fingerprint) > 0;
   }
+  // Returns the first of the parts `part_ids` of one prompt that is quarantined
+  // at `now`, so that the request must not be sent to any upstream.
+  std::optional<uint64_t> FindQuarantinedPart(
+      absl::Span<const uint64_t> part_ids, TimePoint now) const;
+  // Returns the time from `now` until the quarantine of the part ends.
+  Duration RemainingPartQuarantine(uint64_t part_id, TimePoint now) const;
   // Returns the time from `now` until the request's record expires.
   Duration RemainingQuarantine(RequestFingerprint fingerprint,
                                TimePoint now) const;
-  // Returns a counter that increases whenever a request enters or leaves the
-  // quarantine.
+  // Returns a counter that increases whenever a request or a part enters or
+  // leaves the quarantine.
   uint64_t quarantine_changes() const { return quarantine_changes_; }
   // Returns the number of quarantined requests.
   size_t quarantined_count() const { return quarantined_.size(); }
+  // Returns the number of prompt parts that are blamed for crashes, also after
+  // their quarantine has ended.
+  size_t blamed_part_count() const { return blamed_parts_.size(); }
 
   // Returns the sequence number of the last change that this process recorded
   // or that another process reported to it.
@@ -136,6 +116,9 @@
   struct Entry {
     CrashRecord record;
     uint64_t seq = 0;
+    // The record was published since it last had no crash. It is published
+    // once more without its crashes, so that other processes drop them too.
+    bool published = false;
   };
   // Merges `r`. Returns whether `r` contained anything new. `forward`: whether
   // ChangedSince returns the change, so that it is reported onward.
@@ -150,9 +133,14 @@
   void EvictExcessRecords();
   // Recomputes the set of quarantined requests and the published version.
   void UpdateQuarantine();
-  void SetQuarantined(absl::Span<const RequestFingerprint> fingerprints);
+  void SetQuarantined(absl::Span<const CrashCause> causes);
   // Returns the records with more than one crash.
   std::vector<CrashRecord> RecordsWithRepeatedCrashes() const;
+  // Drops the crashes of a prompt part that served answers clear. Returns
+  // whether anything changed.
+  bool MergePartRecord(const CrashRecord& r, Entry* e);
+  void LogQuarantineChange(const char* event, RequestFingerprint p) const;
+  bool IsExpired(const Entry& e, TimePoint now) const;
 
   QuarantinePolicy policy_;
   std::unordered_map<RequestFingerprint, Entry> entries_;
@@ -160,7 +148,17 @@
   std::map<uint64_t, TimePoint> terminated_at_;
   // Upstream hashes by termination time.
   std::multimap<TimePoint, uint64_t> terminations_;
-  std::set<RequestFingerprint> quarantined_;
+  std::set<RequestFingerprint> quarantined_;  // Requests only.
+  struct BlamedPart {
+    TimePoint last_crash_at{};
+    std::vector<RequestFingerprint> companions;  // See CrashCause.
+    bool operator==(const BlamedPart& o) const {
+      return last_crash_at == o.last_crash_at && companions == o.companions;
+    }
+  };
+  // Prompt parts that are blamed for crashes, by fingerprint.
+  std::map<RequestFingerprint, BlamedPart> blamed_parts_;
+  ServedParts served_parts_;
   uint64_t quarantine_changes_ = 0;
   uint64_t seq_ = 0;
   int64_t version_ = 0;
--- /dev/null
+++ b/test/policy/quarantine_part_test.cc
@@ -0,0 +1,218 @@
+// Tests of which prompt parts are quarantined for crashes of upstreams.
+#include <algorithm>
+#include <deque>
+#include <random>
+
+#include "CppUTest/TestHarness.h"
+#include "absl/strings/str_cat.h"
+#include "control_wire.h"
+#include "quarantine.h"
+#include "quarantine_store.h"
+#include "test/procs.h"
+
+using namespace medlarwalk;
+using namespace medlarwalk::testing;
+
+namespace {
+
+constexpr uint64_t kCrashing = 0xdead;
+constexpr uint64_t kSystem = 0xa1;  // Part of every prompt.
+constexpr uint64_t kOther = 0xb1;
+constexpr uint64_t kAnother = 0xc1;
+
+std::vector<PartAtCrash> PartsAt(const std::vector<uint64_t>& ids) {
+  std::vector<PartAtCrash> out;
+  for (uint64_t id : ids) out.push_back({id, static_cast<int>(out.size()) + 1});
+  return out;
+}
+
+}  // namespace
+
+TEST_GROUP(quarantine_part) {
+  // Returns a request that no other is like, with the prompt `parts`.
+  Quarantine::Suspect NewRequest(const std::vector<uint64_t>& parts) {
+    return {++requests, Crash{0, now - Millis(50), now, true, false},
+            PartsAt(parts)};
+  }
+  // Records a crash under one new request for each prompt.
+  void CrashUnder(const std::vector<std::vector<uint64_t>>& prompts) {
+    now += Millis(300);
+    std::vector<Quarantine::Suspect> suspects;
+    for (const auto& parts : prompts) suspects.push_back(NewRequest(parts));
+    q.RecordCrash(absl::StrCat("i-", ++crashes), suspects);
+  }
+  void Serve(const std::vector<uint64_t>& parts) {
+    now += Millis(300);
+    q.RecordServedParts(parts, now);
+  }
+  bool IsHeld(const std::vector<uint64_t>& parts) {
+    return q.FindQuarantinedPart(parts, now).has_value();
+  }
+  Quarantine q;
+  TimePoint now{std::chrono::hours(10)};
+  uint64_t requests = 0;
+  int crashes = 0;
+};
+
+// Guards against sending on a part under which three engines crashed, and
+// against rejecting requests with the other parts of its prompts.
+TEST(quarantine_part, HoldsThePartThatTheCrashesShareAndNoServedRequestHas) {
+  for (int i = 0; i < 3; ++i) {
+    CHECK_FALSE(IsHeld({kSystem, kCrashing}));
+    CrashUnder({{kSystem, kCrashing, kOther}, {kSystem, kAnother}});
+    Serve({kSystem, kOther});
+    Serve({kSystem, kAnother});
+  }
+  CHECK_TRUE(IsHeld({kSystem, kCrashing, kOther}));
+  CHECK_TRUE(IsHeld({kCrashing}));
+  CHECK_FALSE(IsHeld({kSystem, kOther, kAnother}));
+}
+
+// Guards against rejecting a part of a conversation whose one request was in
+// flight at several crashes: it is the request that is held, if anything.
+TEST(quarantine_part, OneRequestDoesNotBlameItsParts) {
+  for (int i = 0; i < 8; ++i) {
+    now += Millis(300);
+    Quarantine::Suspect s = NewRequest({kOther});
+    s.fingerprint = 7;
+    q.RecordCrash(absl::StrCat("i-", i), absl::MakeConstSpan(&s, 1));
+  }
+  CHECK_FALSE(IsHeld({kOther}));
+  CHECK_TRUE(q.IsQuarantined(7));
+}
+
+// Guards against rejecting every request with a part that always came with the
+// crashing one and was never served, before it was seen alone.
+TEST(quarantine_part, HoldsOnlyRequestsWithAllEquallySuspectParts) {
+  for (int i = 0; i < 3; ++i) CrashUnder({{kCrashing, kOther}});
+  CHECK_TRUE(IsHeld({kCrashing, kOther}));
+  CHECK_FALSE(IsHeld({kOther}));
+  CHECK_FALSE(IsHeld({kCrashing, kAnother}));
+  Serve({kOther});
+  CHECK_TRUE(IsHeld({kCrashing, kAnother}));
+  CHECK_FALSE(IsHeld({kOther, kAnother}));
+}
+
+// As above; the parts come apart in a request that crashes its engine.
+TEST(quarantine_part, AFourthCrashSeparatesEquallySuspectParts) {
+  for (int i = 0; i < 3; ++i) CrashUnder({{kCrashing, kOther}});
+  CrashUnder({{kCrashing, kAnother}});
+  CHECK_TRUE(IsHeld({kCrashing}));
+  CHECK_FALSE(IsHeld({kOther}));
+  CHECK_FALSE(IsHeld({kAnother}));
+}
+
+// Guards against rejecting a part that most requests have, because engines
+// crash so fast one after the other that it cannot be served in between.
+TEST(quarantine_part, APartServedBeforeNeedsMoreCrashesOverALongerTime) {
+  Serve({kSystem});
+  for (int i = 0; i < 9; ++i) CrashUnder({{kSystem}, {kSystem, kOther}});
+  CHECK_FALSE(IsHeld({kSystem}));
+  now += std::chrono::seconds(1);
+  CrashUnder({{kSystem}});
+  CHECK_TRUE(IsHeld({kSystem}));
+}
+
+// Guards against one loss of power that counts as many crashes.
+TEST(quarantine_part, CrashesAtOneMomentCountOnce) {
+  for (int i = 0; i < 6; ++i) {
+    Quarantine::Suspect s = NewRequest({kOther});
+    s.crash.at += Millis(i);
+    q.RecordCrash(absl::StrCat("i-", i), absl::MakeConstSpan(&s, 1));
+  }
+  CHECK_FALSE(IsHeld({kOther}));
+}
+
+// Guards against a quarantine that never ends, and against three more crashes
+// each time it has ended.
+TEST(quarantine_part, LapsesAndReturnsWithOneMoreCrash) {
+  for (int i = 0; i < 3; ++i) CrashUnder({{kCrashing}});
+  CHECK_TRUE(q.RemainingPartQuarantine(kCrashing, now) > Duration::zero());
+  now += QuarantinePolicy().part_quarantine;
+  q.Tick(now);
+  CHECK_FALSE(IsHeld({kCrashing}));
+  CrashUnder({{kCrashing}});
+  CHECK_TRUE(IsHeld({kCrashing}));
+  now += QuarantinePolicy().part_quarantine;
+  Serve({kCrashing});
+  CrashUnder({{kCrashing}});
+  CHECK_FALSE(IsHeld({kCrashing}));
+}
+
+// Records of several entries together hold a part, in any order and however
+// often they arrive, and after they were stored; what one entry serves clears
+// the part at all others.
+TEST(quarantine_part, MergesPublishesAndStoresRecords) {
+  Quarantine entries[3];
+  for (Quarantine& e : entries) {
+    now += Millis(300);
+    auto s = NewRequest({kSystem, kCrashing});
+    e.RecordCrash(absl::StrCat("i-", ++crashes), absl::MakeConstSpan(&s, 1));
+  }
+  Quarantine control;
+  Quarantine reverse;
+  for (int i = 0; i < 3; ++i) {
+    control.MergeReported(entries[i].ChangedSince(0, 10));
+    reverse.MergeReported(entries[2 - i].ChangedSince(0, 10));
+    reverse.MergeReported(entries[2 - i].ChangedSince(0, 10));
+  }
+  CHECK_EQUAL(control.version(), reverse.version());
+  TimePoint other_now{std::chrono::hours(500)};
+  std::string dir = MakeTempDir();
+  CHECK_TRUE(SaveCrashRecords(dir, control.RecordsToPublish(), now, {}).ok());
+  q.MergeReported(LoadCrashRecords(dir, other_now));
+  CHECK_TRUE(q.FindQuarantinedPart({{kSystem, kCrashing}}, other_now));
+  CHECK_EQUAL(control.version(), q.version());
+
+  // An entry that has served kSystem since says so when it hears of the record.
+  Quarantine& server = entries[0];
+  now += Millis(300);
+  server.RecordServedParts({{kSystem}}, now);
+  server.MergePublished(control.RecordsToPublish());
+  CHECK_FALSE(server.FindQuarantinedPart({{kSystem}}, now));
+  CHECK_TRUE(server.FindQuarantinedPart({{kCrashing, kOther}}, now));
+  control.MergeReported(server.ChangedSince(0, 10));
+  Quarantine follower;
+  follower.MergePublished(reverse.RecordsToPublish());
+  CHECK_FALSE(follower.FindQuarantinedPart({{kCrashing, kOther}}, now));
+  follower.MergePublished(control.RecordsToPublish());
+  CHECK_TRUE(follower.FindQuarantinedPart({{kCrashing, kOther}}, now));
+  CHECK_EQUAL(control.version(), follower.version());
+}
+
+// Replays engines that crash for a reason of their own, 1 to 10 a second, under
+// prompts of which three quarters share one part: no part is held. Guards
+// against rejecting callers for crashes of another cause.
+TEST(quarantine_part, ReplayOfCrashesOfAnotherCauseHoldsNothing) {
+  for (int seed = 1; seed <= 40; ++seed) {
+    std::mt19937 random(seed);
+    auto below = [&](int n) { return static_cast<int>(random() % n); };
+    Quarantine one;
+    TimePoint t{std::chrono::hours(1)};
+    // Prompts in flight, each with the time when its answer begins.
+    std::deque<std::pair<TimePoint, std::vector<uint64_t>>> in_flight;
+    int interval_ms = 100 + below(900);
+    TimePoint next_crash = t + Millis(5000);
+    for (int step = 0; step < 3000; ++step) {
+      t += Millis(20);
+      uint64_t document = below(4) > 0 ? 2 : 3 + below(200);
+      in_flight.push_back({t + Millis(200 + below(400)), {1, document}});
+      while (in_flight.front().first + Millis(500) < t) {
+        one.RecordServedParts(in_flight.front().second,
+                              in_flight.front().first);
+        in_flight.pop_front();
+      }
+      if (t < next_crash) continue;
+      next_crash = t + Millis(interval_ms);
+      std::vector<Quarantine::Suspect> suspects;
+      for (const auto& [begins, parts] : in_flight) {
+        if (below(6) > 0) continue;
+        suspects.push_back({++requests,
+                            Crash{0, t - Millis(100), t, true, false},
+                            PartsAt(parts)});
+      }
+      one.RecordCrash(absl::StrCat("i-", step), suspects);
+    }
+    LONGS_EQUAL(0, one.blamed_part_count());
+  }
+}
