Crashes: a stream that ends with its connection may hide the end of its engine

An engine that crashes right after an event of an answer without length or chunks closes the connection in an orderly way. The answer counted as complete, so that the crash was not recorded and the part of the prompt reached the next engine. The test AnswersThatEndWithTheirConnectionHideNoCrash failed before (12 requests reached an engine) and holds now. connection_end guards the rule on such answers (orderly close, reset, end inside an event, resumption); it held before too.

--- a/src/gateway.h
+++ b/src/gateway.h
@@ -270,6 +270,8 @@
   void TrackSteadyAnswer(Request& r, TimePoint now);
   void RecordServedParts(Request& r);
   static bool ProvesServed(const Request& r);
+  CrashWatch::InterruptedCall InterruptedCallOf(const Request& r,
+                                                TimePoint began) const;
   // Returns whether the answer of the current attempt had begun long before
   // `now`.
   static bool WentOn(const Request& r, TimePoint now);
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -276,6 +276,8 @@
   if (success && ProvesServed(r)) {
     quarantine_.RecordServed(r.fingerprint);
     RecordServedParts(r);
+  } else {
+    CheckForUpstreamTermination(r, CallEnd::kWhole);
   }
   last_answered_at_[r.service->name] = now;
   ReleaseUpstream(r);
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -83,33 +83,36 @@
 // or that it may have terminated if the end only suggests it.
 void Gateway::CheckForUpstreamTermination(const Request& r, CallEnd end) {
   bool answered = r.have_head && end == CallEnd::kWhole;
-  TimePoint now = clock_.Now();
+  bool ends_with_connection =
+      answered && r.stream() && !ProvesServed(r) && !WentOn(r, clock_.Now());
   if (answered && !r.answer_facts.termination_id.empty()) {
-    bool just_started = now - r.sent_at < kJustBegunWindow;
     OnUpstreamCrash(
         absl::StrCat(r.upstream, "/", r.answer_facts.termination_id), "told",
-        {{r.fingerprint,
-          {0, r.sent_at, now, just_started, false},
-          r.shared_parts(),
-          r.events,
-          WentOn(r, now)}});
+        {InterruptedCallOf(r, r.sent_at)});
   } else if (answered && r.answer_facts.other_upstream) {
     crash_watch_.RecordTermination(r.upstream, "replaced");
   } else if (end == CallEnd::kNotSent) {
     if (r.connection->refused())
       crash_watch_.RecordTermination(r.upstream, "refused");
-  } else if (!answered && !r.connection->open()) {
-    TimePoint began = r.have_head ? r.head_at : r.sent_at;
-    bool just_started = now - began < kJustBegunWindow;
+  } else if (ends_with_connection || (!answered && !r.connection->open())) {
     crash_watch_.RecordInterruptedCall(
-        r.upstream, {r.fingerprint,
-                     {0, r.sent_at, now, just_started, false},
-                     r.shared_parts(),
-                     r.events,
-                     WentOn(r, now)});
+        r.upstream, InterruptedCallOf(r, r.have_head ? r.head_at : r.sent_at));
   }
 }
 
+// Returns the call of `r`, which just began if it began less than
+// kJustBegunWindow after `began`.
+CrashWatch::InterruptedCall Gateway::InterruptedCallOf(const Request& r,
+                                                       TimePoint began) const {
+  TimePoint now = clock_.Now();
+  bool just_started = now - began < kJustBegunWindow;
+  return {r.fingerprint,
+          {0, r.sent_at, now, just_started, false},
+          r.shared_parts(),
+          r.events,
+          WentOn(r, now)};
+}
+
 bool Gateway::WentOn(const Request& r, TimePoint now) {
   return r.attempt_began_at != TimePoint{} &&
          now - r.attempt_began_at >= kBeginsAnswerWindow;
