Limits: an entry that gets most connections may use more than an equal share

Cause: the limits of an entry are equal shares. The limit on prompts in prefill settles at the same number in each process, however many prompts it gets, and connections and generations are divided by the number of entries.

Change: work_share compares the own requests in flight with those that the upstreams report. Above twice the equal share the limits grow by that factor.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -352,9 +352,9 @@
 }
 
 void Gateway::UpdateSendPermissions(const Request& r, TimePoint now) {
-  int limit =
-      std::max(2, static_cast<int>(r.service->max_connections *
-                                   options_.connection_share / entry_count_));
+  double shares = EqualShares(r.service->name);
+  int limit = std::max(2, static_cast<int>(r.service->max_connections *
+                                           options_.connection_share / shares));
   bool starving = r.waiting && now >= r.starving_from;
   bool few_left = MayHaveFewUpstreams(r);
   if (r.tier > 0 && !starving) {
@@ -372,8 +372,9 @@
         r.service->timed_placement) {
       continue;
     }
-    u.at_own_limit = !AcceptsGeneration(u, r.service->engine->slots,
-                                        entry_count_, now, options_.placement);
+    u.at_own_limit =
+        !AcceptsGeneration(u, r.service->engine->slots,
+                           static_cast<int>(shares), now, options_.placement);
   }
 }
 
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -42,6 +42,7 @@
 #include "upstream_pool.h"
 #include "upstream_subset.h"
 #include "waiting_queue.h"
+#include "work_share.h"
 
 namespace medlarwalk {
 
@@ -287,6 +288,11 @@
   static std::string MetricLabel(const Request& r);
   Request* FindAttempt(uint64_t seq, int attempt);
   void UpdateDecodeDemand(TimePoint now);
+  // Records the share of this process in the work at each service.
+  void UpdateWorkShares(TimePoint now);
+  // Returns the number of processes of equal shares of which this process's
+  // limits at the service are one.
+  double EqualShares(const std::string& service) const;
   void UpdateWaitingMetrics();
   void UpdateAvoidanceMetrics(TimePoint now);
   Duration ComputeRetryAfter(const Request& r, ErrorKind kind);
@@ -318,6 +324,8 @@
   uint64_t limit_changes_applied_ = 0;
   uint64_t quarantine_changes_seen_ = 0;
   PrefixCacheIndex prefix_cache_index_;
+  std::map<std::string, WorkShare> work_shares_;  // By service.
+  TimePoint work_shares_updated_at_{};
   WaitingQueue waiting_queue_;
   ReturnTable returns_;
   std::map<std::string, ReturnSchedule> return_schedules_;  // By service.
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -29,6 +29,10 @@
 constexpr std::chrono::duration<double> kDemandSmoothing =
     std::chrono::seconds(3);
 
+constexpr auto kWorkShareInterval = Millis(100);
+// Age up to which a load report says what the upstream holds now.
+constexpr auto kReportLifetimeOfShare = Millis(1000);
+
 // Number of requests that a pass over the queue of a service with placement by
 // predicted times tries in vain.
 constexpr int kMaxFailedTimedPlacements = 8;
@@ -152,6 +156,36 @@
   }
 }
 
+void Gateway::UpdateWorkShares(TimePoint now) {
+  if (now - work_shares_updated_at_ < kWorkShareInterval) return;
+  work_shares_updated_at_ = now;
+  struct Sums {
+    double own = 0;
+    double total = 0;
+  };
+  std::map<std::string, Sums> sums;
+  for (const auto& [service, share] : work_shares_) sums[service];
+  for (const UpstreamState& u : pool_.upstreams()) {
+    if (u.in_flight == 0 || now - u.reported_at > kReportLifetimeOfShare)
+      continue;
+    Sums& s = sums[u.info.service];
+    s.own += u.in_flight_at_report;
+    s.total += std::max(u.reported_load, u.in_flight_at_report);
+  }
+  for (const auto& [service, s] : sums) {
+    WorkShare& share = work_shares_[service];
+    share.Record(s.own, s.total, now);
+    PrefillLimiterFor(service).set_factor(share.LimitFactor(entry_count_));
+  }
+}
+
+double Gateway::EqualShares(const std::string& service) const {
+  auto it = work_shares_.find(service);
+  double factor =
+      it == work_shares_.end() ? 1 : it->second.LimitFactor(entry_count_);
+  return entry_count_ / factor;
+}
+
 // Updates the metric of waiting requests for each label whose number has
 // changed.
 void Gateway::UpdateWaitingMetrics() {
@@ -181,6 +215,7 @@
 void Gateway::Tick() {
   TimePoint now = clock_.Now();
   UpdateDecodeDemand(now);
+  UpdateWorkShares(now);
   prefix_cache_index_.RemoveExpired(now);
   crash_watch_.Tick(now);
   quarantine_.Tick(now);
--- a/src/policy/prefill_limiter.h
+++ b/src/policy/prefill_limiter.h
@@ -59,7 +59,7 @@
     bool least_urgent =
         in_flight_.empty() || tier >= in_flight_.rbegin()->first;
     double tier_limit =
-        least_urgent ? limit_ : limit_ * policy_.urgent_headroom;
+        least_urgent ? limit() : limit() * policy_.urgent_headroom;
     return n < static_cast<int>(tier_limit);
   }
   // Records that a prompt of `tier` was sent.
@@ -73,11 +73,15 @@
     double share = ToSeconds(took) / std::max(1e-3, ToSeconds(target));
     if (share > policy_.late_share) {
       limit_ = std::max(policy_.min_limit, limit_ * policy_.backoff_factor);
-    } else if (in_flight() + 1 >= static_cast<int>(limit_)) {
+    } else if (in_flight() + 1 >= static_cast<int>(limit())) {
       limit_ = std::min(policy_.max_limit, limit_ + policy_.limit_step);
     }
   }
-  double limit() const { return limit_; }
+  // Sets the factor of the limit for a process that sends more than its equal
+  // share of the prompts: the limit that first events lead to is the same in
+  // each process, however many prompts it gets. Precondition: factor >= 1.
+  void set_factor(double factor) { factor_ = factor; }
+  double limit() const { return limit_ * factor_; }
   // Returns the number of prompts in flight.
   int in_flight() const {
     int n = 0;
@@ -88,6 +92,7 @@
  private:
   PrefillLimiterPolicy policy_;
   double limit_;
+  double factor_ = 1;
   std::map<Tier, int> in_flight_;
 };
 
--- /dev/null
+++ b/src/policy/work_share.h
@@ -0,0 +1,62 @@
+// Estimates how much more of a service's work one process sends than its equal
+// share. Pure.
+//
+// Load pattern: the balancer hands most new connections of a zone, or of a
+// whole region, to one entry for some seconds. The limits of an entry on what
+// it has at the engines are equal shares of what the engines hold, so that this
+// entry rejects a third of its callers while the shares of all others are
+// unused.
+#ifndef MEDLARWALK_WORK_SHARE_H_
+#define MEDLARWALK_WORK_SHARE_H_
+
+#include <algorithm>
+#include <chrono>
+
+#include "types.h"
+
+namespace medlarwalk {
+
+struct WorkSharePolicy {
+  Duration smoothing = std::chrono::seconds(1);
+  // A process may send this many times its equal share before its limits grow:
+  // callers are never spread evenly.
+  double tolerated_excess = 2;
+  // Least number of own requests in flight. With fewer, the engines' reports
+  // show little but the own requests.
+  double min_own = 8;
+};
+
+// Share of one process in the requests in flight at the upstreams of a service.
+// Thread safety: loop thread only.
+class WorkShare {
+ public:
+  explicit WorkShare(const WorkSharePolicy& policy = {}) : policy_(policy) {}
+
+  // Records that the upstreams reported `total` requests in flight when this
+  // process had `own` there, summed over the upstreams with recent reports.
+  void Record(double own, double total, TimePoint now) {
+    double elapsed = ToSeconds(now - recorded_at_);
+    double weight = std::min(1.0, elapsed / ToSeconds(policy_.smoothing));
+    recorded_at_ = now;
+    own_ += (own - own_) * weight;
+    total_ += (std::max(own, total) - total_) * weight;
+  }
+  // Returns the factor by which this process may exceed the equal share of one
+  // of `process_count` processes: from 1 to `process_count`.
+  double LimitFactor(int process_count) const {
+    if (own_ < policy_.min_own) return 1;
+    double excess = own_ / total_ * process_count;
+    return std::clamp(excess / policy_.tolerated_excess, 1.0,
+                      static_cast<double>(std::max(1, process_count)));
+  }
+
+ private:
+  WorkSharePolicy policy_;
+  double own_ = 0;
+  double total_ = 0;
+  TimePoint recorded_at_{};
+};
+
+}  // namespace medlarwalk
+
+#endif  // MEDLARWALK_WORK_SHARE_H_
