Limits: an entry with all connections gets the whole share, not half of it

Cause: the factor was the excess divided by the tolerated one, so that the limit of an entry with all the work stayed at half of what the engines hold.

Change: beyond the tolerated excess the factor grows twice as fast as the excess, until it is the excess itself.

--- a/src/policy/work_share.h
+++ b/src/policy/work_share.h
@@ -21,6 +21,9 @@
   // A process may send this many times its equal share before its limits grow:
   // callers are never spread evenly.
   double tolerated_excess = 2;
+  // Growth of the factor per equal share beyond the tolerated ones, until it is
+  // the process's whole share.
+  double growth = 2;
   // Least number of own requests in flight. With fewer, the engines' reports
   // show little but the own requests.
   double min_own = 8;
@@ -46,8 +49,8 @@
   double LimitFactor(int process_count) const {
     if (own_ < policy_.min_own) return 1;
     double excess = own_ / total_ * process_count;
-    return std::clamp(excess / policy_.tolerated_excess, 1.0,
-                      static_cast<double>(std::max(1, process_count)));
+    double grown = 1 + policy_.growth * (excess - policy_.tolerated_excess);
+    return std::max(1.0, std::min(grown, excess));
   }
 
  private:
