Crashes: a coincidence is forgotten when a late report disproves it

Cause: a crash is cleared when another upstream terminates within 20 ms without the request. That was kept for good, also when the report that the other upstream had the part too came later. Of crashes in a row only the last one counted then, and the shared part, reported sooner, explained more. Whole requests had the same flaw.

Change: a crash keeps the other upstream instead of the verdict. It is cleared as long as that one is not among the crashes of the record, in each process and whatever the order of the reports; the wire carries it.

--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -159,8 +159,10 @@
     json crashes = json::array();
     for (const Crash& c : r.crashes) {
       crashes.push_back({c.upstream, ToMs(now - c.sent_at), ToMs(now - c.at),
-                         c.just_started, c.cleared});
-      if (r.is_part()) crashes.back().push_back(c.request);
+                         c.just_started, IsCleared(r, c)});
+      bool coincides = !c.cleared && IsCleared(r, c);
+      if (r.is_part() || coincides) crashes.back().push_back(c.request);
+      if (coincides) crashes.back().push_back(c.coincident_upstream);
     }
     out.push_back({r.fingerprint, std::move(crashes)});
     if (!r.is_part()) continue;
@@ -185,6 +187,11 @@
                                 c.at(4).get<bool>()});
       if (c.size() > 5)
         r.crashes.back().request = IntegerFromJson<uint64_t>(c.at(5));
+      if (c.size() > 6) {
+        r.crashes.back().cleared = false;
+        r.crashes.back().coincident_upstream =
+            IntegerFromJson<uint64_t>(c.at(6));
+      }
     }
     if (item.size() > 5) {
       r.part_position = IntegerFromJson<int>(item.at(2));
--- a/src/policy/crash_explanation.cc
+++ b/src/policy/crash_explanation.cc
@@ -15,7 +15,7 @@
 std::vector<Crash> UnclearedCrashes(const CrashRecord& r) {
   std::vector<Crash> out;
   for (const Crash& c : r.crashes) {
-    if (!c.cleared) out.push_back(c);
+    if (!IsCleared(r, c)) out.push_back(c);
   }
   std::sort(out.begin(), out.end(), IsOlder);
   return out;
@@ -37,9 +37,10 @@
   return n;
 }
 
-bool WasInFlightAt(const CrashRecord& r, const Crash& crash) {
+// Returns whether `crash` is one of the crashes of `r` that are not cleared.
+bool MayHaveCaused(const CrashRecord& r, const Crash& crash) {
   return std::any_of(r.crashes.begin(), r.crashes.end(), [&](const Crash& c) {
-    return !c.cleared && c.upstream == crash.upstream;
+    return c.upstream == crash.upstream && !IsCleared(r, c);
   });
 }
 
@@ -97,7 +98,7 @@
         return other.record != candidate.record && !other.record->is_part() &&
                std::all_of(unexplained.begin(), unexplained.end(),
                            [&](const Crash& c) {
-                             return WasInFlightAt(*other.record, c);
+                             return MayHaveCaused(*other.record, c);
                            });
       });
   bool cause_is_clear =
@@ -125,6 +126,17 @@
 
 }  // namespace
 
+bool WasInFlightAt(const CrashRecord& r, uint64_t upstream) {
+  return std::any_of(r.crashes.begin(), r.crashes.end(),
+                     [&](const Crash& c) { return c.upstream == upstream; });
+}
+
+bool IsCleared(const CrashRecord& r, const Crash& c) {
+  bool coincides =
+      c.coincident_upstream != 0 && !WasInFlightAt(r, c.coincident_upstream);
+  return c.cleared || coincides;
+}
+
 std::vector<CrashCause> FindCrashCauses(absl::Span<const CrashRecord> all,
                                         const QuarantinePolicy& policy) {
   std::vector<Candidate> candidates;
--- a/src/policy/crash_explanation.h
+++ b/src/policy/crash_explanation.h
@@ -22,13 +22,13 @@
   // Whether the request had just started on the upstream when the upstream
   // terminated, as far as known.
   bool just_started = false;
-  // The request did not cause this crash. Either it was served later, or
-  // another upstream that did not have the request terminated at the same
-  // moment.
-  bool cleared = false;
+  bool cleared = false;  // The request was served later.
   // In the record of a prompt part: one of the requests with this part that
   // were in flight. The part is not blamed for what a single request explains.
   RequestFingerprint request = 0;
+  // Hash of another upstream that terminated at the same moment, without the
+  // request as far as known; 0 if none.
+  uint64_t coincident_upstream = 0;
 };
 
 // The crashes at which one request, or any request with one prompt part, was in
@@ -49,6 +49,15 @@
   bool is_part() const { return part_position > 0; }
 };
 
+// Returns whether the request or part of `r` was in flight at `upstream` when
+// that one terminated.
+bool WasInFlightAt(const CrashRecord& r, uint64_t upstream);
+
+// Returns whether the request or part of `r` did not cause its crash `c`:
+// either it was served later, or another upstream that did not have it
+// terminated at the same moment.
+bool IsCleared(const CrashRecord& r, const Crash& c);
+
 inline constexpr size_t kMaxCompanions = 8;
 
 // A prompt part of a request that a crash interrupted.
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -119,7 +119,7 @@
   EvictExcessRecords();
   for (auto& [fingerprint, e] : entries_) {
     if (e.record.crashes.size() >= kMinCrashesToPublish)
-      ClearCoincidentCrashes(e.record);
+      FindCoincidentTerminations(e.record);
   }
   UpdateQuarantine();
 }
@@ -129,17 +129,14 @@
     terminations_.emplace(c.at, c.upstream);
 }
 
-void Quarantine::ClearCoincidentCrashes(CrashRecord& r) const {
+void Quarantine::FindCoincidentTerminations(CrashRecord& r) const {
   for (Crash& c : r.crashes) {
-    auto window_end =
-        terminations_.upper_bound(c.at + policy_.common_cause_interval);
-    for (auto it =
-             terminations_.lower_bound(c.at - policy_.common_cause_interval);
-         !c.cleared && it != window_end; ++it) {
-      c.cleared = std::none_of(
-          r.crashes.begin(), r.crashes.end(),
-          [&](const Crash& own) { return own.upstream == it->second; });
-    }
+    if (IsCleared(r, c)) continue;
+    auto end = terminations_.upper_bound(c.at + policy_.common_cause_interval);
+    auto it = std::find_if(
+        terminations_.lower_bound(c.at - policy_.common_cause_interval), end,
+        [&](const auto& t) { return !WasInFlightAt(r, t.second); });
+    c.coincident_upstream = it == end ? 0 : it->second;
   }
 }
 
@@ -197,6 +194,10 @@
       it->cleared = true;
       changed = true;
     }
+    if (c.coincident_upstream != 0 && !IsCleared(e.record, *it)) {
+      it->coincident_upstream = c.coincident_upstream;
+      changed |= IsCleared(e.record, *it);
+    }
   }
   if (changed && forward) e.seq = ++seq_;
   return changed;
@@ -225,7 +226,7 @@
     absl::StrAppend(&text, r.fingerprint, r.served_at != TimePoint{} ? "s" : "",
                     r.companions.size());
     for (const Crash& c : r.crashes) {
-      absl::StrAppend(&text, " ", c.upstream, c.cleared ? "c" : "");
+      absl::StrAppend(&text, " ", c.upstream, IsCleared(r, c) ? "c" : "");
     }
     absl::StrAppend(&text, "\n");
   }
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -124,9 +124,10 @@
   // ChangedSince returns the change, so that it is reported onward.
   bool MergeRecord(const CrashRecord& r, bool forward);
   void RecordTermination(const Crash& c);
-  // Clears each crash of `r` that coincides with the termination of an upstream
-  // that did not have the request.
-  void ClearCoincidentCrashes(CrashRecord& r) const;
+  // Finds for each crash of `r` the termination of an upstream at the same
+  // moment that did not have the request. A later report may show that it had
+  // it: then the crash is no longer cleared.
+  void FindCoincidentTerminations(CrashRecord& r) const;
   void MergeRecords(absl::Span<const CrashRecord> records, bool forward);
   // Evicts records in excess of max_records: those with the fewest crashes
   // first, and among these the ones with the oldest last crash.
--- a/test/policy/quarantine_part_test.cc
+++ b/test/policy/quarantine_part_test.cc
@@ -113,6 +113,44 @@
   CHECK_TRUE(IsHeld({kSystem}));
 }
 
+// Guards against a shared part that is held instead of the crashing one: other
+// processes report that one's crashes last, and until then each of them seems
+// to coincide with the next.
+TEST(quarantine_part, LateReportsOfCrashesInARowClearNone) {
+  std::vector<Quarantine::Suspect> late;
+  for (int i = 0; i < 5; ++i) {
+    now += Millis(15);
+    Quarantine::Suspect sound =
+        NewRequest({kSystem, 0x1000 + static_cast<uint64_t>(i)});
+    q.RecordCrash(absl::StrCat("i-", i), absl::MakeConstSpan(&sound, 1));
+    late.push_back(NewRequest({kSystem, kCrashing}));
+  }
+  for (int i = 0; i < 5; ++i)
+    q.RecordCrash(absl::StrCat("i-", i), absl::MakeConstSpan(&late[i], 1));
+  CHECK_TRUE(IsHeld({kSystem, kCrashing}));
+  CHECK_FALSE(IsHeld({kSystem, kOther}));
+}
+
+// Guards against a crash that another process knows as coincident and that
+// counts here, because the record without the other termination came over.
+TEST(quarantine_part, ACoincidentTerminationIsPublishedWithTheCrash) {
+  for (int i = 0; i < 4; ++i) {
+    now += Millis(300);
+    Quarantine::Suspect with = NewRequest({kSystem, kCrashing});
+    Quarantine::Suspect without = NewRequest({kAnother});
+    q.RecordCrash(absl::StrCat("a", i), absl::MakeConstSpan(&with, 1));
+    q.RecordCrash(absl::StrCat("b", i), absl::MakeConstSpan(&without, 1));
+  }
+  CHECK_FALSE(IsHeld({kSystem, kCrashing}));
+  Quarantine other;
+  other.MergePublished(
+      DecodeCrashRecords(EncodeCrashRecords(q.RecordsToPublish(), now), now)
+          .value());
+  CHECK_FALSE(
+      other.FindQuarantinedPart(std::vector<uint64_t>{kSystem, kCrashing}, now)
+          .has_value());
+}
+
 // Guards against one loss of power that counts as many crashes.
 TEST(quarantine_part, CrashesAtOneMomentCountOnce) {
   for (int i = 0; i < 6; ++i) {
