Crashes: an account on a route is held when all its requests crash servers

Cause: evidence was kept for whole requests and prompt parts only, so that the crashes of such an account never added up.

Change: the pair of account and route has a record like that of a prompt part, in the same evidence. It is blamed last, for crashes that no request and no part explains: five crashes of four requests over a second with none served since, three seconds if it was served within ten minutes before. It is held for ten seconds after the last crash and then tried by the next request. Requests that were sent already go on; other routes of the account are not held. Companions of parts name prompt parts only, so that parts are held as before.

--- a/src/base/request_fingerprint.h
+++ b/src/base/request_fingerprint.h
@@ -30,6 +30,13 @@
   return StableHash(absl::StrCat("prompt part ", absl::Hex(part_id)));
 }
 
+// Returns the key of all requests by `account` on the route named `route`.
+// Thread safe.
+inline uint64_t ComputeAccountRouteKey(absl::string_view account,
+                                       absl::string_view route) {
+  return StableHash(route, StableHash(account, StableHash("account on route")));
+}
+
 // Returns the fingerprint as logs show it: 16 hexadecimal digits.
 inline std::string FingerprintToHex(RequestFingerprint p) {
   return absl::StrCat(absl::Hex(p, absl::kZeroPad16));
--- a/src/crash_watch.h
+++ b/src/crash_watch.h
@@ -24,8 +24,8 @@
   struct InterruptedCall {
     RequestFingerprint fingerprint = 0;
     Crash crash;  // All fields but the upstream are set.
-    // Ids of the prompt parts that other requests may share, in their order.
-    std::vector<uint64_t> shared_parts;
+    // What other requests may share with it.
+    std::vector<PartAtCrash> parts;
     int events = 0;  // Events of the answer that had arrived.
     // Whether the answer had gone on for so long that what the engine does when
     // it begins an answer did not cause the crash.
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -225,6 +225,7 @@
   r.account_key = KeyOfAccount(r.account);
   r.fingerprint =
       ComputeFingerprint(r.exchange->head.target, r.account, r.exchange->body);
+  SetCrashKeys(r);
   r.rank = RequestRank(r.tier, account_tier);
   std::uniform_real_distribution<double> draw(0, 1);
   r.service = &config_->services.at(PickService(*r.route, draw(random_)));
@@ -239,8 +240,10 @@
   if (quarantine_.IsQuarantined(r.fingerprint)) {
     return MakeError(ErrorKind::kQuarantined, "crashes upstreams");
   }
-  if (quarantine_.FindQuarantinedPart(r.shared_parts(), clock_.Now())) {
-    return MakeError(ErrorKind::kQuarantined, kPartCrashesUpstreams);
+  if (std::optional<uint64_t> key = FindQuarantinedKey(r)) {
+    return MakeError(ErrorKind::kQuarantined, IsAccountKey(r, *key)
+                                                  ? kAccountCrashesUpstreams
+                                                  : kPartCrashesUpstreams);
   }
   if (draining_ && r.shape == WorkShape::kDecode) {
     return MakeError(ErrorKind::kDraining, "stopping");
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -266,7 +266,14 @@
                        const std::vector<CrashWatch::InterruptedCall>& calls);
   // Fails requests that were quarantined after they had been admitted.
   void FailQuarantinedRequests();
-  // Returns whether the request or a part of its prompt is quarantined.
+  // Sets what the request shares with others that may crash upstreams.
+  static void SetCrashKeys(Request& r);
+  // Returns whether `key` stands for the account of `r` on its route.
+  static bool IsAccountKey(const Request& r, uint64_t key);
+  // Returns the first of the request's crash keys that is quarantined.
+  std::optional<uint64_t> FindQuarantinedKey(const Request& r) const;
+  // Returns whether the request, a part of its prompt or its account on its
+  // route is quarantined.
   bool MustNotBeSent(const Request& r) const;
   void TrackSteadyAnswer(Request& r, TimePoint now);
   void RecordServedParts(Request& r);
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -201,7 +201,7 @@
   r.served_recorded = true;
   TimePoint began =
       r.attempt_began_at == TimePoint{} ? r.head_at : r.attempt_began_at;
-  quarantine_.RecordServedParts(r.shared_parts(), began);
+  quarantine_.RecordServedParts(r.crash_keys, began);
 }
 
 // Returns whether the complete answer of `r` proves that the upstream did not
--- a/src/gateway_failure.cc
+++ b/src/gateway_failure.cc
@@ -34,6 +34,16 @@
          kind == ErrorKind::kOverloaded || kind == ErrorKind::kShed;
 }
 
+// Returns the ids of those of `parts` that are parts of the prompt or, if
+// `accounts`, that stand for an account.
+std::string IdsToHex(absl::Span<const PartAtCrash> parts, bool accounts) {
+  std::vector<uint64_t> ids;
+  for (const PartAtCrash& part : parts) {
+    if ((part.position < 0) == accounts) ids.push_back(part.id);
+  }
+  return PartsToHex(ids);
+}
+
 absl::string_view Name(CallEnd e) {
   switch (e) {
     case CallEnd::kWhole:
@@ -108,11 +118,28 @@
   bool just_started = now - began < kJustBegunWindow;
   return {r.fingerprint,
           {0, r.sent_at, now, just_started, false},
-          r.shared_parts(),
+          r.parts_at_crash(),
           r.events,
           WentOn(r, now)};
 }
 
+void Gateway::SetCrashKeys(Request& r) {
+  r.crash_keys.clear();
+  for (size_t i = 0; i + 1 < r.facts.parts.size(); ++i)
+    r.crash_keys.push_back(r.facts.parts[i].id);
+  r.has_account_key = !r.account.empty();
+  if (r.has_account_key)
+    r.crash_keys.push_back(ComputeAccountRouteKey(r.account, r.route->name));
+}
+
+bool Gateway::IsAccountKey(const Request& r, uint64_t key) {
+  return r.has_account_key && r.crash_keys.back() == key;
+}
+
+std::optional<uint64_t> Gateway::FindQuarantinedKey(const Request& r) const {
+  return quarantine_.FindQuarantinedPart(r.crash_keys, clock_.Now());
+}
+
 bool Gateway::WentOn(const Request& r, TimePoint now) {
   return r.attempt_began_at != TimePoint{} &&
          now - r.attempt_began_at >= kBeginsAnswerWindow;
@@ -125,13 +152,12 @@
   std::vector<Quarantine::Suspect> suspects;
   for (const CrashWatch::InterruptedCall& c : calls) {
     Quarantine::Suspect s{c.fingerprint, c.crash, {}};
-    int position = 0;
-    for (uint64_t id : c.shared_parts) s.parts.push_back({id, ++position});
-    if (c.went_on) s.parts.clear();
+    if (!c.went_on) s.parts = c.parts;
     suspects.push_back(std::move(s));
     LogEvent("crashed_under", {{"upstream", upstream},
                                {"asks", FingerprintToHex(c.fingerprint)},
-                               {"parts", PartsToHex(c.shared_parts)},
+                               {"parts", IdsToHex(c.parts, false)},
+                               {"account_key", IdsToHex(c.parts, true)},
                                {"events", c.events},
                                {"sent_ms", ToMs(c.crash.at - c.crash.sent_at)},
                                {"just_begun", c.crash.just_started ? 1 : 0},
@@ -141,8 +167,7 @@
 }
 
 bool Gateway::MustNotBeSent(const Request& r) const {
-  return quarantine_.IsQuarantined(r.fingerprint) ||
-         quarantine_.FindQuarantinedPart(r.shared_parts(), clock_.Now());
+  return quarantine_.IsQuarantined(r.fingerprint) || FindQuarantinedKey(r);
 }
 
 // Fails quarantined requests whose answers have not begun. Such a request may
@@ -154,7 +179,12 @@
                           quarantine_.blamed_part_count());
   std::vector<uint64_t> to_fail;
   for (const auto& [seq, r] : requests_) {
-    if (!r->stream_started && MustNotBeSent(*r)) to_fail.push_back(seq);
+    // Of an account that is held back, requests that were sent may be harmless.
+    std::optional<uint64_t> key = FindQuarantinedKey(*r);
+    bool may_go_on = key && IsAccountKey(*r, *key) && !r->upstream.empty() &&
+                     !quarantine_.IsQuarantined(r->fingerprint);
+    if (!r->stream_started && MustNotBeSent(*r) && !may_go_on)
+      to_fail.push_back(seq);
   }
   for (uint64_t seq : to_fail) {
     Request& r = *requests_.at(seq);
@@ -227,10 +257,9 @@
 Duration Gateway::ComputeRetryAfter(const Request& r, ErrorKind kind) {
   if (kind == ErrorKind::kQuarantined) {
     TimePoint now = clock_.Now();
-    std::optional<uint64_t> part =
-        quarantine_.FindQuarantinedPart(r.shared_parts(), now);
-    return part ? quarantine_.RemainingPartQuarantine(*part, now)
-                : quarantine_.RemainingQuarantine(r.fingerprint, now);
+    std::optional<uint64_t> key = FindQuarantinedKey(r);
+    return key ? quarantine_.RemainingPartQuarantine(*key, now)
+               : quarantine_.RemainingQuarantine(r.fingerprint, now);
   }
   // Another entry process can serve the caller at once.
   if (kind == ErrorKind::kDraining) return kDrainRetryAfter;
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/types/span.h"
 #include "gateway.h"
 #include "own_engine_work.h"
 #include "timed_placement.h"
@@ -31,6 +32,9 @@
 // Reason of the rejection of a request with a quarantined part.
 inline constexpr char kPartCrashesUpstreams[] =
     "a part of the prompt crashes upstreams";
+// Reason of the rejection while all requests of an account on a route crash.
+inline constexpr char kAccountCrashesUpstreams[] =
+    "the account's requests on this route crash upstreams";
 
 // One request, from its arrival to its final answer.
 struct Gateway::Request {
@@ -124,12 +128,20 @@
   Duration longest_gap{};
   std::string longest_gap_upstream;
 
-  // Returns the ids of the prompt parts that other requests may share: all but
-  // the last one, which belongs to this request or its session alone.
-  std::vector<uint64_t> shared_parts() const {
-    std::vector<uint64_t> out;
-    for (size_t i = 0; i + 1 < facts.parts.size(); ++i)
-      out.push_back(facts.parts[i].id);
+  // What the request shares with others that may crash upstreams for the same
+  // reason: its prompt parts but the last one, which belongs to this request or
+  // its session alone, then its account on its route, if it has an account.
+  std::vector<uint64_t> crash_keys;
+  bool has_account_key = false;  // The last of `crash_keys` is the account's.
+  absl::Span<const uint64_t> shared_parts() const {
+    return absl::MakeConstSpan(crash_keys)
+        .first(crash_keys.size() - (has_account_key ? 1 : 0));
+  }
+  std::vector<PartAtCrash> parts_at_crash() const {
+    std::vector<PartAtCrash> out;
+    int position = 0;
+    for (uint64_t id : shared_parts()) out.push_back({id, ++position});
+    if (has_account_key) out.push_back({crash_keys.back(), kAccountPosition});
     return out;
   }
   RequestKind kind() const { return facts.kind.value_or(route->kind); }
--- a/src/policy/crash_explanation.cc
+++ b/src/policy/crash_explanation.cc
@@ -49,16 +49,17 @@
   std::vector<Crash> uncleared;
 };
 
-// Returns whether `a` is considered before `b`: the one with more crashes
-// first, then prompt parts, those of fewer requests first.
+// Returns whether `a` is considered before `b`: accounts last, the one with
+// more crashes first, then prompt parts, those of fewer requests first.
 bool ComesBefore(const Candidate& a, const Candidate& b) {
-  return std::make_tuple(b.uncleared.size(), b.record->part_position,
-                         a.record->fingerprint) <
-         std::make_tuple(a.uncleared.size(), a.record->part_position,
-                         b.record->fingerprint);
+  return std::make_tuple(a.record->is_account(), b.uncleared.size(),
+                         b.record->part_position, a.record->fingerprint) <
+         std::make_tuple(b.record->is_account(), a.uncleared.size(),
+                         a.record->part_position, b.record->fingerprint);
 }
 
 int MinCrashes(const CrashRecord& r, const QuarantinePolicy& policy) {
+  if (r.is_account()) return policy.min_crashes_of_account;
   return r.is_part() ? policy.min_crashes_of_part : policy.min_crashes;
 }
 
@@ -68,16 +69,20 @@
                    const QuarantinePolicy& policy) {
   std::set<RequestFingerprint> requests;
   for (const Crash& c : crashes) requests.insert(c.request);
-  if (static_cast<int>(requests.size()) < policy.min_requests_of_part)
-    return false;
+  int min_requests = part.is_account() ? policy.min_requests_of_account
+                                       : policy.min_requests_of_part;
+  if (static_cast<int>(requests.size()) < min_requests) return false;
   int n = CountSeparateCrashes(crashes, policy);
+  Duration span = crashes.back().at - crashes.front().at;
   bool served_before =
       part.served_at != TimePoint{} &&
       crashes.front().at - part.served_at < policy.part_served_memory;
-  if (!served_before) return n >= policy.min_crashes_of_part;
-  return n >= policy.min_crashes_of_served_part &&
-         crashes.back().at - crashes.front().at >=
-             policy.min_span_of_served_part;
+  if (served_before) {
+    return n >= policy.min_crashes_of_served_part &&
+           span >= policy.min_span_of_served_part;
+  }
+  return n >= MinCrashes(part, policy) &&
+         (!part.is_account() || span >= policy.min_span_of_account);
 }
 
 // Returns whether the request explains `unexplained`, which no record before it
--- a/src/policy/crash_explanation.h
+++ b/src/policy/crash_explanation.h
@@ -31,13 +31,18 @@
   uint64_t coincident_upstream = 0;
 };
 
+// Stands for the position of a prompt part in what belongs to all requests of
+// an account on a route.
+inline constexpr int kAccountPosition = -1;
+
 // The crashes at which one request, or any request with one prompt part, was in
 // flight.
 struct CrashRecord {
   RequestFingerprint fingerprint = 0;
   std::vector<Crash> crashes;
-  // Position of the part in the prompt, from 1; 0 in the record of a request.
-  // Parts are shared by fewer requests the later they stand.
+  // Position of the part in the prompt, from 1; 0 in the record of a request,
+  // kAccountPosition in that of an account on a route. Parts are shared by
+  // fewer requests the later they stand.
   int part_position = 0;
   uint64_t part_id = 0;
   // Time when the last answer that was served on this part had begun, as far as
@@ -46,7 +51,9 @@
   // Fingerprints of the parts that every request with this part had besides, as
   // far as they were in flight at a crash; at most kMaxCompanions.
   std::vector<RequestFingerprint> companions;
-  bool is_part() const { return part_position > 0; }
+  // Returns whether requests may share what the record stands for.
+  bool is_part() const { return part_position != 0; }
+  bool is_account() const { return part_position < 0; }
 };
 
 // Returns whether the request or part of `r` was in flight at `upstream` when
@@ -63,7 +70,7 @@
 // A prompt part of a request that a crash interrupted.
 struct PartAtCrash {
   uint64_t id = 0;
-  int position = 1;  // From 1.
+  int position = 1;  // From 1, or kAccountPosition.
 };
 
 struct QuarantinePolicy {
@@ -86,6 +93,13 @@
   int min_crashes_of_served_part = 5;
   Duration min_span_of_served_part = std::chrono::seconds(3);
   Duration part_served_memory = std::chrono::minutes(10);
+  // As above, for an account on a route; the least time is that of an account
+  // which was not served before. Harmless requests are among its own, so that
+  // it needs more crashes and is held for a short time only.
+  int min_crashes_of_account = 5;
+  int min_requests_of_account = 4;
+  Duration min_span_of_account = std::chrono::seconds(1);
+  Duration account_quarantine = std::chrono::seconds(10);
   // How long a part stays quarantined after its last crash. Its record stays
   // for `retention`, so that one more crash quarantines it again.
   Duration part_quarantine = std::chrono::minutes(10);
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -36,7 +36,8 @@
     const PartAtCrash& part, absl::Span<const PartAtCrash> all) {
   std::vector<RequestFingerprint> out;
   for (const PartAtCrash& other : all) {
-    if (other.id != part.id && out.size() < kMaxCompanions)
+    bool prompt_part = other.position > 0;
+    if (prompt_part && other.id != part.id && out.size() < kMaxCompanions)
       out.push_back(ComputePartFingerprint(other.id));
   }
   std::sort(out.begin(), out.end());
@@ -146,7 +147,9 @@
   CrashRecord& known = e->record;
   bool is_new = !known.is_part();
   known.part_id = r.part_id;
-  known.part_position = std::max(known.part_position, r.part_position);
+  known.part_position = known.is_part()
+                            ? std::max(known.part_position, r.part_position)
+                            : r.part_position;
   TimePoint served_here = served_parts_.LastServedAt(r.fingerprint);
   bool served_before = known.served_at != TimePoint{};
   known.served_at = std::max({known.served_at, r.served_at, served_here});
@@ -242,7 +245,9 @@
   for (const CrashCause& c : causes) {
     const CrashRecord& r = entries_[c.fingerprint].record;
     if (r.is_part()) {
-      parts[c.fingerprint] = {LastCrashAt(r), c.companions};
+      Duration held =
+          r.is_account() ? policy_.account_quarantine : policy_.part_quarantine;
+      parts[c.fingerprint] = {LastCrashAt(r) + held, c.companions};
     } else {
       requests.insert(c.fingerprint);
     }
@@ -269,9 +274,9 @@
   if (it == entries_.end()) {
     LogEvent(event, {{"asks", FingerprintToHex(p)}});
   } else if (it->second.record.is_part()) {
-    LogEvent(event,
-             {{"part", absl::StrCat(absl::Hex(it->second.record.part_id))},
-              {"crashes", it->second.record.crashes.size()}});
+    LogEvent(event, {{it->second.record.is_account() ? "account_key" : "part",
+                      absl::StrCat(absl::Hex(it->second.record.part_id))},
+                     {"crashes", it->second.record.crashes.size()}});
   } else {
     LogEvent(event, {{"asks", FingerprintToHex(p)},
                      {"crashes", it->second.record.crashes.size()}});
@@ -299,8 +304,7 @@
                                              TimePoint now) const {
   auto it = blamed_parts_.find(ComputePartFingerprint(part_id));
   if (it == blamed_parts_.end()) return Duration::zero();
-  TimePoint end = it->second.last_crash_at + policy_.part_quarantine;
-  return std::max<Duration>(Duration::zero(), end - now);
+  return std::max<Duration>(Duration::zero(), it->second.held_until - now);
 }
 
 // A record of a part without crashes still tells that the part was served.
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -14,6 +14,11 @@
 // recorded by prompt part, and a part is quarantined only for crashes since it
 // was last part of a served request.
 //
+// Third load pattern: all requests of an account on one route crash engines, no
+// two alike and without a part in common. An account on a route is recorded
+// like a part, and blamed last, for crashes that no request and no part
+// explains.
+//
 // Merging records is order-independent and idempotent: processes may receive
 // them in any order, any number of times and through any other process.
 #ifndef MEDLARWALK_QUARANTINE_H_
@@ -151,10 +156,10 @@
   std::multimap<TimePoint, uint64_t> terminations_;
   std::set<RequestFingerprint> quarantined_;  // Requests only.
   struct BlamedPart {
-    TimePoint last_crash_at{};
+    TimePoint held_until{};
     std::vector<RequestFingerprint> companions;  // See CrashCause.
     bool operator==(const BlamedPart& o) const {
-      return last_crash_at == o.last_crash_at && companions == o.companions;
+      return held_until == o.held_until && companions == o.companions;
     }
   };
   // Prompt parts that are blamed for crashes, by fingerprint.
--- a/test/policy/quarantine_part_test.cc
+++ b/test/policy/quarantine_part_test.cc
@@ -26,6 +26,8 @@
   return out;
 }
 
+constexpr uint64_t kAccount = 0xacc0;
+
 }  // namespace
 
 TEST_GROUP(quarantine_part) {
@@ -41,6 +43,14 @@
     for (const auto& parts : prompts) suspects.push_back(NewRequest(parts));
     q.RecordCrash(absl::StrCat("i-", ++crashes), suspects);
   }
+  // Records a crash under one new request of the account with the prompt
+  // `parts`.
+  void CrashUnderAccount(const std::vector<uint64_t>& parts) {
+    now += Millis(300);
+    Quarantine::Suspect s = NewRequest(parts);
+    s.parts.push_back({kAccount, kAccountPosition});
+    q.RecordCrash(absl::StrCat("i-", ++crashes), absl::MakeConstSpan(&s, 1));
+  }
   void Serve(const std::vector<uint64_t>& parts) {
     now += Millis(300);
     q.RecordServedParts(parts, now);
@@ -151,6 +161,38 @@
           .has_value());
 }
 
+// Guards against an account that crashes engine after engine with requests that
+// have nothing else in common, and against holding it for good.
+TEST(quarantine_part, AnAccountIsHeldForAShortTime) {
+  for (int i = 0; i < 4; ++i) CrashUnderAccount({});
+  CHECK_FALSE(IsHeld({kAccount}));
+  CrashUnderAccount({});
+  CHECK_TRUE(IsHeld({kAccount}));
+  now += std::chrono::seconds(11);
+  CHECK_FALSE(IsHeld({kAccount}));
+  CrashUnderAccount({});
+  CHECK_TRUE(IsHeld({kAccount}));
+}
+
+// Guards against rejecting an account while some of its requests are served.
+TEST(quarantine_part, AnAccountThatIsServedInBetweenIsNotHeld) {
+  for (int i = 0; i < 20; ++i) {
+    CrashUnderAccount({});
+    if (i % 4 == 3) Serve({kAccount});
+    CHECK_FALSE(IsHeld({kAccount}));
+  }
+}
+
+// Guards against rejecting an account for what a part of its prompts explains,
+// also if it has more crashes than the part.
+TEST(quarantine_part, APartIsBlamedBeforeTheAccountThatSendsIt) {
+  for (int i = 0; i < 3; ++i) CrashUnderAccount({});
+  for (int i = 0; i < 6; ++i)
+    CrashUnderAccount({kCrashing, 0x1000 + static_cast<uint64_t>(i)});
+  CHECK_TRUE(IsHeld({kCrashing, kOther, kAccount}));
+  CHECK_FALSE(IsHeld({kOther, kAccount}));
+}
+
 // Guards against one loss of power that counts as many crashes.
 TEST(quarantine_part, CrashesAtOneMomentCountOnce) {
   for (int i = 0; i < 6; ++i) {
@@ -219,12 +261,14 @@
 }
 
 // Replays engines that crash for a reason of their own, 1 to 10 a second, under
-// prompts of which three quarters share one part: no part is held. Guards
-// against rejecting callers for crashes of another cause.
+// prompts of which three quarters share one part and three quarters are of one
+// account: no part and no account is held. Guards against rejecting callers for
+// crashes of another cause.
 TEST(quarantine_part, ReplayOfCrashesOfAnotherCauseHoldsNothing) {
   for (int seed = 1; seed <= 40; ++seed) {
     std::mt19937 random(seed);
     auto below = [&](int n) { return static_cast<int>(random() % n); };
+    std::mt19937 random_account(seed);
     Quarantine one;
     TimePoint t{std::chrono::hours(1)};
     // Prompts in flight, each with the time when its answer begins.
@@ -234,7 +278,10 @@
     for (int step = 0; step < 3000; ++step) {
       t += Millis(20);
       uint64_t document = below(4) > 0 ? 2 : 3 + below(200);
-      in_flight.push_back({t + Millis(200 + below(400)), {1, document}});
+      uint64_t account = kAccount;
+      if (random_account() % 4 == 0) account += 1 + random_account() % 200;
+      in_flight.push_back(
+          {t + Millis(200 + below(400)), {1, document, account}});
       while (in_flight.front().first + Millis(500) < t) {
         one.RecordServedParts(in_flight.front().second,
                               in_flight.front().first);
@@ -248,6 +295,7 @@
         suspects.push_back({++requests,
                             Crash{0, t - Millis(100), t, true, false},
                             PartsAt(parts)});
+        suspects.back().parts.back().position = kAccountPosition;
       }
       one.RecordCrash(absl::StrCat("i-", step), suspects);
     }
