Limits: the share of an entry counts the load of all engines of a service

Cause: an entry's share of the work was taken over the engines at which it has requests. In a large fleet it sends to few of them, and these hold mostly its own requests: its share seemed many times what it is, so that many entries raised their limits in the same burst.

Change: engines without a recent report are taken to hold as much as the others.

Test: UpstreamsWithoutReportsCountToo (the share of 24 of 27 requests at 3 of 60 engines).

--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -159,22 +159,19 @@
 void Gateway::UpdateWorkShares(TimePoint now) {
   if (now - work_shares_updated_at_ < kWorkShareInterval) return;
   work_shares_updated_at_ = now;
-  struct Sums {
-    double own = 0;
-    double total = 0;
-  };
-  std::map<std::string, Sums> sums;
-  for (const auto& [service, share] : work_shares_) sums[service];
+  std::map<std::string, ServiceLoad> loads;
+  for (const auto& [service, share] : work_shares_) loads[service];
   for (const UpstreamState& u : pool_.upstreams()) {
-    if (u.in_flight == 0 || now - u.reported_at > kReportLifetimeOfShare)
-      continue;
-    Sums& s = sums[u.info.service];
-    s.own += u.in_flight_at_report;
-    s.total += std::max(u.reported_load, u.in_flight_at_report);
+    ServiceLoad& load = loads[u.info.service];
+    ++load.upstreams;
+    if (now - u.reported_at > kReportLifetimeOfShare) continue;
+    ++load.reporting_upstreams;
+    load.own += u.in_flight_at_report;
+    load.reported += std::max(u.reported_load, u.in_flight_at_report);
   }
-  for (const auto& [service, s] : sums) {
+  for (const auto& [service, load] : loads) {
     WorkShare& share = work_shares_[service];
-    share.Record(s.own, s.total, now);
+    share.Record(load.own, EstimateTotal(load), now);
     PrefillLimiterFor(service).set_factor(share.LimitFactor(entry_count_));
   }
 }
--- a/src/policy/work_share.h
+++ b/src/policy/work_share.h
@@ -29,14 +29,32 @@
   double min_own = 8;
 };
 
+// Requests in flight at the upstreams of a service, as far as one process
+// knows.
+struct ServiceLoad {
+  double own = 0;       // Requests of this process.
+  double reported = 0;  // Requests of all processes in the recent reports.
+  int reporting_upstreams = 0;
+  int upstreams = 0;  // Of the service.
+};
+
+// Returns the estimate of the requests in flight at all upstreams. Those
+// without a recent report are taken to hold as many as the others: a process
+// has reports mostly of the upstreams to which it sends, and its own requests
+// would seem to be most of the work.
+inline double EstimateTotal(const ServiceLoad& l) {
+  if (l.reporting_upstreams == 0) return l.own;
+  return l.reported * l.upstreams / l.reporting_upstreams;
+}
+
 // Share of one process in the requests in flight at the upstreams of a service.
 // Thread safety: loop thread only.
 class WorkShare {
  public:
   explicit WorkShare(const WorkSharePolicy& policy = {}) : policy_(policy) {}
 
-  // Records that the upstreams reported `total` requests in flight when this
-  // process had `own` there, summed over the upstreams with recent reports.
+  // Records that the upstreams of the service held `total` requests when `own`
+  // of them were those of this process.
   void Record(double own, double total, TimePoint now) {
     double elapsed = ToSeconds(now - recorded_at_);
     double weight = std::min(1.0, elapsed / ToSeconds(policy_.smoothing));
--- a/test/policy/work_share_test.cc
+++ b/test/policy/work_share_test.cc
@@ -45,6 +45,19 @@
   }
 }
 
+// Guards against higher limits at an entry that sends to few of the upstreams
+// and has reports of these only, which hold little but its own requests.
+TEST(work_share, UpstreamsWithoutReportsCountToo) {
+  ServiceLoad load;
+  load.own = 24;
+  load.reported = 27;
+  load.reporting_upstreams = 3;
+  load.upstreams = 60;
+  DOUBLES_EQUAL(540, EstimateTotal(load), 0.01);
+  Record(load.own, EstimateTotal(load), 5000);
+  DOUBLES_EQUAL(1, share.LimitFactor(kProcesses), 0.01);
+}
+
 TEST(work_share, UnevenCallersAreTolerated) {
   Record(20, 300, 5000);
   DOUBLES_EQUAL(1, share.LimitFactor(kProcesses), 0.01);
