--- a/review/lab.cc
+++ b/review/lab.cc
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -227,15 +228,18 @@
   }
 }
 
-Listener::~Listener() {
+void Listener::Stop() {
   stop_ = true;
   if (accepter_.joinable()) accepter_.join();
-  {
-    std::lock_guard<std::mutex> lock(mutex_);
-    for (int fd : open_) shutdown(fd, SHUT_RDWR);
-  }
-  for (std::thread& t : threads_) t.join();
   if (fd_ >= 0) close(fd_);
+  fd_ = -1;
+  std::lock_guard<std::mutex> lock(mutex_);
+  for (int fd : open_) shutdown(fd, SHUT_RDWR);
+}
+
+Listener::~Listener() {
+  Stop();
+  for (std::thread& t : threads_) t.join();
 }
 
 std::string Answer(const std::string& status, const std::string& id,
@@ -351,6 +355,7 @@
   const char* env[] = {variable.c_str(), path.c_str(), "HOME=/tmp", nullptr};
   p->pid = fork();
   if (p->pid != 0) return;
+  prctl(PR_SET_PDEATHSIG, SIGKILL);  // It ends with this program, however.
   int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(out, STDOUT_FILENO);
   dup2(out, STDERR_FILENO);
@@ -403,21 +408,34 @@
              &m) == 200;
 }
 
-bool Lab::Start(const std::vector<Instance>& instances,
-                const std::string& config) {
+void Lab::SetList(const std::vector<Instance>& instances,
+                  const std::string& other_entry) {
+  std::string list;
   for (const Instance& s : instances) {
-    list_ += (list_.empty() ? "" : ",") + std::string("{\"Id\":") +
-             Quoted(s.id) + ",\"Service\":" + Quoted(s.service) +
-             ",\"Address\":" + Quoted(s.ip + ":" + std::to_string(s.port)) +
-             ",\"Zone\":" + Quoted(s.zone) +
-             ",\"Version\":\"v1\",\"Slots\":" + std::to_string(s.slots) +
-             ",\"State\":\"ready\",\"WarmupLeftMs\":0}";
+    list += (list.empty() ? "" : ",") + std::string("{\"Id\":") + Quoted(s.id) +
+            ",\"Service\":" + Quoted(s.service) +
+            ",\"Address\":" + Quoted(s.ip + ":" + std::to_string(s.port)) +
+            ",\"Zone\":" + Quoted(s.zone) +
+            ",\"Version\":\"v1\",\"Slots\":" + std::to_string(s.slots) +
+            ",\"State\":" + Quoted(s.state) + ",\"WarmupLeftMs\":0}";
   }
+  if (!other_entry.empty()) list += "," + other_entry;
+  std::lock_guard<std::mutex> lock(list_mutex_);
+  list_ = list;
+}
+
+bool Lab::Start(const std::vector<Instance>& instances,
+                const std::string& config) {
+  SetList(instances);
   platform_ = std::make_unique<Listener>(
       Ip(0), base_port_ + kPlatform, [this](Socket& s) {
         Message m;
         while (s.ReadMessage(&m, 60000)) {
-          std::string body = "{\"Instances\":[" + list_ + "],\"Next\":null}";
+          std::string body;
+          {
+            std::lock_guard<std::mutex> lock(list_mutex_);
+            body = "{\"Instances\":[" + list_ + "],\"Next\":null}";
+          }
           if (!s.Send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                       "Content-Length: " +
                       std::to_string(body.size()) + "\r\n\r\n" + body)) {
--- a/review/lab.h
+++ b/review/lab.h
@@ -87,6 +87,8 @@
  public:
   Listener(const std::string& ip, int port, std::function<void(Socket&)> serve);
   ~Listener();
+  // Stops listening and cuts all connections.
+  void Stop();
   bool ok() const { return fd_ >= 0; }
 
  private:
@@ -112,6 +114,7 @@
   int port = 0;
   std::string zone;
   int slots = 6;
+  std::string state = "ready";
 };
 
 // A deployment of three machines, each with a control process and an entry.
@@ -125,6 +128,9 @@
   // Starts the platform, the processes and `instances`' list, sends `config`
   // and waits until the entries are ready. Returns false if that fails.
   bool Start(const std::vector<Instance>& instances, const std::string& config);
+  // Sets the platform's list. `other_entry`: one more entry, as raw bytes.
+  void SetList(const std::vector<Instance>& instances,
+               const std::string& other_entry = "");
   // Address of machine `i` (0 to 2), and the port of its callers.
   std::string Ip(int i) const;
   int frontend() const { return base_port_ + 17; }
@@ -155,6 +161,7 @@
   std::string program_;
   int net_ = 0;
   int base_port_ = 0;
+  std::mutex list_mutex_;
   std::string list_;
   std::vector<Process> processes_;  // Controls 0 to 2, then entries 0 to 2.
   std::unique_ptr<Listener> platform_;
