--- a/review/lab.cc
+++ b/review/lab.cc
@@ -441,6 +441,7 @@
                       std::to_string(body.size()) + "\r\n\r\n" + body)) {
             return;
           }
+          ++list_reads_;
         }
       });
   if (!platform_->ok()) return false;
--- a/review/lab.h
+++ b/review/lab.h
@@ -131,6 +131,8 @@
   // Sets the platform's list. `other_entry`: one more entry, as raw bytes.
   void SetList(const std::vector<Instance>& instances,
                const std::string& other_entry = "");
+  // Returns how often the list was read and answered with 200.
+  int list_reads() const { return list_reads_; }
   // Address of machine `i` (0 to 2), and the port of its callers.
   std::string Ip(int i) const;
   int frontend() const { return base_port_ + 17; }
@@ -161,6 +163,7 @@
   std::string program_;
   int net_ = 0;
   int base_port_ = 0;
+  std::atomic<int> list_reads_{0};
   std::mutex list_mutex_;
   std::string list_;
   std::vector<Process> processes_;  // Controls 0 to 2, then entries 0 to 2.
