Observability: how a request's body was framed, and requests refused as malformed

No line told how the entry saw the end of a request, nor that it refused one, so they could not be told apart.

Change: the line 'sent' has framing= and body_bytes=; 'request_malformed' and medlarwalk_entry_malformed_requests_total{reason} for each request refused for its bytes. No logic changes.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -83,6 +83,10 @@
                      .Name(prefix + "refusals_total")
                      .Help("Requests turned away, by reason")
                      .Register(*registry_);
+  malformed_ = &prometheus::BuildCounter()
+                    .Name(prefix + "malformed_requests_total")
+                    .Help("Requests refused before routing, by reason")
+                    .Register(*registry_);
   resumed_streams_ =
       &prometheus::BuildCounter()
            .Name(prefix + "resumed_streams_total")
@@ -188,6 +192,10 @@
   rejections_->Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void Metrics::CountMalformedRequest(absl::string_view reason) {
+  malformed_->Add({{"reason", std::string(reason)}}).Increment();
+}
+
 void Metrics::CountAccountRejection(absl::string_view account) {
   account_rejections_.Increment(AccountLabel(account));
 }
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -51,6 +51,9 @@
 
   // Counts one rejected request, by the code of its error kind.
   void CountRejection(absl::string_view reason);
+  // Counts one request that was refused before it was routed, by what is wrong
+  // with its bytes.
+  void CountMalformedRequest(absl::string_view reason);
   // Counts one rejected request by client account ("" if it has none).
   void CountAccountRejection(absl::string_view account);
   // Counts one request by client account whose first event or answer came after
@@ -121,6 +124,7 @@
   TopCounter account_rejections_;
   TopCounter account_late_;
   prometheus::Family<prometheus::Counter>* rejections_;
+  prometheus::Family<prometheus::Counter>* malformed_;
   prometheus::Family<prometheus::Counter>* retries_;
   prometheus::Family<prometheus::Counter>* resumed_streams_;
   prometheus::Family<prometheus::Counter>* stream_origin_lookups_;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -495,7 +495,9 @@
       {"idle_links", u.idle_links},
       {"limit", u.limit_per_s.value_or(-1)},
       {"copy_from", f.copy_from.ip},
-      {"left_ms", ToMs(f.time_limit)}};
+      {"left_ms", ToMs(f.time_limit)},
+      {"framing", BodyFramingName(r.exchange->head.framing)},
+      {"body_bytes", r.exchange->body.size()}};
   if (r.service->timed_placement) {
     fields.emplace_back("predicted_first_ms",
                         std::lround(r.placement.first_event_ms));
--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -84,6 +84,7 @@
     auto self = shared_from_this();
     DetachExchange();
     answering_ = false;
+    ++answered_;
     last_activity_ = server_->clock_.Now();
     if (close_after_) {
       server_->connections_.erase(this);
@@ -201,7 +202,8 @@
     if (!s.ok()) {
       RejectMalformed(absl::IsResourceExhausted(s)
                           ? (parser_.head_done() ? 413 : 431)
-                          : 400);
+                          : 400,
+                      s.message());
       return false;
     }
     if (!request_done_) return false;
@@ -209,7 +211,7 @@
     // request smuggling.
     if (exchange_->head.CountHeaders("Content-Length") > 1 ||
         exchange_->head.CountHeaders("Host") > 1) {
-      RejectMalformed(400);
+      RejectMalformed(400, "repeated Content-Length or Host");
       return false;
     }
     answering_ = true;
@@ -220,7 +222,11 @@
     return true;
   }
 
-  void RejectMalformed(int status) {
+  void RejectMalformed(int status, absl::string_view reason) {
+    LogWarn("request_malformed", {{"status", status},
+                                  {"reason", reason},
+                                  {"answered_before", answered_}});
+    if (server_->on_malformed_) server_->on_malformed_(reason);
     close_after_ = true;
     std::string out =
         absl::StrCat("HTTP/1.1 ", status, " ", ReasonPhrase(status),
@@ -239,6 +245,7 @@
   bool answering_ = false;
   bool parsing_ = false;  // ParseBuffered() is running.
   bool close_after_ = false;
+  int answered_ = 0;  // Requests answered on this connection.
   TimePoint last_activity_;
   TimePoint head_started_at_{};  // When the current request began to arrive.
 };
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -99,6 +99,11 @@
   // idle longest are closed. If all are busy, new callers wait in the listen
   // backlog.
   void set_max_connections(size_t n) { max_connections_ = n; }
+  // Sets `f`, which is called with the reason for each request that is refused
+  // because it is malformed or exceeds a limit.
+  void set_on_malformed(std::function<void(absl::string_view reason)> f) {
+    on_malformed_ = std::move(f);
+  }
   // First step of a planned stop: every answer from now on closes its
   // connection.
   void CloseAfterAnswers() { closing_after_answers_ = true; }
@@ -127,6 +132,7 @@
   Handler handler_;
   CallerLimits limits_;
   TcpListener listener_;
+  std::function<void(absl::string_view reason)> on_malformed_;
   bool closing_after_answers_ = false;
   size_t max_connections_ = SIZE_MAX;
   ev_timer timeout_check_timer_{};
--- a/src/net/http1.cc
+++ b/src/net/http1.cc
@@ -52,6 +52,10 @@
     head_.keep_alive = this->keep_alive();
     auto n = this->content_length();
     if (n) head_.content_length = *n;
+    head_.framing = this->chunked()    ? BodyFraming::kChunked
+                    : n                ? BodyFraming::kLength
+                    : this->need_eof() ? BodyFraming::kClose
+                                       : BodyFraming::kNone;
     sink_->on_head(std::move(head_));
   }
   void on_body_init_impl(boost::optional<std::uint64_t> const&,
@@ -83,6 +87,20 @@
 
 }  // namespace
 
+absl::string_view BodyFramingName(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kNone:
+      return "none";
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunked:
+      return "chunked";
+    case BodyFraming::kClose:
+      return "close";
+  }
+  return "";
+}
+
 absl::string_view EndDetectionName(EndDetection by) {
   switch (by) {
     case EndDetection::kLength:
--- a/src/net/http1.h
+++ b/src/net/http1.h
@@ -19,6 +19,17 @@
 
 namespace medlarwalk {
 
+// How the end of the body of a message is marked (RFC 9112, section 6.3).
+enum class BodyFraming {
+  kNone,     // There is no body.
+  kLength,   // The head states the length.
+  kChunked,  // The body is sent in chunks.
+  kClose,    // The body ends with the connection; answers only.
+};
+
+// Returns the name of `framing` for the log.
+absl::string_view BodyFramingName(BodyFraming framing);
+
 // The start line and header fields of one message.
 struct MessageHead {
   std::string method;  // Set in requests only.
@@ -30,6 +41,7 @@
   // Whether the sender can read a chunked answer; requests only, false for
   // HTTP/1.0.
   bool accepts_chunked = true;
+  BodyFraming framing = BodyFraming::kNone;
   std::optional<uint64_t> content_length;
 
   // Returns the first value of header `name` (case-insensitive), or nullptr.
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -142,6 +142,9 @@
   InitTimer(&tick_, OnTick, kTickSeconds, kTickSeconds);
   tick_.data = this;
   callers_.set_max_connections(MaxCallerConnections(options_.descriptors));
+  callers_.set_on_malformed([this](absl::string_view reason) {
+    metrics_.CountMalformedRequest(reason);
+  });
   // Uses the local wall clock until control publishes the group's time.
   group_time_.RecordSample(options_.name, wall.UnixNow().count(), clock_.Now());
 }
