Framing: a request inside the body of another one was run

An answer with an unknown coding and 'Content-Length: 3' before 30 bytes came as a whole 200 of 3 bytes.

Cause: nothing of ours decided how a body is framed. Beast takes a request whose codings don't end with chunked for one without a body, an answer for one that its length or its connection ends, a coding before chunked for none, and a folded line for the end of the field before it.

Change: src/net/framing.cc decides for requests and answers alike, from the fields: one coding, chunked, in HTTP/1.1, without a length; or one length of digits; a folded field, an extension with control characters or an open quote is malformed. Beast must find the same end, else the message is malformed. A request gets 400 and its connection closes; an answer is a failure. Why it works: a message goes on only if all readers must see its end at one place. Empty list elements, any case, blanks, extensions, trailers, an answer's length told twice alike go on as before.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -207,13 +207,6 @@
       return false;
     }
     if (!request_done_) return false;
-    // A request that states the length of its body or its host twice allows
-    // request smuggling.
-    if (exchange_->head.CountHeaders("Content-Length") > 1 ||
-        exchange_->head.CountHeaders("Host") > 1) {
-      RejectMalformed(400, "repeated Content-Length or Host");
-      return false;
-    }
     answering_ = true;
     exchange_->connection_ = this;
     exchange_->arrived = server_->clock_.Now();
--- a/src/net/http1.cc
+++ b/src/net/http1.cc
@@ -22,22 +22,28 @@
   return {s.data(), s.size()};
 }
 
-// Passes the parts of a message parsed by Beast to a MessageSink.
+// Passes the parts of a message parsed by Beast to a MessageSink. Beast finds
+// the end of the body; where the decision of framing.h differs, the message is
+// malformed.
 template <bool kRequest>
 class BeastParser : public http::basic_parser<kRequest> {
  public:
   explicit BeastParser(MessageSink* sink) : sink_(sink) {}
+  // Returns why the message is malformed; Ok if Beast itself says so.
+  const absl::Status& error() const { return error_; }
+  void set_answers_head() { answers_head_ = true; }
 
  private:
   void on_request_impl(http::verb, beast::string_view method,
                        beast::string_view target, int version,
                        error_code&) override {
-    head_.accepts_chunked = version >= kHttp11;
+    http11_ = head_.accepts_chunked = version >= kHttp11;
     head_.method = std::string(ToStringView(method));
     head_.target = std::string(ToStringView(target));
   }
-  void on_response_impl(int code, beast::string_view reason, int,
+  void on_response_impl(int code, beast::string_view reason, int version,
                         error_code&) override {
+    http11_ = version >= kHttp11;
     head_.status = code;
     head_.reason = std::string(ToStringView(reason));
   }
@@ -47,15 +53,17 @@
     head_.headers.emplace_back(std::string(ToStringView(name)),
                                std::string(ToStringView(value)));
   }
-  void on_header_impl(error_code&) override {
+  void on_header_impl(error_code& ec) override {
     head_done_ = true;
+    absl::StatusOr<MessageFraming> framing = DecideFraming();
+    if (!framing.ok()) {
+      Fail(framing.status(), ec);
+      return;
+    }
     head_.keep_alive = this->keep_alive();
-    auto n = this->content_length();
-    if (n) head_.content_length = *n;
-    head_.framing = this->chunked()    ? BodyFraming::kChunked
-                    : n                ? BodyFraming::kLength
-                    : this->need_eof() ? BodyFraming::kClose
-                                       : BodyFraming::kNone;
+    head_.framing = framing->body;
+    if (framing->body == BodyFraming::kLength)
+      head_.content_length = framing->length;
     sink_->on_head(std::move(head_));
   }
   void on_body_init_impl(boost::optional<std::uint64_t> const&,
@@ -64,8 +72,11 @@
     sink_->on_body(ToStringView(body));
     return body.size();
   }
-  void on_chunk_header_impl(std::uint64_t, beast::string_view,
-                            error_code&) override {}
+  void on_chunk_header_impl(std::uint64_t, beast::string_view extension,
+                            error_code& ec) override {
+    absl::Status s = CheckChunkExtension(ToStringView(extension));
+    if (!s.ok()) Fail(s, ec);
+  }
   std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view body,
                                  error_code&) override {
     sink_->on_body(ToStringView(body));
@@ -73,8 +84,41 @@
   }
   void on_finish_impl(error_code&) override { sink_->on_complete(); }
 
+  absl::StatusOr<MessageFraming> DecideFraming() {
+    absl::StatusOr<MessageFraming> framing =
+        kRequest ? DecideRequestFraming(http11_, head_.headers)
+                 : DecideAnswerFraming(http11_, head_.status, answers_head_,
+                                       head_.headers);
+    if (framing.ok() && !AgreesWith(*framing))
+      return absl::InvalidArgumentError("framing in doubt");
+    return framing;
+  }
+
+  // Returns whether Beast reads the body as `framing` says.
+  bool AgreesWith(const MessageFraming& framing) const {
+    switch (framing.body) {
+      case BodyFraming::kNone:
+        return !kRequest || (!this->chunked() && !this->content_length());
+      case BodyFraming::kLength:
+        return !this->chunked() && this->content_length() == framing.length;
+      case BodyFraming::kChunked:
+        return this->chunked() && !this->content_length();
+      case BodyFraming::kClose:
+        return this->need_eof();
+    }
+    return false;
+  }
+
+  void Fail(absl::Status why, error_code& ec) {
+    error_ = std::move(why);
+    ec = http::error::bad_field;
+  }
+
   MessageSink* sink_;
   MessageHead head_;
+  absl::Status error_;
+  bool http11_ = true;
+  bool answers_head_ = false;
   bool head_done_ = false;
 };
 
@@ -87,20 +131,6 @@
 
 }  // namespace
 
-absl::string_view BodyFramingName(BodyFraming framing) {
-  switch (framing) {
-    case BodyFraming::kNone:
-      return "none";
-    case BodyFraming::kLength:
-      return "length";
-    case BodyFraming::kChunked:
-      return "chunked";
-    case BodyFraming::kClose:
-      return "close";
-  }
-  return "";
-}
-
 absl::string_view EndDetectionName(EndDetection by) {
   switch (by) {
     case EndDetection::kLength:
@@ -172,6 +202,13 @@
 absl::Status Http1Parser::Feed(std::string* buf) {
   if (done() || buf->empty()) return absl::OkStatus();
   impl_->started = true;
+  if (!head_done()) {
+    // Beast takes a head only when all of it is there.
+    size_t end = buf->find("\r\n\r\n");
+    if (end != std::string::npos &&
+        HasFoldedField(absl::string_view(*buf).substr(0, end)))
+      return absl::InvalidArgumentError("folded field");
+  }
   error_code ec;
   size_t taken = 0;
   // put() may stop after the head, so repeat until it consumes nothing more.
@@ -186,7 +223,13 @@
     if (ec || n == 0) break;
   }
   buf->erase(0, taken);
-  if (ec && ec != http::error::need_more) return StatusFromBeast(ec);
+  if (ec && ec != http::error::need_more) {
+    absl::Status s = impl_->Visit([](auto& p) { return p.error(); });
+    return s.ok() ? StatusFromBeast(ec) : s;
+  }
+  if (!done() && impl_->Visit([](auto& p) { return p.chunked(); }) &&
+      HasOpenQuoteInChunkLine(*buf))
+    return absl::InvalidArgumentError("open quote in a chunk extension");
   return absl::OkStatus();
 }
 
@@ -222,7 +265,9 @@
 void Http1Parser::PrepareForNextMessage() { CreateParser(); }
 
 void Http1Parser::ExpectNoBody() {
-  if (impl_->answer) impl_->answer->skip(true);
+  if (!impl_->answer) return;
+  impl_->answer->skip(true);
+  impl_->answer->set_answers_head();
 }
 
 void AppendHeader(std::string* out, absl::string_view name,
--- a/src/net/http1.h
+++ b/src/net/http1.h
@@ -15,21 +15,11 @@
 
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
+#include "framing.h"
 #include "types.h"
 
 namespace medlarwalk {
 
-// How the end of the body of a message is marked (RFC 9112, section 6.3).
-enum class BodyFraming {
-  kNone,     // There is no body.
-  kLength,   // The head states the length.
-  kChunked,  // The body is sent in chunks.
-  kClose,    // The body ends with the connection; answers only.
-};
-
-// Returns the name of `framing` for the log.
-absl::string_view BodyFramingName(BodyFraming framing);
-
 // The start line and header fields of one message.
 struct MessageHead {
   std::string method;  // Set in requests only.
