Framing: a chunk extension or trailer without an end filled memory

Callers could send a chunk's line or trailers of any length: the entry kept all of it (40 MB in a trial) until memory ran out, within MaxHeaderBytes and MaxBodyBytes, which count neither.

Cause: Beast's limits cover the head and the body; the line before a chunk and the trailers are neither. Change: what is left unparsed after the head may be as long as the head may be; else 413 and the connection closes. Why it works: everything else is taken out of the buffer as it comes.

Test: framing EndlessChunkExtensionsAndTrailersAreRefused, failed before (no answer within a second).

--- a/src/net/http1.cc
+++ b/src/net/http1.cc
@@ -227,7 +227,11 @@
     absl::Status s = impl_->Visit([](auto& p) { return p.error(); });
     return s.ok() ? StatusFromBeast(ec) : s;
   }
-  if (!done() && impl_->Visit([](auto& p) { return p.chunked(); }) &&
+  if (done() || !head_done()) return absl::OkStatus();
+  // What is left is the beginning of a chunk's line or of the trailers.
+  if (buf->size() > header_limit_)
+    return absl::ResourceExhaustedError("chunk line or trailers too long");
+  if (impl_->Visit([](auto& p) { return p.chunked(); }) &&
       HasOpenQuoteInChunkLine(*buf))
     return absl::InvalidArgumentError("open quote in a chunk extension");
   return absl::OkStatus();
--- a/src/net/http1.h
+++ b/src/net/http1.h
@@ -68,7 +68,8 @@
  public:
   enum class Kind { kRequest, kAnswer };
 
-  // `header_limit` and `body_limit` are in bytes.
+  // `header_limit` and `body_limit` are in bytes. `header_limit` also applies
+  // to the line before a chunk and to the trailers.
   Http1Parser(Kind kind, uint32_t header_limit, uint64_t body_limit,
               MessageSink sink);
   ~Http1Parser();
--- a/test/net/framing_test.cc
+++ b/test/net/framing_test.cc
@@ -254,6 +254,24 @@
   }
 }
 
+// Guards against memory that a caller fills with a chunk extension or a trailer
+// that never ends.
+TEST(framing, EndlessChunkExtensionsAndTrailersAreRefused) {
+  CallerLimits limits;
+  limits.header_bytes = 1000;
+  std::string filler(100'000, 'a');
+  for (absl::string_view start : {"5;", "0\r\nX: ", "5;a=\""}) {
+    Outcome out =
+        Play(absl::StrCat("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+                          "chunked\r\n\r\n",
+                          start, filler),
+             0, limits);
+    CHECK_TRUE(out.requests.empty());
+    CHECK_TRUE(absl::StartsWith(out.received, "HTTP/1.1 413 "));
+    CHECK_TRUE(out.closed);
+  }
+}
+
 // Guards against the refusal of sound requests: any case, blanks around values,
 // empty list elements, chunk extensions and trailers.
 TEST(framing, SoundRequestsAreServed) {
