Callers: the refusal of a malformed request was lost in a reset

A caller that was still sending when its request was refused (400, 413 or 431) saw a reset connection and no answer: the entry closed the socket with unread bytes in it, and the kernel's reset overtook the answer.

Change: after the answer the entry closes its sending side only, discards what comes, and closes the connection when the caller does, or after a second. Such a connection counts as idle: it holds back neither a planned stop nor newcomers.

Tests: framing ARefusalReachesACallerThatIsStillSending, failed before (nothing received); caller_server ARefusedCallerIsClosedThoughItSendsOn bounds it.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -27,6 +27,10 @@
 // because scanning all connections for each new caller would cost more than
 // serving the callers.
 constexpr size_t kEvictOneIn = 8;
+// Time for which a connection stays open after a refused request, unless the
+// caller closes it. A close with unread bytes resets the connection, and the
+// reset may overtake the answer.
+constexpr Millis kRefusedLinger(1000);
 // Descriptors reserved for links, listeners, logs and files.
 constexpr size_t kReservedDescriptors = 100;
 
@@ -112,7 +116,7 @@
     if (tcp_->open()) KeepSocketUntilFlushed();
   }
 
-  bool busy() const { return answering_ || parser_.started(); }
+  bool busy() const { return !refused_ && (answering_ || parser_.started()); }
   TimePoint last_activity() const { return last_activity_; }
   bool has_unread() const { return tcp_->HasUnreadData(); }
   bool keeps_open() const { return !close_after_; }
@@ -125,6 +129,10 @@
   // the last answer.
   void CloseIfTimedOut(TimePoint now) {
     if (answering_) return;
+    if (refused_) {
+      if (now - last_activity_ > kRefusedLinger) Disconnect();
+      return;
+    }
     Duration limit = parser_.started() ? server_->limits_.header_timeout
                                        : server_->limits_.idle_timeout;
     // A body may take longer than the timeout as long as data keeps arriving.
@@ -171,6 +179,7 @@
   }
 
   void OnData(absl::string_view data) {
+    if (refused_) return;
     if (!answering_) last_activity_ = server_->clock_.Now();
     unparsed_.append(data.data(), data.size());
     if (!answering_) {
@@ -215,18 +224,21 @@
     return true;
   }
 
+  // Answers `status`, and from then on discards what the caller sends.
   void RejectMalformed(int status, absl::string_view reason) {
     LogWarn("request_malformed", {{"status", status},
                                   {"reason", reason},
                                   {"answered_before", answered_}});
     if (server_->on_malformed_) server_->on_malformed_(reason);
-    close_after_ = true;
     std::string out =
         absl::StrCat("HTTP/1.1 ", status, " ", ReasonPhrase(status),
                      "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     tcp_->Write(out);
-    answering_ = false;
-    OnAnswerDone();
+    tcp_->ShutdownAfterWrites();
+    DetachExchange();
+    unparsed_.clear();
+    close_after_ = refused_ = true;
+    last_activity_ = server_->clock_.Now();
   }
 
   CallerServer* server_;
@@ -238,6 +250,8 @@
   bool answering_ = false;
   bool parsing_ = false;  // ParseBuffered() is running.
   bool close_after_ = false;
+  // A request was refused as malformed: no byte after it is read as a request.
+  bool refused_ = false;
   int answered_ = 0;  // Requests answered on this connection.
   TimePoint last_activity_;
   TimePoint head_started_at_{};  // When the current request began to arrive.
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -123,7 +123,7 @@
 }
 
 void TcpConnection::Write(absl::string_view data) {
-  if (fd_ < 0 || close_after_writes_) return;
+  if (fd_ < 0 || close_after_writes_ || shutdown_after_writes_) return;
   if (connected_ && unsent() == 0) {
     ssize_t n = send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
     if (n > 0) data.remove_prefix(static_cast<size_t>(n));
@@ -140,6 +140,11 @@
   if (unsent() == 0) Close();
 }
 
+void TcpConnection::ShutdownAfterWrites() {
+  shutdown_after_writes_ = true;
+  if (fd_ >= 0 && unsent() == 0) shutdown(fd_, SHUT_WR);
+}
+
 void TcpConnection::Close() {
   if (io_events_) ev_io_stop(loop_, &io_);
   io_events_ = 0;
@@ -226,6 +231,7 @@
       Close();
       return;
     }
+    if (shutdown_after_writes_) shutdown(fd_, SHUT_WR);
     auto f = events_.on_drained;
     if (f) f();
     if (fd_ < 0) return;
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -70,6 +70,9 @@
   // Closes the connection once all buffered bytes are sent; discards received
   // data until then.
   void CloseAfterWrites();
+  // Closes the sending side once all buffered bytes are sent. Received data
+  // still goes to on_data, until the peer closes its side.
+  void ShutdownAfterWrites();
   // Closes the connection immediately, without a callback.
   void Close();
   // Closes the connection immediately with a TCP reset, so that the peer cannot
@@ -100,6 +103,7 @@
   int fd_;
   bool connected_;
   bool close_after_writes_ = false;
+  bool shutdown_after_writes_ = false;
   bool paused_ = false;
   bool refused_ = false;
   int io_events_ = 0;
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -121,3 +121,27 @@
   CHECK_TRUE(RunUntil([&] { return !body.empty(); }, 1000));
   STRCMP_EQUAL("0123456789", body.c_str());
 }
+
+// Guards against a refused caller that keeps its connection, by sending on and
+// on: it is closed within a second, and no byte of it is read as a request.
+TEST(caller_server, ARefusedCallerIsClosedThoughItSendsOn) {
+  int answered = 0;
+  CallerServer server(loop, clock, [&](std::shared_ptr<CallerExchange> ex) {
+    ++answered;
+    ex->Respond(200, {}, "");
+  });
+  CHECK_TRUE(server.Listen({"127.0.0.1", 0}).ok());
+  auto caller =
+      TcpConnection::Connect(loop, {"127.0.0.1", server.port()}, Millis(1000));
+  CHECK_TRUE(RunUntil([&] { return caller->connected(); }, 1000));
+  caller->Write("POST / HTTP/1.1\r\nTransfer-Encoding: x\r\n\r\n");
+  CHECK_TRUE(RunUntil([&] { return server.connections() == 1; }, 1000));
+  for (int i = 0; i < 8 && server.connections() > 0; ++i) {
+    clock.Advance(Millis(250));
+    caller->Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    RunUntil([&] { return server.connections() == 0; }, 300);
+  }
+  LONGS_EQUAL(0, server.connections());
+  LONGS_EQUAL(0, server.requests_in_progress());
+  LONGS_EQUAL(0, answered);
+}
--- a/test/net/framing_test.cc
+++ b/test/net/framing_test.cc
@@ -311,6 +311,15 @@
   CheckWhole("POST / HTTP/1.1\r\nHost: a\r\n\r\n", "");
 }
 
+// Guards against a refusal that its caller never sees: a connection closed with
+// unread bytes is reset, and the reset takes the answer with it.
+TEST(framing, ARefusalReachesACallerThatIsStillSending) {
+  std::string text = absl::StrCat(
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n",
+      std::string(4 << 20, 'x'));
+  CheckRefused(text);
+}
+
 // Guards against an answer that is cut, or whose coding is lost, and that looks
 // whole.
 TEST(framing, AnAnswerThatCannotBeFramedIsNotWhole) {
