Agents: an answer whose end can't be told was passed on as whole

Change: the lines of the head go through framing.cc; an answer that it refuses is a failure, logged as answer_malformed.

Test: framing TheAgentsClientRefusesWhatCannotBeFramed, failed before.

--- a/src/net/framing.cc
+++ b/src/net/framing.cc
@@ -73,6 +73,18 @@
   return f;
 }
 
+bool IsTokenCharacter(char c) {
+  return absl::ascii_isalnum(c) ||
+         absl::StrContains("!#$%&'*+-.^_`|~", absl::string_view(&c, 1));
+}
+
+bool HasControlCharacter(absl::string_view s) {
+  for (char c : s) {
+    if (absl::ascii_iscntrl(c) && c != '\t') return true;
+  }
+  return false;
+}
+
 absl::Status Malformed(absl::string_view why) {
   return absl::InvalidArgumentError(why);
 }
@@ -133,6 +145,16 @@
   return FramingFromFields(http11, CollectFields(headers));
 }
 
+absl::Status CheckFields(const HeaderList& headers) {
+  for (const auto& [name, value] : headers) {
+    bool token = !name.empty();
+    for (char c : name) token &= IsTokenCharacter(c);
+    if (!token) return Malformed("bad field name");
+    if (HasControlCharacter(value)) return Malformed("bad field value");
+  }
+  return absl::OkStatus();
+}
+
 bool HasFoldedField(absl::string_view head) {
   for (size_t at = head.find('\n'); at != absl::string_view::npos;
        at = head.find('\n', at + 1)) {
@@ -143,11 +165,9 @@
 }
 
 absl::Status CheckChunkExtension(absl::string_view extension) {
-  for (char c : extension) {
-    if (absl::ascii_iscntrl(c) && c != '\t')
-      return Malformed("control character in a chunk extension");
-  }
-  return absl::OkStatus();
+  return HasControlCharacter(extension)
+             ? Malformed("control character in a chunk extension")
+             : absl::OkStatus();
 }
 
 bool HasOpenQuoteInChunkLine(absl::string_view rest) {
--- a/src/net/framing.h
+++ b/src/net/framing.h
@@ -43,6 +43,11 @@
                                                    bool answers_head,
                                                    const HeaderList& headers);
 
+// Checks fields that a lenient library has parsed. Errors: InvalidArgument if a
+// name is not a token, such as one with a blank before its colon or the rest of
+// a folded field, or if a value holds control characters. Thread safe.
+absl::Status CheckFields(const HeaderList& headers);
+
 // Returns whether `head`, the bytes of a head as received, has a field that
 // goes on in the next line. Such a line is a field of its own for some readers
 // (RFC 9112, section 5.2). Thread safe.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,6 +1,11 @@
 #include "http_client.h"
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+#include "framing.h"
+#include "log.h"
 #include "loop_order.h"
 
 namespace medlarwalk {
@@ -13,8 +18,17 @@
   curl_slist* headers = nullptr;
   bool status_reported = false;
   bool cancelled = false;
+  HeaderList head_fields;  // Of the answer's head that is being read.
+  bool head_is_http11 = true;
   int send_attempts = 0;  // Number of times libcurl began to send the request.
 
+  // Reads one line of an answer's head. Returns false if the answer cannot be
+  // framed.
+  bool ReadHeadLine(absl::string_view line);
+  // Decides whether the answer whose head was read can be framed. Errors:
+  // InvalidArgument.
+  absl::Status CheckHead() const;
+
   // Passes the status and the Content-Type to on_status.
   void ReportStatus() {
     status_reported = true;
@@ -72,6 +86,8 @@
     a->headers = curl_slist_append(a->headers, h.c_str());
   }
   curl_easy_setopt(e, CURLOPT_HTTPHEADER, a->headers);
+  curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, &OnHeadLine);
+  curl_easy_setopt(e, CURLOPT_HEADERDATA, a.get());
   curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, &OnWrite);
   curl_easy_setopt(e, CURLOPT_WRITEDATA, a.get());
   curl_easy_setopt(e, CURLOPT_PRIVATE, a.get());
@@ -119,6 +135,42 @@
   return CURL_PREREQFUNC_OK;
 }
 
+bool HttpClient::ActiveCall::ReadHeadLine(absl::string_view line) {
+  if (status_reported) return true;  // A trailer.
+  absl::Status s;
+  if (!absl::ConsumeSuffix(&line, "\r\n")) {
+    s = absl::InvalidArgumentError("bad line ending");
+  } else if (absl::StartsWith(line, "HTTP/")) {
+    head_fields.clear();
+    head_is_http11 = !absl::StartsWith(line, "HTTP/1.0");
+  } else if (!line.empty()) {
+    std::pair<absl::string_view, absl::string_view> field =
+        absl::StrSplit(line, absl::MaxSplits(':', 1));
+    head_fields.emplace_back(field.first, field.second);
+  } else {
+    s = CheckHead();
+  }
+  if (!s.ok())
+    LogWarn("answer_malformed", {{"url", call.url}, {"reason", s.message()}});
+  return s.ok();
+}
+
+absl::Status HttpClient::ActiveCall::CheckHead() const {
+  absl::Status s = CheckFields(head_fields);
+  if (!s.ok()) return s;
+  long status = 0;
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+  return DecideAnswerFraming(head_is_http11, static_cast<int>(status),
+                             call.method == "HEAD", head_fields)
+      .status();
+}
+
+size_t HttpClient::OnHeadLine(char* ptr, size_t size, size_t n,
+                              void* userdata) {
+  auto* a = static_cast<ActiveCall*>(userdata);
+  return a->ReadHeadLine(absl::string_view(ptr, size * n)) ? size * n : 0;
+}
+
 size_t HttpClient::OnWrite(char* ptr, size_t size, size_t n, void* userdata) {
   auto* a = static_cast<ActiveCall*>(userdata);
   if (a->cancelled) return 0;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -77,6 +77,7 @@
   static void OnIo(struct ev_loop* loop, ev_io* w, int revents);
   static void OnCurlTimeout(struct ev_loop* loop, ev_timer* w, int revents);
   static void OnRemoveCancelled(struct ev_loop* loop, ev_timer* w, int revents);
+  static size_t OnHeadLine(char* ptr, size_t size, size_t n, void* userdata);
   static size_t OnWrite(char* ptr, size_t size, size_t n, void* userdata);
   static int OnPrereq(void* userdata, char* conn_primary_ip,
                       char* conn_local_ip, int conn_primary_port,
--- a/test/net/framing_test.cc
+++ b/test/net/framing_test.cc
@@ -13,6 +13,7 @@
 #include "absl/strings/str_split.h"
 #include "caller_server.h"
 #include "http1_client.h"
+#include "http_client.h"
 
 using namespace medlarwalk;
 
@@ -383,3 +384,37 @@
                   &body) == CallEnd::kWhole);
   STRCMP_EQUAL("hello", body.c_str());
 }
+
+// Guards against an engine's answer that an agent passes on as whole though its
+// end can't be told.
+TEST(framing, TheAgentsClientRefusesWhatCannotBeFramed) {
+  for (const std::string& field : MalformedFraming()) {
+    std::string answer = absl::StrCat("HTTP/1.1 200 OK\r\n", field, "\r\n\r\n",
+                                      "5\r\nhello\r\n0\r\n\r\n");
+    std::shared_ptr<TcpConnection> accepted;
+    TcpListener listener(loop, [&](std::shared_ptr<TcpConnection> tcp) {
+      accepted = std::move(tcp);
+      TcpEvents e;
+      e.on_data = [&](absl::string_view) {
+        accepted->Write(answer);
+        accepted->CloseAfterWrites();
+      };
+      accepted->set_events(std::move(e));
+    });
+    CHECK_TRUE(listener.Listen({"127.0.0.1", 0}).ok());
+    HttpClient client(loop);
+    bool ended = false;
+    bool whole = false;
+    HttpCall call;
+    call.method = "GET";
+    call.url = absl::StrCat("http://127.0.0.1:", listener.port(), "/");
+    call.timeout = Millis(2000);
+    call.on_done = [&](const HttpCallResult& r) {
+      ended = true;
+      whole = r.status.ok();
+    };
+    client.Start(std::move(call));
+    CHECK_TRUE(RunUntil([&] { return ended; }, 3000));
+    CHECK_TRUE_TEXT(!whole, absl::CEscape(answer).c_str());
+  }
+}
