Agents: the door for metrics read requests with a parser of its own

A malformed request at an agent's door for metrics was read by libmicrohttpd: 'Transfer-Encoding: xchunked' got no answer and the connection stayed open, with nothing that tells where the request ends.

Cause: this door was the last of the product's own that CallerServer did not serve. Change: it does now, so framing is decided in the one place; only the stand-in engine and service of the emulator still use libmicrohttpd.

Test: framing TheAgentsMetricsDoorRefusesWhatCannotBeFramed, failed before.

--- a/src/agent.cc
+++ b/src/agent.cc
@@ -83,11 +83,10 @@
               [this](const H2Request& r, std::shared_ptr<H2Stream> s) {
                 HandleRequest(r, std::move(s));
               }),
-      metrics_server_(
-          loop,
-          [this](const HttpRequest& r, std::shared_ptr<HttpExchange> e) {
-            ServeMetrics(r, std::move(e));
-          }),
+      metrics_server_(loop, clock,
+                      [this](const std::shared_ptr<CallerExchange>& ex) {
+                        ServeMetrics(*ex);
+                      }),
       client_(loop) {
   ev_signal_init(&sigterm_, OnSignal, SIGTERM);
   sigterm_.data = this;
@@ -104,7 +103,7 @@
   s = server_.Listen(host_->address, host_->port);
   if (!s.ok()) return s;
   if (host_->metrics_port) {
-    s = metrics_server_.Listen(host_->address, host_->metrics_port);
+    s = metrics_server_.Listen({host_->address, host_->metrics_port});
     if (!s.ok()) return s;
   }
   ev_signal_start(loop_, &sigterm_);
@@ -141,14 +140,14 @@
   static_cast<Agent*>(w->data)->StopIfDrained();
 }
 
-void Agent::ServeMetrics(const HttpRequest& req,
-                         std::shared_ptr<HttpExchange> ex) {
-  if (req.path == "/metrics") {
-    ex->Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                metrics_.Render());
+void Agent::ServeMetrics(CallerExchange& ex) {
+  absl::string_view target = ex.head.target;
+  if (target.substr(0, target.find('?')) == "/metrics") {
+    ex.Respond(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+               metrics_.Render());
   } else {
-    ex->Respond(200, {{"Content-Type", "text/plain"}},
-                draining_ ? "draining" : "ok");
+    ex.Respond(200, {{"Content-Type", "text/plain"}},
+               draining_ ? "draining" : "ok");
   }
 }
 
--- a/src/agent.h
+++ b/src/agent.h
@@ -14,9 +14,9 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "caller_server.h"
 #include "h2.h"
 #include "http_client.h"
-#include "http_server.h"
 #include "ledger.h"
 #include "metrics.h"
 #include "settings.h"
@@ -48,7 +48,7 @@
   void ForwardOrder(const H2Request& req, const UpstreamSettings& u,
                     std::shared_ptr<H2Stream> out);
   void SendLoadReport(const UpstreamSettings& u, std::shared_ptr<H2Stream> out);
-  void ServeMetrics(const HttpRequest& req, std::shared_ptr<HttpExchange> ex);
+  void ServeMetrics(CallerExchange& ex);
   bool AnswerFromLedger(const std::string& key, uint64_t fingerprint,
                         std::shared_ptr<H2Stream>& out);
   void AnswerInterruptedCall(const std::string& upstream,
@@ -65,7 +65,7 @@
   Metrics metrics_;
   Ledger ledger_;
   H2Server server_;
-  HttpServer metrics_server_;
+  CallerServer metrics_server_;
   HttpClient client_;
   // The last observed termination of an upstream process.
   struct Termination {
--- a/test/net/framing_test.cc
+++ b/test/net/framing_test.cc
@@ -11,11 +11,15 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "agent.h"
 #include "caller_server.h"
 #include "http1_client.h"
 #include "http_client.h"
+#include "procs.h"
+#include "settings.h"
 
 using namespace medlarwalk;
+using medlarwalk::testing::ClaimPortRange;
 
 namespace {
 
@@ -418,3 +422,33 @@
     CHECK_TRUE_TEXT(!whole, absl::CEscape(answer).c_str());
   }
 }
+
+// Guards against the same faults at an agent's door for metrics.
+TEST(framing, TheAgentsMetricsDoorRefusesWhatCannotBeFramed) {
+  int port = ClaimPortRange();
+  absl::StatusOr<Settings> settings = ParseSettings(DefaultSettingsJson(port));
+  CHECK_TRUE(settings.ok());
+  Agent agent(loop, clock, *settings, "agent-1", "");
+  CHECK_TRUE(agent.Start().ok());
+  Endpoint door{"127.0.0.1", settings->FindHost("agent-1")->metrics_port};
+  std::vector<std::string> fields = MalformedFraming();
+  fields.emplace_back("X: sound");
+  for (const std::string& field : fields) {
+    std::string received;
+    bool closed = false;
+    auto caller = TcpConnection::Connect(loop, door, Millis(1000));
+    TcpEvents e;
+    e.on_data = [&](absl::string_view d) { absl::StrAppend(&received, d); };
+    e.on_closed = [&](absl::Status) { closed = true; };
+    caller->set_events(std::move(e));
+    CHECK_TRUE(RunUntil([&] { return caller->connected(); }, 1000));
+    caller->Write(absl::StrCat("GET /metrics HTTP/1.1\r\nHost: a\r\n", field,
+                               "\r\n\r\n", kInner));
+    bool sound = &field == &fields.back();
+    RunUntil([&] { return closed || (sound && !received.empty()); }, 300);
+    CHECK_TRUE_TEXT(
+        absl::StartsWith(received, sound ? "HTTP/1.1 200 " : "HTTP/1.1 400 "),
+        absl::StrCat(absl::CEscape(field), " got ", received).c_str());
+    CHECK_TRUE_TEXT(closed != sound, absl::CEscape(field).c_str());
+  }
+}
