Framing: fields that Connection names were forwarded

A server got fields that its caller meant for the entry alone, and a caller those that its server meant for the entry: 'Connection: X-Hop' with 'X-Hop: 1' went on as X-Hop (PROTOCOL.md: 'Other headers are also forwarded, except those that concern only one connection').

Cause: a fixed list of names decided what concerns one connection.

Test: gateway_framing FieldsThatConnectionNamesAreNotForwarded, failed before.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -123,6 +123,10 @@
   // Returns whether the header `name` of an answer is passed to the caller. If
   // empty, all headers are.
   std::function<bool(absl::string_view name)> forwards_header;
+  // Names of headers that a Connection field cannot take out, because the
+  // protocol between callers and upstreams defines them. Must outlive the
+  // dialect.
+  absl::Span<const absl::string_view> end_to_end;
   // Builds a rejection. `retry_after` is the suggested time until the caller's
   // next attempt.
   std::function<ErrorResponse(ErrorKind, absl::string_view why,
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -306,12 +306,12 @@
 }
 
 HeaderList Gateway::HeadersForCaller(const MessageHead& answer) const {
-  HeaderList out;
-  for (const auto& h : answer.headers) {
-    if (IsHopByHop(h.first)) continue;
-    if (dialect_.forwards_header && !dialect_.forwards_header(h.first))
-      continue;
-    out.push_back(h);
+  HeaderList out = ForwardedHeaders(answer.headers, dialect_.end_to_end);
+  if (dialect_.forwards_header) {
+    auto withheld = [this](const auto& h) {
+      return !dialect_.forwards_header(h.first);
+    };
+    out.erase(std::remove_if(out.begin(), out.end(), withheld), out.end());
   }
   return out;
 }
--- a/src/net/http1.cc
+++ b/src/net/http1.cc
@@ -4,10 +4,12 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
+#include <vector>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 
 namespace medlarwalk {
 namespace {
@@ -122,6 +124,25 @@
   bool head_done_ = false;
 };
 
+bool ContainsName(absl::Span<const absl::string_view> names,
+                  absl::string_view name) {
+  for (absl::string_view n : names) {
+    if (absl::EqualsIgnoreCase(name, n)) return true;
+  }
+  return false;
+}
+
+// Returns what the Connection fields of `headers` list.
+std::vector<absl::string_view> ConnectionOptions(const HeaderList& headers) {
+  std::vector<absl::string_view> out;
+  for (const auto& [name, value] : headers) {
+    if (!absl::EqualsIgnoreCase(name, "Connection")) continue;
+    for (absl::string_view option : absl::StrSplit(value, ','))
+      out.push_back(absl::StripAsciiWhitespace(option));
+  }
+  return out;
+}
+
 absl::Status StatusFromBeast(const error_code& ec) {
   if (ec == http::error::body_limit || ec == http::error::header_limit) {
     return absl::ResourceExhaustedError(ec.message());
@@ -283,10 +304,20 @@
   static constexpr absl::string_view kNames[] = {
       "connection",        "keep-alive", "proxy-connection", "te",    "trailer",
       "transfer-encoding", "upgrade",    "content-length",   "expect"};
-  for (absl::string_view n : kNames) {
-    if (absl::EqualsIgnoreCase(name, n)) return true;
+  return ContainsName(kNames, name);
+}
+
+HeaderList ForwardedHeaders(const HeaderList& headers,
+                            absl::Span<const absl::string_view> end_to_end) {
+  std::vector<absl::string_view> options = ConnectionOptions(headers);
+  HeaderList out;
+  out.reserve(headers.size());
+  for (const auto& h : headers) {
+    bool listed =
+        ContainsName(options, h.first) && !ContainsName(end_to_end, h.first);
+    if (!listed && !IsHopByHop(h.first)) out.push_back(h);
   }
-  return false;
+  return out;
 }
 
 absl::string_view ReasonPhrase(int status) {
--- a/src/net/http1.h
+++ b/src/net/http1.h
@@ -15,6 +15,7 @@
 
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
+#include "absl/types/span.h"
 #include "framing.h"
 #include "types.h"
 
@@ -118,9 +119,16 @@
                   absl::string_view value);
 
 // Returns whether the header `name` applies to a single connection and must
-// not be forwarded.
+// not be forwarded, whatever the message says of it.
 bool IsHopByHop(absl::string_view name);
 
+// Returns the fields of `headers` that are forwarded: not those that apply to
+// a single connection, by their name or because a Connection field lists them
+// (RFC 9110, section 7.6.1). Fields named in `end_to_end` are meant for the
+// other end; a sender cannot have them taken out. Thread safe.
+HeaderList ForwardedHeaders(const HeaderList& headers,
+                            absl::Span<const absl::string_view> end_to_end);
+
 // Returns the standard reason phrase for `status`.
 absl::string_view ReasonPhrase(int status);
 
