--- a/fuzz/http1.cc
+++ b/fuzz/http1.cc
@@ -24,6 +24,9 @@
   Http1Parser parser(
       kind, kHeaderLimit, kBodyLimit,
       {[&](const MessageHead& h) {
+         // A message whose codings are not just `chunked` goes no further.
+         if (h.status == 0 && h.Find("Transfer-Encoding"))
+           MEDLARWALK_EXPECT(h.framing == BodyFraming::kChunked);
          absl::StrAppend(&heads_text, h.method, " ", h.target, " ", h.status,
                          " ", h.reason, " ", h.keep_alive, "\n");
          for (const auto& [k, v] : h.headers) {
