List: one entry that isn't JSON stopped every read of the list

Cause: a page is parsed as one JSON text; bytes that fail one entry fail the read, each time.

Where an entry has no end, what was known of upstreams that were not read holds (a draining one stays draining); where its bytes name a known id, that upstream stays as it is known. A page is cut off at 8 MB and read as one that breaks off. Control tells its followers what it could not read; log, gauges and the readiness page show it.

--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -73,11 +73,29 @@
   dropped_->Add({{"reason", std::string(why)}}).Increment();
 }
 
+ListUnreadGauges::ListUnreadGauges(const std::string& prefix,
+                                   prometheus::Registry& registry) {
+  auto& family = prometheus::BuildGauge()
+                     .Name(prefix + "list_unread")
+                     .Help(
+                         "Entries of the upstream list that could not be "
+                         "read, and whether others may follow them unread")
+                     .Register(registry);
+  entries = &family.Add({{"what", "entries"}});
+  rest = &family.Add({{"what", "rest"}});
+}
+
+void ListUnreadGauges::Set(int unread_entries, bool rest_unread) {
+  entries->Set(unread_entries);
+  rest->Set(rest_unread ? 1 : 0);
+}
+
 Metrics::Metrics(absl::string_view role)
     : prefix_("medlarwalk_" + std::string(role) + "_"),
       registry_(std::make_shared<prometheus::Registry>()),
       account_rejections_(kMaxAccountSeries),
-      account_late_(kMaxAccountSeries) {
+      account_late_(kMaxAccountSeries),
+      list_unread_(prefix_, *registry_) {
   const std::string& prefix = prefix_;
   rejections_ = &prometheus::BuildCounter()
                      .Name(prefix + "refusals_total")
@@ -192,6 +210,14 @@
   rejections_->Add({{"reason", std::string(reason)}}).Increment();
 }
 
+void Metrics::SetListUnread(int entries, bool rest) {
+  list_unread_.Set(entries, rest);
+}
+
+void ControlMetrics::SetListUnread(int entries, bool rest) {
+  list_unread_.Set(entries, rest);
+}
+
 void Metrics::CountMalformedRequest(absl::string_view reason) {
   malformed_->Add({{"reason", std::string(reason)}}).Increment();
 }
@@ -304,7 +330,8 @@
 }
 
 ControlMetrics::ControlMetrics()
-    : registry_(std::make_shared<prometheus::Registry>()) {
+    : registry_(std::make_shared<prometheus::Registry>()),
+      list_unread_("medlarwalk_control_", *registry_) {
   calls_ = &prometheus::BuildHistogram()
                 .Name("medlarwalk_control_call_seconds")
                 .Help("Operators' calls, by call and outcome")
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -43,6 +43,15 @@
   prometheus::Gauge* processes_;
 };
 
+// What the last read of the upstream list could not read.
+struct ListUnreadGauges {
+  ListUnreadGauges(const std::string& prefix, prometheus::Registry& registry);
+  void Set(int entries, bool rest);
+
+  prometheus::Gauge* entries;
+  prometheus::Gauge* rest;
+};
+
 // The metrics of an entry or agent process. Thread safety: prometheus-cpp
 // metrics are thread safe; the process uses them from its loop thread only.
 class Metrics {
@@ -85,6 +94,9 @@
   // "whole" (a full list), "difference" (a delta), or "unfit" (a delta that
   // does not apply to the list held).
   void CountListUpdate(absl::string_view how, size_t bytes);
+  // Sets how many entries of the upstream list this process could not read, and
+  // whether others may follow them unread.
+  void SetListUnread(int entries, bool rest);
   // Records the age of the upstream list when this process received it.
   void ObserveListAge(double seconds);
   // Records the duration of one loop iteration, without the wait for events.
@@ -145,6 +157,7 @@
   prometheus::Counter* dropped_return_rows_;
   prometheus::Family<prometheus::Counter>* list_updates_;
   prometheus::Family<prometheus::Counter>* list_bytes_;
+  ListUnreadGauges list_unread_;
   prometheus::Family<prometheus::Histogram>* list_age_;
   prometheus::Histogram* loop_iterations_;
   std::unique_ptr<SharedLoadMetrics> shared_load_;
@@ -189,6 +202,9 @@
   // Counts one published upstream list and its size, by its form: "whole" or
   // "difference".
   void CountPublishedList(absl::string_view how, size_t bytes);
+  // Sets how many entries of the upstream list this process could not read, and
+  // whether others may follow them unread.
+  void SetListUnread(int entries, bool rest);
   // Counts one step of a duty (work that one process does for the whole group),
   // by step and outcome.
   void CountDutyStep(absl::string_view step, absl::string_view outcome);
@@ -207,6 +223,7 @@
   prometheus::Family<prometheus::Counter>* watches_;
   prometheus::Family<prometheus::Counter>* lists_;
   prometheus::Family<prometheus::Counter>* list_bytes_;
+  ListUnreadGauges list_unread_;
   prometheus::Family<prometheus::Gauge>* state_;
   prometheus::Family<prometheus::Counter>* duties_;
   prometheus::Histogram* loop_iterations_;
--- a/src/control.cc
+++ b/src/control.cc
@@ -508,7 +508,13 @@
   list_read_at_ = r->read_at;
   list_pages_ = lister_.length().pages;
   int64_t previous_version = list_history_.version();
-  if (!list_history_.Replace(std::move(r->upstreams))) return;
+  list_unread_ = lister_.unread().count;
+  list_rest_unread_ = lister_.unread().rest;
+  metrics_.SetListUnread(list_unread_, list_rest_unread_);
+  if (!list_history_.Replace(KeepUnread(
+          std::move(r->upstreams), lister_.unread(), list_history_.list()))) {
+    return;
+  }
   LogEvent("list_changed", {{"version", list_history_.version()},
                             {"from", previous_version},
                             {"upstreams", list_history_.list().size()}});
--- a/src/control.h
+++ b/src/control.h
@@ -204,6 +204,9 @@
   // and number of calls that such a read takes.
   Duration list_interval_{};
   int list_pages_ = 0;
+  // What the last read left unread (WatchReply::list_unread).
+  int list_unread_ = 0;
+  bool list_rest_unread_ = false;
   TimePoint list_polled_at_{};
   std::vector<PendingWatch> pending_watches_;
   std::map<std::string, Follower> followers_;
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -135,6 +135,9 @@
     list_read_at_ = clock_.Now() - Millis(r.list_age_ms);
     list_interval_ = Millis(r.list_interval_ms);
     list_pages_ = r.list_pages;
+    list_unread_ = r.list_unread;
+    list_rest_unread_ = r.list_rest_unread;
+    metrics_.SetListUnread(list_unread_, list_rest_unread_);
   }
   quarantine_complete_ = true;
   if (r.list) ApplyListChange(r);
@@ -175,6 +178,8 @@
   if (list_read_at_ != TimePoint{}) w.list_age_ms = ToMs(now - list_read_at_);
   w.list_interval_ms = ToMs(list_interval_);
   w.list_pages = list_pages_;
+  w.list_unread = list_unread_;
+  w.list_rest_unread = list_rest_unread_;
   w.serving_count = TotalServingCount();
   w.serving_index = ServingIndexOf(r.name);
   std::vector<Endpoint> serving = ServingEndpoints();
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -392,6 +392,8 @@
     j["e"] = UsageStatesToJson(r.usage_copy.report.states);
   }
   if (r.serving) j["o"] = ToJsonBinary(PackEndpoints(*r.serving));
+  if (r.list_unread != 0 || r.list_rest_unread)
+    j["z"] = {r.list_unread, r.list_rest_unread};
   std::string head = ToCbor(j);
   // The documents are appended as the last pairs of the map, so that they need
   // no copy. The first byte of a CBOR map holds its number of pairs if that is
@@ -418,6 +420,10 @@
     r.list_age_ms = IntegerFromJson<int64_t>(j.at("g"));
     r.list_interval_ms = IntegerFromJson(j, "i", int64_t{0});
     r.list_pages = IntegerFromJson<int>(j, "p", 0);
+    if (j.contains("z")) {
+      r.list_unread = IntegerFromJson<int>(j["z"].at(0));
+      r.list_rest_unread = j["z"].at(1).get<bool>();
+    }
     r.serving_count = IntegerFromJson<int>(j.at("s"));
     r.control = ControlEndpointsFromJson(j.at("m"));
     r.leader = j.at("h").get<std::string>();
@@ -483,7 +489,10 @@
                                   {"t", p.next_token},
                                   {"n", p.pages},
                                   {"e", p.complete},
-                                  {"x", p.unusable_entries}}));
+                                  {"x", p.unusable_entries},
+                                  {"r", p.unread.count},
+                                  {"i", p.unread.ids},
+                                  {"d", p.unread.rest}}));
 }
 
 absl::StatusOr<ListPart> DecodeListPart(absl::string_view bytes) {
@@ -497,6 +506,10 @@
     p.pages = IntegerFromJson<int>(j.at("n"));
     p.complete = j.at("e").get<bool>();
     p.unusable_entries = IntegerFromJson<int>(j.at("x"));
+    // Missing in parts from processes of an older version.
+    p.unread.count = IntegerFromJson(j, "r", 0);
+    p.unread.ids = j.value("i", std::vector<std::string>{});
+    p.unread.rest = j.value("d", false);
     return p;
   });
 }
--- a/src/control_wire.h
+++ b/src/control_wire.h
@@ -106,6 +106,10 @@
   // Number of calls that the last complete read of the upstream list took; 0 if
   // unknown.
   int list_pages = 0;
+  // Number of entries of the upstream list that could not be read, and whether
+  // others may follow them unread.
+  int list_unread = 0;
+  bool list_rest_unread = false;
   int serving_count = 0;  // Number of known processes that serve callers.
   // Index of the follower among the serving processes; negative if unknown. For
   // a control process, this is the index of the first serving process that
--- a/src/http1_client.cc
+++ b/src/http1_client.cc
@@ -58,7 +58,8 @@
                     answers_call_ = call_.on_head && call_.on_head(head);
                   },
                   [this](absl::string_view data) {
-                    if (answers_call_ && call_.on_body) call_.on_body(data);
+                    if (busy_ && answers_call_ && call_.on_body)
+                      call_.on_body(data);
                   },
                   [this] { message_end_ = true; },
               }),
--- a/src/lister.cc
+++ b/src/lister.cc
@@ -25,6 +25,9 @@
 constexpr auto kRetryDelay = Millis(150);
 constexpr int kMaxRetryDoublings = 2;
 constexpr int kHttpTooManyRequests = 429;
+// Size at which a page is cut off, so that it cannot exhaust the memory of this
+// process.
+constexpr size_t kMaxPageBytes = size_t{8} << 20;
 // Time between two reads of the list: minimum, maximum, and increase per listed
 // upstream.
 constexpr Duration kMinInterval = Millis(600);
@@ -84,8 +87,14 @@
 
 void Lister::RecordCompleteRead(const ListPart& list) {
   length_ = {list.upstreams.size(), list.pages};
-  if (list.unusable_entries == logged_unusable_) return;
-  LogWarn("list_entries_unusable", {{"entries", list.unusable_entries}});
+  bool changed = list.unusable_entries != logged_unusable_ ||
+                 list.unread.count != unread_.count ||
+                 list.unread.rest != unread_.rest;
+  unread_ = list.unread;
+  if (!changed) return;
+  LogWarn("list_entries_unusable", {{"entries", list.unusable_entries},
+                                    {"unread", unread_.count},
+                                    {"rest_unread", unread_.rest ? 1 : 0}});
   logged_unusable_ = list.unusable_entries;
 }
 
@@ -127,8 +136,14 @@
     status_ = h.status;
     return true;
   };
-  call.on_body = [this](absl::string_view d) {
-    body_.append(d.data(), d.size());
+  call.on_body = [this, token](absl::string_view d) {
+    size_t room = kMaxPageBytes - body_.size();
+    body_.append(d.data(), std::min(room, d.size()));
+    if (d.size() <= room) return;
+    // What was received is used as a page that breaks off.
+    client_->Cancel();
+    client_.reset();
+    OnPageEnd(token, CallEnd::kWhole, "page too large");
   };
   call.on_end = [this, token](CallEnd end, absl::string_view reason) {
     OnPageEnd(token, end, reason);
@@ -154,6 +169,7 @@
     return;
   }
   part_.unusable_entries += page->unusable_entries;
+  Append(std::move(page->unread), &part_.unread);
   for (UpstreamInfo& u : page->upstreams) {
     part_.upstreams.push_back(std::move(u));
   }
--- a/src/lister.h
+++ b/src/lister.h
@@ -24,6 +24,7 @@
   std::vector<UpstreamInfo> upstreams;
   std::string next_token;    // Token of the next page; empty for the last page.
   int unusable_entries = 0;  // Entries that do not describe an upstream.
+  UnreadEntries unread;
 };
 
 // The external source of the list.
@@ -31,7 +32,8 @@
   Endpoint endpoint;
   // Returns the request for the page with this token ("" for the first page).
   std::function<OutgoingRequest(absl::string_view token)> encode;
-  // Parses the body of an answer.
+  // Parses the body of an answer. An entry that cannot be read does not affect
+  // the others. Errors: InvalidArgument if the body is not a page at all.
   std::function<absl::StatusOr<ListPage>(absl::string_view body)> decode;
   // Calls per second that the source accepts from all processes together; 0 if
   // unlimited.
@@ -82,8 +84,8 @@
   // first page) on. Precondition: !busy(). Errors: Unavailable.
   void ReadPart(const std::string& token, int max_pages, OnRejected on_rejected,
                 PartDone done);
-  // Records the size of a complete list that was read in parts, and logs the
-  // number of its unusable entries if that has changed.
+  // Records the size of a complete list that was read in parts and what of it
+  // is unread, and logs the number of its unusable entries if that has changed.
   void RecordCompleteRead(const ListPart& list);
   // Cancels a read without calling its `done`.
   void Cancel();
@@ -93,6 +95,8 @@
   bool busy() const { return static_cast<bool>(done_); }
   // Returns the size of the list at the last complete read; zeros before it.
   const ListLength& length() const { return length_; }
+  // Returns what the last complete read left unread.
+  const UnreadEntries& unread() const { return unread_; }
 
  private:
   void RequestPage(const std::string& token);
@@ -110,6 +114,7 @@
   int max_pages_ = 0;
   OnRejected on_rejected_ = OnRejected::kRetry;
   ListLength length_;
+  UnreadEntries unread_;
   int logged_unusable_ = 0;  // Number of unusable entries at the last log line.
   int status_ = 0;
   std::string body_;
--- a/src/policy/upstream_list.cc
+++ b/src/policy/upstream_list.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -40,6 +41,28 @@
 
 }  // namespace
 
+void Append(UnreadEntries later, UnreadEntries* unread) {
+  unread->count += later.count;
+  unread->rest |= later.rest;
+  unread->ids.insert(unread->ids.end(),
+                     std::make_move_iterator(later.ids.begin()),
+                     std::make_move_iterator(later.ids.end()));
+}
+
+std::vector<UpstreamInfo> KeepUnread(std::vector<UpstreamInfo> read,
+                                     const UnreadEntries& unread,
+                                     const UpstreamList& known) {
+  if (!unread.rest && unread.ids.empty()) return read;
+  std::set<std::string> named(unread.ids.begin(), unread.ids.end());
+  std::set<std::string> present;
+  for (const UpstreamInfo& u : read) present.insert(u.id);
+  for (UpstreamInfo& u : known.All()) {
+    bool may_be_unread = unread.rest || named.count(u.id) > 0;
+    if (may_be_unread && present.count(u.id) == 0) read.push_back(std::move(u));
+  }
+  return read;
+}
+
 const UpstreamInfo* UpstreamList::Find(const std::string& id) const {
   auto it = upstreams_.find(id);
   return it == upstreams_.end() ? nullptr : &it->second.info;
--- a/src/policy/upstream_list.h
+++ b/src/policy/upstream_list.h
@@ -53,6 +53,19 @@
   return !(known.address == fresh.address);
 }
 
+// What of a list could not be read. An upstream that it may name is kept as it
+// is known.
+struct UnreadEntries {
+  int count = 0;  // Entries that could not be read.
+  // Upstream ids that occur in their bytes.
+  std::vector<std::string> ids;
+  // The end of an entry could not be told: others may follow it unread.
+  bool rest = false;
+};
+
+// Adds what a later page of the same list left unread.
+void Append(UnreadEntries later, UnreadEntries* unread);
+
 // Consecutive pages of the list, as read from its source.
 struct ListPart {
   std::vector<UpstreamInfo> upstreams;
@@ -61,6 +74,7 @@
   int pages = 0;
   bool complete = false;     // Whether the list ends with this part.
   int unusable_entries = 0;  // Entries that do not describe an upstream.
+  UnreadEntries unread;
 };
 
 // A difference between two versions of the list.
@@ -114,6 +128,12 @@
   int64_t version_ = 0;
 };
 
+// Returns `read` with those upstreams of `known` that it lacks and that
+// `unread` may name: a source that cannot be read says nothing against them.
+std::vector<UpstreamInfo> KeepUnread(std::vector<UpstreamInfo> read,
+                                     const UnreadEntries& unread,
+                                     const UpstreamList& known);
+
 // The newest list and the recent changes that led to it. Processes that hold an
 // earlier version get a difference made from these changes. Thread safety:
 // none.
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -85,7 +85,7 @@
                    bool is_readiness_path =
                        ex->head.target == options_.readiness_path;
                    ex->Respond(is_readiness_path ? (ready() ? 200 : 503) : 404,
-                               {}, "");
+                               {}, is_readiness_path ? ReadinessText() : "");
                  }),
       metrics_server_(loop, clock,
                       [this](std::shared_ptr<CallerExchange> ex) {
@@ -176,6 +176,19 @@
   watch_.set_seeds(std::move(seeds));
 }
 
+std::string Serving::ReadinessText() const {
+  return absl::StrCat(
+      "ready=", ready() ? 1 : 0, " has_config=", gateway_.has_config() ? 1 : 0,
+      " upstreams=", list_.size(), " list_unread=", list_unread_,
+      " list_rest_unread=", list_rest_unread_ ? 1 : 0, "\n");
+}
+
+void Serving::RecordListUnread(int entries, bool rest) {
+  list_unread_ = entries;
+  list_rest_unread_ = rest;
+  metrics_.SetListUnread(entries, rest);
+}
+
 bool Serving::ready() const {
   return !draining_ && gateway_.has_config() && list_.version() != 0;
 }
@@ -214,6 +227,7 @@
   list_current_at_ = clock_.Now() - Millis(r.list_age_ms);
   control_list_interval_ = Millis(r.list_interval_ms);
   list_read_pacer_.RecordCallsPerRead(r.list_pages);
+  RecordListUnread(r.list_unread, r.list_rest_unread);
   metrics_.ObserveListAge(ToSeconds(Millis(r.list_age_ms)));
 }
 
@@ -375,7 +389,8 @@
           return;
         }
         list_read_pacer_.RecordCallsPerRead(lister_.length().pages);
-        list_.Replace(*std::move(r));
+        RecordListUnread(lister_.unread().count, lister_.unread().rest);
+        list_.Replace(KeepUnread(*std::move(r), lister_.unread(), list_));
         LogEvent("list_read_alone",
                  {{"version", list_.version()},
                   {"upstreams", list_.size()},
--- a/src/serving.h
+++ b/src/serving.h
@@ -83,6 +83,11 @@
   void ApplyListUpdate(const WatchReply& r);
   void ApplyNewerList(const WatchReply& r);
   void ApplyConfig(int64_t version, const std::string& document);
+  // Records what the last read of the upstream list left unread.
+  void RecordListUnread(int entries, bool rest);
+  // Returns one line of key=value pairs for whoever looks at the readiness
+  // page.
+  std::string ReadinessText() const;
   // Reads the upstream list from its source if control's list is too old.
   void ReadListWithoutControl(TimePoint now);
   void AdvanceDrain(TimePoint now);
@@ -106,6 +111,8 @@
   WatchClient watch_;
   LoadExchange load_exchange_;
   Lister lister_;
+  int list_unread_ = 0;  // Entries of the list that could not be read.
+  bool list_rest_unread_ = false;
   UpstreamList list_;
   TimePoint list_current_at_{};
   // Interval at which control reads the upstream list.
--- a/src/shared_lister.cc
+++ b/src/shared_lister.cc
@@ -90,6 +90,7 @@
                                 std::make_move_iterator(r->upstreams.begin()),
                                 std::make_move_iterator(r->upstreams.end()));
   read_so_far_.unusable_entries += r->unusable_entries;
+  Append(std::move(r->unread), &read_so_far_.unread);
   read_so_far_.pages += r->pages;
   read_so_far_.next_token = std::move(r->next_token);
   if (r->complete) {
--- a/src/shared_lister.h
+++ b/src/shared_lister.h
@@ -49,6 +49,8 @@
   // Whether a read for this process or for another one is in progress.
   bool busy() const { return done_ || lister_.busy(); }
   const ListLength& length() const { return lister_.length(); }
+  // Returns what the last complete read left unread.
+  const UnreadEntries& unread() const { return lister_.unread(); }
 
   // Answers another process's request to read a part. Refuses it while this
   // process reads for itself. A new request ends the one before, whose sender
--- a/test/lister_test.cc
+++ b/test/lister_test.cc
@@ -206,12 +206,16 @@
   p.next_token = "t";
   p.pages = 2;
   p.unusable_entries = 3;
+  p.unread = {2, {"u-7"}, true};
   absl::StatusOr<ListPart> again = DecodeListPart(*EncodeListPart(p));
   CHECK_TRUE(again.ok());
   STRCMP_EQUAL("u-1", again->upstreams.at(0).id.c_str());
   STRCMP_EQUAL("t", again->next_token.c_str());
   LONGS_EQUAL(2, again->pages);
   LONGS_EQUAL(3, again->unusable_entries);
+  LONGS_EQUAL(2, again->unread.count);
+  STRCMP_EQUAL("u-7", again->unread.ids.at(0).c_str());
+  CHECK_TRUE(again->unread.rest);
   CHECK_FALSE(again->complete);
   CHECK_FALSE(DecodeListPart("x").ok());
 }
--- a/test/policy/upstream_list_test.cc
+++ b/test/policy/upstream_list_test.cc
@@ -259,3 +259,25 @@
   CHECK_TRUE(source.EncodedChangeSince(held_version)->size() < 200);
   CHECK_TRUE(whole > 10'000);
 }
+
+// Guards against an upstream that is dropped, or used again after it was seen
+// draining, because the list could not be read to its end.
+TEST(upstream_list, WhatIsKnownHoldsWhereTheListIsUnread) {
+  UpstreamList known;
+  std::vector<UpstreamInfo> before = Upstreams(0, 4);
+  before[2].draining = true;
+  known.Replace(before);
+  std::vector<UpstreamInfo> read = {Upstream(0), Upstream(9)};
+  auto ids = [&](const UnreadEntries& unread) {
+    UpstreamList list;
+    list.Replace(KeepUnread(read, unread, known));
+    std::string out;
+    for (const UpstreamInfo& u : list.All())
+      absl::StrAppend(&out, u.id, u.draining ? "!" : "", " ");
+    return out;
+  };
+  STRCMP_EQUAL("u-0 u-9 ", ids({}).c_str());
+  STRCMP_EQUAL("u-0 u-9 ", ids({1, {}, false}).c_str());
+  STRCMP_EQUAL("u-0 u-2! u-9 ", ids({1, {"u-2", "u-8"}, false}).c_str());
+  STRCMP_EQUAL("u-0 u-1 u-2! u-3 u-9 ", ids({1, {}, true}).c_str());
+}
