Stops: entries and control processes ended with SIGABRT at a planned stop

It came after the drain.

Cause: a pool of links that is destroyed ends its calls with their callbacks, and these use members of its owner that are destroyed before it. The same class: the streams of an H2Server call back when it is destroyed (the agent cancels a call of a client that is gone), and an exchange that outlives CallerServer keeps a pointer to its connection.

Change: ~LinkPool and ~H2Server end calls and streams without callbacks, and ~CallerServer disconnects its exchanges. H2Client still ends its calls with their callbacks, as its own test asks.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -79,6 +79,12 @@
     if (answering_ && f) f();
   }
 
+  // Closes the connection without a callback: its server is being destroyed.
+  void Drop() {
+    DetachExchange();
+    tcp_->Close();
+  }
+
   void Send(absl::string_view data) { tcp_->Write(data); }
   size_t unsent() const { return tcp_->unsent(); }
 
@@ -360,6 +366,7 @@
 CallerServer::~CallerServer() {
   ev_timer_stop(loop_, &timeout_check_timer_);
   ev_timer_stop(loop_, &eviction_timer_);
+  for (auto& [p, c] : connections_) c->Drop();
 }
 
 absl::Status CallerServer::Listen(const Endpoint& at) {
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -86,6 +86,8 @@
   using Handler = std::function<void(std::shared_ptr<CallerExchange>)>;
 
   CallerServer(struct ev_loop* loop, const Clock& clock, Handler handler);
+  // Closes all connections without a callback; their exchanges are then
+  // disconnected.
   ~CallerServer();
   CallerServer(const CallerServer&) = delete;
   CallerServer& operator=(const CallerServer&) = delete;
--- a/src/net/h2.cc
+++ b/src/net/h2.cc
@@ -81,7 +81,7 @@
 
 H2Server::~H2Server() {
   acceptor_.Stop();
-  connections_.clear();
+  for (auto& [p, c] : connections_) c->DropServerStreams();
 }
 
 absl::Status H2Server::Listen(const std::string& address, int port) {
--- a/src/net/h2.h
+++ b/src/net/h2.h
@@ -78,6 +78,8 @@
 class H2Server {
  public:
   H2Server(struct ev_loop* loop, H2Handler handler);
+  // Closes all streams without their callbacks: the objects that these use may
+  // be destroyed already.
   ~H2Server();
   H2Server(const H2Server&) = delete;
   H2Server& operator=(const H2Server&) = delete;
--- a/src/net/h2_connection.h
+++ b/src/net/h2_connection.h
@@ -132,6 +132,16 @@
     Flush();
   }
 
+  // Server only: closes every stream without its callback.
+  void DropServerStreams() {
+    auto streams = std::move(server_streams_);
+    server_streams_.clear();
+    for (auto& [id, s] : streams) {
+      s.answer->on_close_ = nullptr;
+      CloseServerStream(*s.answer);
+    }
+  }
+
   // Client only: ends every call with `status` after the connection is lost.
   void FailAllCalls(const absl::Status& status) {
     auto calls = std::move(client_streams_);
--- a/src/net/link_pool.cc
+++ b/src/net/link_pool.cc
@@ -39,8 +39,9 @@
     answer->append(d.data(), d.size());
     if (progress) progress();
   };
-  call.on_close = [status, answer, done](absl::Status s, bool) {
-    if (done) done(s.ok() ? *status : 0, *answer);
+  call.on_close = [status, answer, done, destroyed = destroyed_](absl::Status s,
+                                                                 bool) {
+    if (done && !*destroyed) done(s.ok() ? *status : 0, *answer);
   };
   return LinkTo(address).Submit(std::move(call));
 }
--- a/src/net/link_pool.h
+++ b/src/net/link_pool.h
@@ -21,6 +21,11 @@
  public:
   LinkPool(struct ev_loop* loop, const Clock& clock)
       : loop_(loop), clock_(clock) {}
+  // Ends all calls without a callback: the objects that these use may be
+  // destroyed already.
+  ~LinkPool() { *destroyed_ = true; }
+  LinkPool(const LinkPool&) = delete;
+  LinkPool& operator=(const LinkPool&) = delete;
 
   // Returns the link to `address` ("ip:port"). Opens it on first use.
   H2Client& LinkTo(const std::string& address);
@@ -38,6 +43,7 @@
  private:
   struct ev_loop* loop_;
   const Clock& clock_;
+  std::shared_ptr<bool> destroyed_ = std::make_shared<bool>(false);
   std::map<std::string, std::unique_ptr<H2Client>> clients_;
 };
 
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -145,3 +145,25 @@
   LONGS_EQUAL(0, server.requests_in_progress());
   LONGS_EQUAL(0, answered);
 }
+
+// Guards against the same at the door for callers: an exchange that is held
+// beyond its server must not reach back into it.
+TEST(caller_server, AnExchangeOutlivesItsServer) {
+  std::shared_ptr<CallerExchange> held;
+  bool disconnected = false;
+  auto server = std::make_unique<CallerServer>(
+      loop, clock, [&](std::shared_ptr<CallerExchange> ex) {
+        held = std::move(ex);
+        held->set_on_disconnect([&] { disconnected = true; });
+      });
+  CHECK_TRUE(server->Listen({"127.0.0.1", 0}).ok());
+  auto caller =
+      TcpConnection::Connect(loop, {"127.0.0.1", server->port()}, Millis(1000));
+  CHECK_TRUE(RunUntil([&] { return caller->connected(); }, 1000));
+  caller->Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(RunUntil([&] { return held != nullptr; }, 1000));
+  server.reset();
+  CHECK_TRUE(held->disconnected());
+  CHECK_FALSE(disconnected);
+  held->Respond(200, {}, "late");
+}
--- a/test/net/h2_test.cc
+++ b/test/net/h2_test.cc
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include "CppUTest/TestHarness.h"
+#include "absl/strings/str_cat.h"
+#include "link_pool.h"
 #include "platform/test/gateway_rig.h"
 #include "procs.h"
 
@@ -333,3 +335,34 @@
   CHECK_TRUE(RunUntil(
       loops.client_loop, [&] { return client.healthy(); }, 500));
 }
+
+// Guards against a process that ends with SIGABRT at a planned stop: a pool of
+// links or a server that is destroyed calls back into objects destroyed before
+// it.
+TEST(h2, WhatIsDestroyedCallsNothingBack) {
+  struct ev_loop* loop = ev_loop_new(EVFLAG_AUTO);
+  {
+    BootClock clock;
+    int port = testing::ClaimPortRange();
+    std::shared_ptr<H2Stream> held;
+    bool stream_closed = false;
+    auto server = std::make_unique<H2Server>(
+        loop, [&](const H2Request&, std::shared_ptr<H2Stream> s) {
+          held = std::move(s);
+          held->set_on_close([&] { stream_closed = true; });
+        });
+    CHECK_TRUE(server->Listen("127.0.0.1", port).ok());
+    auto links = std::make_unique<LinkPool>(loop, clock);
+    bool call_closed = false;
+    links->Post(absl::StrCat("127.0.0.1:", port), "/", Payload(),
+                [&](int, const std::string&) { call_closed = true; });
+    CHECK_TRUE(RunUntil(
+        loop, [&] { return held != nullptr; }, 2000));
+    server.reset();
+    CHECK_FALSE(stream_closed);
+    held->Respond(200, {}, Payload(std::string("late")));
+    links.reset();
+    CHECK_FALSE(call_closed);
+  }
+  ev_loop_destroy(loop);
+}
