--- a/src/dialect.h
+++ b/src/dialect.h
@@ -76,6 +76,9 @@
   // answers to requests.
   std::optional<std::string> echoed_id;
   bool not_run = false;  // The upstream states that it did not run the request.
+  // The answer does not name a request where it should: it may belong to
+  // another one, and what it says proves nothing.
+  bool unbound = false;
   // The status promises a caller that the request did not run, but the upstream
   // does not state so.
   bool unconfirmed_not_run = false;
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -39,6 +39,15 @@
                                 {"bears", *f.echoed_id}});
     return false;
   }
+  if (f.echoed_id && *f.echoed_id != r.facts.id) {
+    LogEvent("answer_unbound", {{"request", r.facts.id},
+                                {"upstream", r.upstream},
+                                {"status", head.status}});
+    std::optional<std::string> echoed_id = std::move(f.echoed_id);
+    f = {};
+    f.echoed_id = std::move(echoed_id);
+    f.unbound = true;
+  }
   r.progress_at = now;
   if (UpstreamState* u = pool_.Find(r.upstream)) {
     u->last_activity_at = now;
@@ -260,6 +269,10 @@
     HandleFailedAttempt(r, CallEnd::kNoAnswer, "success without signature");
     return;
   }
+  if (r.answer_facts.unbound) {
+    HandleFailedAttempt(r, CallEnd::kNoAnswer, "answer names no request");
+    return;
+  }
   bool unconfirmed = r.answer_facts.unconfirmed_not_run && !r.repeatable();
   if (r.answer_facts.not_run || unconfirmed || r.answer.status / 100 == 5) {
     HandleFailedAttempt(r, CallEnd::kWhole,
