Election: a vote of an earlier term was counted in a later one

Seen by reading (the review): HandleVoteReply did not compare the term of a vote with its own. A vote that was given in one term and arrives in the next counts there, though its voter may have voted for another: two leaders of one term.

--- a/test/replica/replica_test.cc
+++ b/test/replica/replica_test.cc
@@ -412,6 +412,62 @@
   CHECK_TRUE(t.worst < Millis(800));
 }
 
+// Guards against two leaders of one term: a vote that was given in one term
+// arrives in the next one, in which its voter may vote for another.
+TEST(replica, AVoteOfAnEarlierTermIsNotCounted) {
+  ManualClock clock;
+  clock.Advance(std::chrono::hours(1));
+  std::vector<Member> members;
+  for (int i = 0; i < 5; ++i) {
+    members.push_back(
+        Member{absl::StrCat("id-", i), absl::StrCat("10.0.0.", i, ":1")});
+  }
+  StoredState state;
+  state.self = members[0];
+  state.snapshot.members = members;
+  MemoryStore store;
+  CHECK_TRUE(store.ReplaceState(state).ok());
+  std::optional<ReplicaMessage> asked;  // The last vote request.
+  Replica::Hooks hooks;
+  hooks.send = [&](const Member&, const ReplicaMessage& m) {
+    if (m.type == ReplicaMessage::Type::kVoteRequest) asked = m;
+  };
+  Replica replica(clock, {}, store, state, {}, hooks, 1);
+  auto vote = [&](int voter, uint64_t term, bool pre_vote) {
+    ReplicaMessage m;
+    m.type = ReplicaMessage::Type::kVoteReply;
+    m.from = members[static_cast<size_t>(voter)];
+    m.term = term;
+    m.pre_vote = pre_vote;
+    m.ok = true;
+    replica.HandleMessage(m);
+  };
+  // Lets an election time out and wins the pre-vote of the next one; returns
+  // its term.
+  auto begin_election = [&] {
+    asked.reset();
+    for (int i = 0; i < 200 && (!asked || !asked->pre_vote); ++i) {
+      clock.Advance(Millis(10));
+      replica.Tick();
+    }
+    CHECK_TRUE(asked && asked->pre_vote);
+    vote(1, asked->term - 1, true);
+    vote(2, asked->term - 1, true);
+    CHECK_FALSE(asked->pre_vote);
+    return asked->term;
+  };
+  uint64_t first = begin_election();
+  vote(1, first, false);
+  uint64_t second = begin_election();
+  CHECK_TRUE(second > first);
+  vote(1, second, false);
+  vote(1, second, false);
+  vote(4, first, false);
+  CHECK_TRUE(replica.role() == ReplicaRole::kCandidate);
+  vote(2, second, false);
+  CHECK_TRUE(replica.role() == ReplicaRole::kLeader);
+}
+
 // Differential test against a single copy that never fails. Runs random changes
 // and reads under random faults, with at most one lost disk at a time. Every
 // answered read returns at least the newest version that was acknowledged
