Disk: what was loaded was taken for synced

Seen by reading (the review): a process that is killed between the write and the sync of a record answers for it after its restart, without a sync; if its host then loses power, an entry that counted towards a quorum is gone.

Change: Load() syncs the file before it returns; where that fails, so does the start. Looked at besides: the agent's ledger, whose records of a start are synced before anything is sent, so that an unsynced one answers for nothing that ran.

Test: replica_store WhatIsLoadedIsSynced (a disk that loses what is not synced), failed before.

--- a/src/replica/replica_election.cc
+++ b/src/replica/replica_election.cc
@@ -185,8 +185,8 @@
   }
   if (role_ != ReplicaRole::kCandidate || !m.ok) return;
   if (m.pre_vote != in_pre_vote_) return;
-  // A vote that was given in an earlier term may arrive late. Its voter may have
-  // voted for another replica since.
+  // A vote that was given in an earlier term may arrive late. Its voter may
+  // have voted for another replica since.
   if (!m.pre_vote && m.term != term_) return;
   CountVote(m.from.id);
 }
--- a/src/replica/replica_store.cc
+++ b/src/replica/replica_store.cc
@@ -124,8 +124,10 @@
   return state;
 }
 
-FileReplicaStore::FileReplicaStore(std::string dir, BeforeWrite before_write)
+FileReplicaStore::FileReplicaStore(std::string dir, BeforeWrite before_write,
+                                   SyncFile sync)
     : before_write_(std::move(before_write)),
+      sync_(std::move(sync)),
       dir_(std::move(dir)),
       path_(dir_ + "/replica.log") {}
 
@@ -144,6 +146,7 @@
   if (!state.ok()) return state;
   fd_ = open(path_.c_str(), O_RDWR | O_CLOEXEC);
   if (fd_ < 0) return ErrnoStatus("open");
+  if (sync_(fd_) != 0) return ErrnoStatus("sync");
   synced_length_ = static_cast<int64_t>(valid_bytes);
   tail_dirty_ = valid_bytes != bytes->size();
   dir_sync_pending_ = true;
@@ -170,7 +173,7 @@
   tail_dirty_ = true;
   absl::Status status = WriteAll(fd_, *bytes, before_write_);
   if (!status.ok()) return status;
-  if (fdatasync(fd_) != 0) return ErrnoStatus("sync");
+  if (sync_(fd_) != 0) return ErrnoStatus("sync");
   tail_dirty_ = false;
   synced_length_ += static_cast<int64_t>(bytes->size());
   return absl::OkStatus();
--- a/src/replica/replica_store.h
+++ b/src/replica/replica_store.h
@@ -5,6 +5,9 @@
 #ifndef MEDLARWALK_REPLICA_STORE_H_
 #define MEDLARWALK_REPLICA_STORE_H_
 
+#include <unistd.h>
+
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -19,13 +22,18 @@
 // A ReplicaStore in directory `dir`. Calls block until the data is synced.
 class FileReplicaStore : public ReplicaStore {
  public:
-  // `before_write` is called before each disk write; it may be empty.
-  explicit FileReplicaStore(std::string dir, BeforeWrite before_write = {});
+  // Makes the data of a file durable; returns 0, or -1 and sets errno.
+  using SyncFile = std::function<int(int fd)>;
+  // `before_write` is called before each disk write; it may be empty. `sync` is
+  // fdatasync, except in tests of disks that lose what is not synced.
+  explicit FileReplicaStore(std::string dir, BeforeWrite before_write = {},
+                            SyncFile sync = fdatasync);
   ~FileReplicaStore() override;
   FileReplicaStore(const FileReplicaStore&) = delete;
   FileReplicaStore& operator=(const FileReplicaStore&) = delete;
 
-  // Reads the stored state and opens the file for writing.
+  // Reads the stored state, makes it durable and opens the file for writing:
+  // the process before may have been killed between a write and its sync.
   // Errors: NotFound if the directory holds no state; call ReplaceState first
   // then. DataLoss if a record is malformed. Unavailable for disk errors.
   absl::StatusOr<StoredState> Load();
@@ -42,6 +50,7 @@
   absl::Status WriteRecords(const std::vector<nlohmann::json>& records);
 
   BeforeWrite before_write_;
+  SyncFile sync_;
   std::string dir_;
   std::string path_;
   int fd_ = -1;
--- a/test/replica/replica_store_test.cc
+++ b/test/replica/replica_store_test.cc
@@ -3,6 +3,7 @@
 // record that was not written.
 #include "replica_store.h"
 
+#include <cerrno>
 #include <fstream>
 #include <random>
 #include <sstream>
@@ -99,6 +100,41 @@
   }
 }
 
+// Guards against the loss of an entry that counted towards a quorum: a process
+// is killed between the write and the sync of it, answers for it after its
+// restart, and then its host loses power.
+TEST(replica_store, WhatIsLoadedIsSynced) {
+  std::string dir = DirWithTenEntries();
+  {
+    FileReplicaStore killed(dir, {}, [](int) {
+      errno = EIO;
+      return -1;
+    });
+    CHECK_FALSE(killed.Load().ok());  // Its sync fails as well.
+  }
+  std::string durable = ReadWholeFile(dir + "/replica.log");
+  bool killed = false;
+  auto sync = [&](int) {
+    if (killed) return -1;
+    durable = ReadWholeFile(dir + "/replica.log");
+    return 0;
+  };
+  {
+    FileReplicaStore store(dir, {}, sync);
+    CHECK_TRUE(store.Load().ok());
+    killed = true;
+    CHECK_FALSE(store.AppendEntries({ConfigEntry(11, 11)}).ok());
+  }
+  killed = false;
+  FileReplicaStore restarted(dir, {}, sync);
+  absl::StatusOr<StoredState> state = restarted.Load();
+  CHECK_TRUE(state.ok());
+  LONGS_EQUAL(11, state->log.size());
+  // The host loses power.
+  std::ofstream(dir + "/replica.log", std::ios::binary) << durable;
+  LONGS_EQUAL(11, FileReplicaStore(dir).Load()->log.size());
+}
+
 // Hundreds of appended entries are read back after a restart.
 // Guards against the silent loss of a record that is too large to be read back,
 // together with all records after it.
