Callers: an answer that was still being read was cut at a planned stop

Cause: a connection counted as idle as soon as the last byte was in the entry's buffer; a closing one was not counted at all.

Change: bytes that wait for a caller are work, as long as the caller took some within 2.5 s (the time for which the entry goes on accepting after SIGTERM): the drain waits for them, until shortly before GraceS is over, the idle timeout runs from the last progress, and a newcomer does not push them out. A caller that reads nothing is closed as before. An agent's stop waits for the bytes of its own links too.

Test: caller_server AnAnswerThatIsBeingReadIsNotCut (8 MB, read in twentieths half a second apart, kept and closing connections, and a caller that reads nothing), failed before.

--- a/src/agent.cc
+++ b/src/agent.cc
@@ -125,7 +125,8 @@
 
 void Agent::StopIfDrained() {
   bool timed_out = clock_.Now() - drain_started_ > kMaxDrainTime;
-  if (server_.open_streams() == 0 || timed_out) {
+  bool drained = server_.open_streams() == 0 && server_.queued_bytes() == 0;
+  if (drained || timed_out) {
     LogEvent("drain_finished", {{"open_streams", server_.open_streams()},
                                 {"timed_out", timed_out ? "true" : "false"}});
     ev_break(loop_, EVBREAK_ALL);
--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -31,6 +31,9 @@
 // caller closes it. A close with unread bytes resets the connection, and the
 // reset may overtake the answer.
 constexpr Millis kRefusedLinger(1000);
+// Time without progress after which a caller counts as one that does not read
+// its answer. Slow readers take bytes in steps of half a socket buffer.
+constexpr Millis kUnreadTimeout(2500);
 // Descriptors reserved for links, listeners, logs and files.
 constexpr size_t kReservedDescriptors = 100;
 
@@ -59,6 +62,10 @@
     e.on_closed = [this](absl::Status) { shared_from_this()->Disconnect(); };
     e.on_drained = [this] {
       auto self = shared_from_this();
+      if (flushing_) {
+        Disconnect();
+        return;
+      }
       if (exchange_ && exchange_->on_drained_) exchange_->on_drained_();
     };
     tcp_->set_events(std::move(e));
@@ -93,13 +100,14 @@
   void OnAnswerDone() {
     auto self = shared_from_this();
     DetachExchange();
+    RecordProgress();
     answering_ = false;
     ++answered_;
     last_activity_ = server_->clock_.Now();
     if (close_after_) {
-      server_->connections_.erase(this);
-      tcp_->CloseAfterWrites();
-      if (tcp_->open()) KeepSocketUntilFlushed();
+      flushing_ = true;
+      unparsed_.clear();
+      if (unsent() == 0) Disconnect();
       return;
     }
     PrepareForNextRequest();
@@ -122,7 +130,15 @@
     if (tcp_->open()) KeepSocketUntilFlushed();
   }
 
-  bool busy() const { return !refused_ && (answering_ || parser_.started()); }
+  // Returns whether a request is being read or answered, or the caller is still
+  // reading an answer.
+  bool busy() {
+    if (refused_) return false;
+    if (answering_ || (parser_.started() && !flushing_)) return true;
+    RecordProgress();
+    return unsent() > 0 &&
+           server_->clock_.Now() - progress_at_ <= kUnreadTimeout;
+  }
   TimePoint last_activity() const { return last_activity_; }
   bool has_unread() const { return tcp_->HasUnreadData(); }
   bool keeps_open() const { return !close_after_; }
@@ -135,6 +151,11 @@
   // the last answer.
   void CloseIfTimedOut(TimePoint now) {
     if (answering_) return;
+    if (unsent() > 0 && !refused_) {
+      RecordProgress();
+      if (now - progress_at_ > server_->limits_.idle_timeout) Disconnect();
+      return;
+    }
     if (refused_) {
       if (now - last_activity_ > kRefusedLinger) Disconnect();
       return;
@@ -151,6 +172,13 @@
   }
 
  private:
+  // Records that the caller has read a part of its answer, if it has.
+  void RecordProgress() {
+    size_t n = unsent();
+    if (n < unsent_before_ || answering_) progress_at_ = server_->clock_.Now();
+    unsent_before_ = n;
+  }
+
   void PrepareForNextRequest() {
     parser_.PrepareForNextMessage();
     request_done_ = false;
@@ -185,7 +213,7 @@
   }
 
   void OnData(absl::string_view data) {
-    if (refused_) return;
+    if (refused_ || flushing_) return;
     if (!answering_) last_activity_ = server_->clock_.Now();
     unparsed_.append(data.data(), data.size());
     if (!answering_) {
@@ -259,6 +287,10 @@
   // A request was refused as malformed: no byte after it is read as a request.
   bool refused_ = false;
   int answered_ = 0;  // Requests answered on this connection.
+  // The last answer is complete and the connection closes once it is sent.
+  bool flushing_ = false;
+  size_t unsent_before_ = 0;  // unsent() at the last RecordProgress().
+  TimePoint progress_at_{};   // When the caller last read a part.
   TimePoint last_activity_;
   TimePoint head_started_at_{};  // When the current request began to arrive.
 };
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -112,9 +112,11 @@
   // Second step of a planned stop: accepts no new connections and closes idle
   // ones.
   void StopAccepting();
-  // Closes every connection without a request in progress.
+  // Closes every connection without a request in progress whose caller has read
+  // its answers, or has read nothing of them for seconds.
   void CloseIdleConnections();
-  // Returns the number of requests being read or answered.
+  // Returns the number of requests being read or answered, and of answers being
+  // read by their callers.
   int requests_in_progress() const;
   size_t connections() const { return connections_.size(); }
 
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -421,8 +421,10 @@
   }
   if (since > kCloseIdleAfter) callers_.CloseIdleConnections();
   if (since > options_.grace - kGraceMargin) gateway_.FailUnfinishedRequests();
-  if (stopped_accepting_ && gateway_.open_requests() == 0 &&
-      callers_.requests_in_progress() == 0) {
+  bool drained =
+      gateway_.open_requests() == 0 && callers_.requests_in_progress() == 0;
+  bool out_of_time = since > options_.grace - kGraceMargin / 2;
+  if (stopped_accepting_ && (drained || out_of_time)) {
     LogEvent("stopped", {});
     ev_break(loop_, EVBREAK_ALL);
   }
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -167,3 +167,52 @@
   CHECK_FALSE(disconnected);
   held->Respond(200, {}, "late");
 }
+
+// Guards against an answer that is cut though it is complete and its caller is
+// reading it: at a planned stop, at the idle timeout and at the limit of
+// connections. A caller that reads nothing holds the stop for seconds only.
+TEST(caller_server, AnAnswerThatIsBeingReadIsNotCut) {
+  const std::string body(8 << 20, 'x');
+  CallerServer server(loop, clock, [&](std::shared_ptr<CallerExchange> ex) {
+    ex->Respond(200, {}, body);
+  });
+  server.set_max_connections(1);
+  CHECK_TRUE(server.Listen({"127.0.0.1", 0}).ok());
+  for (bool reads : {true, false}) {
+    for (bool closes : {true, false}) {
+      auto caller = TcpConnection::Connect(loop, {"127.0.0.1", server.port()},
+                                           Millis(1000));
+      size_t received = 0;
+      TcpEvents e;
+      e.on_data = [&](absl::string_view d) { received += d.size(); };
+      caller->set_events(std::move(e));
+      CHECK_TRUE(RunUntil([&] { return caller->connected(); }, 1000));
+      caller->SetReadPaused(true);
+      caller->Write(absl::StrCat("GET / HTTP/1.1\r\nHost: a\r\n",
+                                 closes ? "Connection: close\r\n" : "",
+                                 "\r\n"));
+      CHECK_TRUE(
+          RunUntil([&] { return server.requests_in_progress() == 1; }, 1000));
+      RunUntil([] { return false; }, 50);
+      // One that waits for a place does not push it out.
+      auto newcomer = TcpConnection::Connect(loop, {"127.0.0.1", server.port()},
+                                             Millis(1000));
+      for (int i = 0; i < 40 && received < body.size(); ++i) {
+        server.CloseIdleConnections();
+        if (reads) {
+          caller->SetReadPaused(false);
+          size_t before = received;
+          RunUntil([&] { return received > before + body.size() / 20; }, 200);
+          caller->SetReadPaused(true);
+        }
+        clock.Advance(Millis(500));
+        RunUntil([] { return false; }, 5);
+        if (!reads && i >= 6) LONGS_EQUAL(0, server.requests_in_progress());
+      }
+      newcomer->Close();
+      CHECK_EQUAL(reads, received > body.size());
+      caller->Close();
+      CHECK_TRUE(RunUntil([&] { return server.connections() == 0; }, 1000));
+    }
+  }
+}
