Callers: the refusal of a malformed request cut the answer before it

A caller that sends a malformed request behind a sound one lost the rest of the sound one's answer if it read that slowly: a refused connection counted as idle and was closed at a planned stop, or a second after the refusal.

Change: bytes that wait are work on a refused connection too; the second runs from when they are sent.

Test: caller_server ARefusalDoesNotCutTheAnswerBeforeIt, failed before.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -66,6 +66,7 @@
         Disconnect();
         return;
       }
+      if (refused_) last_activity_ = server_->clock_.Now();
       if (exchange_ && exchange_->on_drained_) exchange_->on_drained_();
     };
     tcp_->set_events(std::move(e));
@@ -133,8 +134,8 @@
   // Returns whether a request is being read or answered, or the caller is still
   // reading an answer.
   bool busy() {
-    if (refused_) return false;
-    if (answering_ || (parser_.started() && !flushing_)) return true;
+    bool reading = parser_.started() && !flushing_ && !refused_;
+    if (answering_ || reading) return true;
     RecordProgress();
     return unsent() > 0 &&
            server_->clock_.Now() - progress_at_ <= kUnreadTimeout;
@@ -151,7 +152,7 @@
   // the last answer.
   void CloseIfTimedOut(TimePoint now) {
     if (answering_) return;
-    if (unsent() > 0 && !refused_) {
+    if (unsent() > 0) {
       RecordProgress();
       if (now - progress_at_ > server_->limits_.idle_timeout) Disconnect();
       return;
@@ -272,7 +273,8 @@
     DetachExchange();
     unparsed_.clear();
     close_after_ = refused_ = true;
-    last_activity_ = server_->clock_.Now();
+    progress_at_ = last_activity_ = server_->clock_.Now();
+    unsent_before_ = unsent();
   }
 
   CallerServer* server_;
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "CppUTest/TestHarness.h"
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "procs.h"
 #include "tcp.h"
@@ -216,3 +217,41 @@
     }
   }
 }
+
+// Guards against the same where the next request of the connection is refused
+// as malformed while the caller reads the answer before it.
+TEST(caller_server, ARefusalDoesNotCutTheAnswerBeforeIt) {
+  const std::string body(8 << 20, 'x');
+  CallerServer server(loop, clock, [&](std::shared_ptr<CallerExchange> ex) {
+    ex->Respond(200, {}, body);
+  });
+  CHECK_TRUE(server.Listen({"127.0.0.1", 0}).ok());
+  auto caller =
+      TcpConnection::Connect(loop, {"127.0.0.1", server.port()}, Millis(1000));
+  std::string received;
+  bool closed = false;
+  TcpEvents e;
+  e.on_data = [&](absl::string_view d) { absl::StrAppend(&received, d); };
+  e.on_closed = [&](absl::Status) { closed = true; };
+  caller->set_events(std::move(e));
+  CHECK_TRUE(RunUntil([&] { return caller->connected(); }, 1000));
+  caller->SetReadPaused(true);
+  caller->Write(
+      "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: x\r\n\r\n");
+  CHECK_TRUE(
+      RunUntil([&] { return server.requests_in_progress() == 1; }, 1000));
+  for (int i = 0; i < 40 && !closed; ++i) {
+    server.CloseIdleConnections();
+    caller->SetReadPaused(false);
+    size_t before = received.size();
+    RunUntil(
+        [&] { return closed || received.size() > before + body.size() / 20; },
+        300);
+    caller->SetReadPaused(true);
+    clock.Advance(Millis(500));
+    RunUntil([] { return false; }, 300);
+  }
+  CHECK_TRUE(received.size() > body.size());
+  CHECK_TRUE(absl::StrContains(received, "HTTP/1.1 400 "));
+}
