Wording: comments that lean on the one above; one answering server in framing_test

Comments and two test lines are understood alone; an agent's metrics endpoint is named so. The two copies of a server that answers and closes in framing_test are one class; checks are unchanged. An include that nothing used is gone.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -43,7 +43,7 @@
   prometheus::Gauge* processes_;
 };
 
-// What the last read of the upstream list could not read.
+// Gauges of the entries of the upstream list that the last read could not read.
 struct ListUnreadGauges {
   ListUnreadGauges(const std::string& prefix, prometheus::Registry& registry);
   void Set(int entries, bool rest);
--- a/src/lister.cc
+++ b/src/lister.cc
@@ -140,7 +140,7 @@
     size_t room = kMaxPageBytes - body_.size();
     body_.append(d.data(), std::min(room, d.size()));
     if (d.size() <= room) return;
-    // What was received is used as a page that breaks off.
+    // The part of the page received so far is used as a page that breaks off.
     client_->Cancel();
     client_.reset();
     OnPageEnd(token, CallEnd::kWhole, "page too large");
--- a/src/net/framing.cc
+++ b/src/net/framing.cc
@@ -1,7 +1,5 @@
 #include "framing.h"
 
-#include <optional>
-
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
--- a/src/net/http1.cc
+++ b/src/net/http1.cc
@@ -249,7 +249,7 @@
     return s.ok() ? StatusFromBeast(ec) : s;
   }
   if (done() || !head_done()) return absl::OkStatus();
-  // What is left is the beginning of a chunk's line or of the trailers.
+  // The remaining bytes begin a chunk's line or the trailers.
   if (buf->size() > header_limit_)
     return absl::ResourceExhaustedError("chunk line or trailers too long");
   if (impl_->Visit([](auto& p) { return p.chunked(); }) &&
--- a/src/policy/upstream_list.h
+++ b/src/policy/upstream_list.h
@@ -53,8 +53,8 @@
   return !(known.address == fresh.address);
 }
 
-// What of a list could not be read. An upstream that it may name is kept as it
-// is known.
+// Entries of a list that could not be read. An upstream that they may name is
+// kept as it is known.
 struct UnreadEntries {
   int count = 0;  // Entries that could not be read.
   // Upstream ids that occur in their bytes.
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -147,7 +147,7 @@
   LONGS_EQUAL(0, answered);
 }
 
-// Guards against the same at the door for callers: an exchange that is held
+// Guards against a use after free at a planned stop: an exchange that is held
 // beyond its server must not reach back into it.
 TEST(caller_server, AnExchangeOutlivesItsServer) {
   std::shared_ptr<CallerExchange> held;
@@ -218,8 +218,8 @@
   }
 }
 
-// Guards against the same where the next request of the connection is refused
-// as malformed while the caller reads the answer before it.
+// Guards against an answer that is cut while its caller reads it, because the
+// next request of the connection is refused as malformed.
 TEST(caller_server, ARefusalDoesNotCutTheAnswerBeforeIt) {
   const std::string body(8 << 20, 'x');
   CallerServer server(loop, clock, [&](std::shared_ptr<CallerExchange> ex) {
--- a/test/net/framing_test.cc
+++ b/test/net/framing_test.cc
@@ -116,6 +116,30 @@
   bool closed = false;
 };
 
+// Sends the bytes `answer` to whoever writes to it, and closes.
+class AnsweringServer {
+ public:
+  AnsweringServer(struct ev_loop* loop, std::string answer)
+      : answer_(std::move(answer)),
+        listener_(loop, [this](std::shared_ptr<TcpConnection> tcp) {
+          accepted_ = std::move(tcp);
+          TcpEvents e;
+          e.on_data = [this](absl::string_view) {
+            accepted_->Write(answer_);
+            accepted_->CloseAfterWrites();
+          };
+          accepted_->set_events(std::move(e));
+        }) {
+    CHECK_TRUE(listener_.Listen({"127.0.0.1", 0}).ok());
+  }
+  int port() const { return listener_.port(); }
+
+ private:
+  std::string answer_;
+  std::shared_ptr<TcpConnection> accepted_;
+  TcpListener listener_;
+};
+
 }  // namespace
 
 TEST_GROUP(framing) {
@@ -193,18 +217,8 @@
   // body in `body`.
   CallEnd Call(const std::string& answer, std::string* body,
                const std::string& method = "GET") {
-    std::shared_ptr<TcpConnection> accepted;
-    TcpListener listener(loop, [&](std::shared_ptr<TcpConnection> tcp) {
-      accepted = std::move(tcp);
-      TcpEvents e;
-      e.on_data = [&](absl::string_view) {
-        accepted->Write(answer);
-        accepted->CloseAfterWrites();
-      };
-      accepted->set_events(std::move(e));
-    });
-    CHECK_TRUE(listener.Listen({"127.0.0.1", 0}).ok());
-    auto client = Http1Client::Open(loop, clock, {"127.0.0.1", listener.port()},
+    AnsweringServer server(loop, answer);
+    auto client = Http1Client::Open(loop, clock, {"127.0.0.1", server.port()},
                                     Millis(1000));
     bool ended = false;
     CallEnd end = CallEnd::kNotSent;
@@ -235,8 +249,8 @@
   }
 }
 
-// Guards against the same request in other shapes: sent by an older version,
-// with a host or a length given twice.
+// Guards against a smuggled request behind an ambiguous head: chunks in
+// HTTP/1.0, a host or a length given twice.
 TEST(framing, AmbiguousHeadsAreRefused) {
   CheckRefused(absl::StrCat(
       "POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -372,7 +386,7 @@
                     absl::CEscape(answer).c_str());
     STRCMP_EQUAL_TEXT("hello", body.c_str(), absl::CEscape(answer).c_str());
   }
-  // These have no body, whatever their fields say of one.
+  // Answers with these statuses have no body, whatever their fields say.
   for (absl::string_view answer :
        {"HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
         "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n"}) {
@@ -395,23 +409,13 @@
   for (const std::string& field : MalformedFraming()) {
     std::string answer = absl::StrCat("HTTP/1.1 200 OK\r\n", field, "\r\n\r\n",
                                       "5\r\nhello\r\n0\r\n\r\n");
-    std::shared_ptr<TcpConnection> accepted;
-    TcpListener listener(loop, [&](std::shared_ptr<TcpConnection> tcp) {
-      accepted = std::move(tcp);
-      TcpEvents e;
-      e.on_data = [&](absl::string_view) {
-        accepted->Write(answer);
-        accepted->CloseAfterWrites();
-      };
-      accepted->set_events(std::move(e));
-    });
-    CHECK_TRUE(listener.Listen({"127.0.0.1", 0}).ok());
+    AnsweringServer server(loop, answer);
     HttpClient client(loop);
     bool ended = false;
     bool whole = false;
     HttpCall call;
     call.method = "GET";
-    call.url = absl::StrCat("http://127.0.0.1:", listener.port(), "/");
+    call.url = absl::StrCat("http://127.0.0.1:", server.port(), "/");
     call.timeout = Millis(2000);
     call.on_done = [&](const HttpCallResult& r) {
       ended = true;
@@ -423,20 +427,21 @@
   }
 }
 
-// Guards against the same faults at an agent's door for metrics.
-TEST(framing, TheAgentsMetricsDoorRefusesWhatCannotBeFramed) {
+// Guards against a malformed request that an agent's metrics endpoint leaves
+// without an answer, its connection open.
+TEST(framing, TheAgentsMetricsEndpointRefusesWhatCannotBeFramed) {
   int port = ClaimPortRange();
   absl::StatusOr<Settings> settings = ParseSettings(DefaultSettingsJson(port));
   CHECK_TRUE(settings.ok());
   Agent agent(loop, clock, *settings, "agent-1", "");
   CHECK_TRUE(agent.Start().ok());
-  Endpoint door{"127.0.0.1", settings->FindHost("agent-1")->metrics_port};
+  Endpoint endpoint{"127.0.0.1", settings->FindHost("agent-1")->metrics_port};
   std::vector<std::string> fields = MalformedFraming();
   fields.emplace_back("X: sound");
   for (const std::string& field : fields) {
     std::string received;
     bool closed = false;
-    auto caller = TcpConnection::Connect(loop, door, Millis(1000));
+    auto caller = TcpConnection::Connect(loop, endpoint, Millis(1000));
     TcpEvents e;
     e.on_data = [&](absl::string_view d) { absl::StrAppend(&received, d); };
     e.on_closed = [&](absl::Status) { closed = true; };
