Log: whose requests fill an engine, and whether tier admission held one back

The logs could not tell an engine full of the entry's own less urgent requests from one full of others', nor a request that tier admission held back from one without a place; the sending of less urgent requests had to be joined by id. New: tier and rank in `sent`, held_back, less_urgent and full_of_less_urgent in `no_place`. No decision changes.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -336,6 +336,7 @@
   input.affinity = r.affinity;
   input.shared_tokens = r.shared_tokens;
   input.data_centre = options_.data_centre;
+  input.tier = r.tier;
   input.tried_ids = r.tried_upstreams;
   if (r.build) input.build = *r.build;
   input.shape = r.shape;
@@ -397,10 +398,10 @@
   r.unplaceable = false;
   // Tier admission holds back only requests that were not sent yet. A request
   // that was sent before may be retried even if more urgent requests wait.
-  if (r.sends == 0 && !MayHaveFewUpstreams(r) &&
-      !TierAdmissionFor(r.service->name).MayStart(r.tier, clock_.Now())) {
-    return false;
-  }
+  r.held_back =
+      r.sends == 0 && !MayHaveFewUpstreams(r) &&
+      !TierAdmissionFor(r.service->name).MayStart(r.tier, clock_.Now());
+  if (r.held_back) return false;
   if (r.service->timed_placement && r.facts.pinned == 0) return TrySendTimed(r);
   if (r.shape == WorkShape::kPrefill &&
       !PrefillLimiterFor(r.service->name).MaySend(r.tier)) {
@@ -457,6 +458,7 @@
   RecordPromptUse(r);
   if (u.in_flight == 0) u.last_activity_at = now;
   ++u.in_flight;
+  u.own_tiers.Add(r.tier);
   if (u.limit_per_s) UseSendSlot(u, now);
   r.prefill_pending = r.shape == WorkShape::kPrefill;
   u.prefills_in_flight += r.prefill_pending;
@@ -504,6 +506,8 @@
       {"asks", FingerprintToHex(r.fingerprint)},
       {"upstream", u.info.id},
       {"build", u.info.build},
+      {"tier", r.tier},
+      {"rank", r.rank},
       {"attempt", r.sends + static_cast<int>(r.connect_failures)},
       {"load", u.reported_load},
       {"load_age_ms",
@@ -569,6 +573,7 @@
   if (a.upstream.empty()) return;
   if (UpstreamState* u = pool_.Find(a.upstream)) {
     --u->in_flight;
+    u->own_tiers.Remove(r.tier);
     u->prefills_in_flight -= a.prefill_pending;
     u->awaiting_first_event -= a.first_event_pending;
     CountEndedWork(&a.work, *u);
--- a/src/gateway_request.h
+++ b/src/gateway_request.h
@@ -121,6 +121,8 @@
   TimePoint hedge_not_before{};  // A hedge that found no place is tried again.
   // The last placement was a rejection, or found that the caller has left.
   bool unplaceable = false;
+  // Tier admission held the request back at the last try to place it.
+  bool held_back = false;
   // State of a streamed answer.
   bool stream_started = false;  // The caller has received the answer's head.
   std::optional<int64_t> last_event;
--- a/src/gateway_timers.cc
+++ b/src/gateway_timers.cc
@@ -98,6 +98,7 @@
                         {"rank", r.rank},
                         {"sends", r.sends},
                         {"tier_turned_away", rejected_tier},
+                        {"held_back", r.held_back ? 1 : 0},
                         {"reading", limiter.in_flight()},
                         {"reading_limit", static_cast<int>(limiter.limit())},
                         {"upstreams", n.upstreams},
@@ -107,7 +108,9 @@
                         {"limited", n.rate_limited},
                         {"loaded", n.loaded},
                         {"reads", n.prefill_limited},
-                        {"free", n.free}});
+                        {"free", n.free},
+                        {"less_urgent", n.less_urgent},
+                        {"full_of_less_urgent", n.full_of_less_urgent}});
 }
 
 void Gateway::UpdateDecodeDemand(TimePoint now) {
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -357,6 +357,9 @@
   for (const UpstreamState& u : upstreams) {
     if (!Fits(u, request) || !u.listed || u.info.draining) continue;
     ++n.upstreams;
+    int less_urgent = u.own_tiers.LessUrgentThan(request.tier);
+    n.less_urgent += less_urgent;
+    int full_before = n.at_own_limit + n.loaded + n.prefill_limited;
     if (u.at_own_limit) {
       ++n.at_own_limit;
     } else if (now < u.backoff_until) {
@@ -373,6 +376,8 @@
     } else {
       ++n.free;
     }
+    int full = n.at_own_limit + n.loaded + n.prefill_limited;
+    n.full_of_less_urgent += full > full_before && less_urgent > 0;
   }
   return n;
 }
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -22,6 +22,7 @@
 #include "absl/types/span.h"
 #include "engine_forecast.h"
 #include "engine_load.h"
+#include "tier_counts.h"
 #include "types.h"
 #include "upstream_list.h"
 #include "upstream_subset.h"
@@ -46,7 +47,8 @@
   // Another incarnation answers at the address of this upstream, so this
   // incarnation has terminated, even if it is still listed.
   bool terminated = false;
-  int in_flight = 0;  // Number of requests of this process at the upstream.
+  int in_flight = 0;     // Number of requests of this process at the upstream.
+  TierCounts own_tiers;  // These requests by tier.
   // Last load report of the upstream: the number of requests that it states,
   // the number of requests of this process in flight at its arrival, and the
   // time of its arrival.
@@ -291,6 +293,7 @@
   uint64_t affinity = 0;      // Hash of the shared prompt prefix; 0: none.
   int64_t shared_tokens = 0;  // Number of tokens of the shared prompt prefix.
   absl::string_view data_centre;
+  Tier tier = 0;
   absl::Span<const std::string> tried_ids;  // Ids of upstreams already tried.
   double max_load = 1.0;  // Load per slot from which an upstream is busy.
   // Not 0: only the upstream selected by this hash may take the request,
@@ -401,6 +404,10 @@
   int prefill_limited =
       0;         // Prefills of this process are at the prefill limit.
   int free = 0;  // Has room, but is not a preferred engine of the prefix.
+  // Those of at_own_limit, loaded and prefill_limited at which this process has
+  // less urgent requests.
+  int full_of_less_urgent = 0;
+  int less_urgent = 0;  // Less urgent requests of this process at all of them.
 };
 AvailabilityCounts CountAvailability(absl::Span<const UpstreamState> upstreams,
                                      const PlacementRequest& request,
--- a/src/upstream_pool.cc
+++ b/src/upstream_pool.cc
@@ -27,6 +27,7 @@
   reset.info = fresh;
   reset.engine_key = KeyOfEngine(fresh);
   reset.in_flight = state.in_flight;
+  reset.own_tiers = state.own_tiers;
   reset.prefills_in_flight = state.prefills_in_flight;
   reset.awaiting_first_event = state.awaiting_first_event;
   reset.awaiting_since = state.awaiting_since;
