Placement: an entry's less urgent requests take no place of an urgent one

Cause: the limits of an entry at an engine (long generations, long prompts, estimated load) counted its requests of all tiers alike. Less urgent requests that last long filled the entry's part of each engine, and an urgent one waited a tenth of its target and was refused, though an engine admits the more urgent first. Its refusal then held back the tier between in the same entry.

Now a limit counts only requests that are as urgent or more. The more urgent go to the engine's queue, which orders them; a less urgent one still counts all, so that these hold back. Plain upstreams, which serve in order of arrival, keep their limits.

The new unit and gateway tests fail with the count of less urgent requests taken out.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -389,7 +389,7 @@
       continue;
     }
     u.at_own_limit =
-        !AcceptsGeneration(u, r.service->engine->slots,
+        !AcceptsGeneration(u, r.tier, r.service->engine->slots,
                            static_cast<int>(shares), now, options_.placement);
   }
 }
@@ -461,7 +461,10 @@
   u.own_tiers.Add(r.tier);
   if (u.limit_per_s) UseSendSlot(u, now);
   r.prefill_pending = r.shape == WorkShape::kPrefill;
-  u.prefills_in_flight += r.prefill_pending;
+  if (r.prefill_pending) {
+    ++u.prefills_in_flight;
+    u.own_prefill_tiers.Add(r.tier);
+  }
   r.first_event_pending = r.service->engine && r.stream();
   if (r.first_event_pending) RecordStreamSent(u, now);
   if (r.prefill_pending) PrefillLimiterFor(r.service->name).RecordSent(r.tier);
@@ -574,7 +577,10 @@
   if (UpstreamState* u = pool_.Find(a.upstream)) {
     --u->in_flight;
     u->own_tiers.Remove(r.tier);
-    u->prefills_in_flight -= a.prefill_pending;
+    if (a.prefill_pending) {
+      --u->prefills_in_flight;
+      u->own_prefill_tiers.Remove(r.tier);
+    }
     u->awaiting_first_event -= a.first_event_pending;
     CountEndedWork(&a.work, *u);
     if (u->in_flight == 0) u->last_activity_at = {};
--- a/src/gateway_answer.cc
+++ b/src/gateway_answer.cc
@@ -193,6 +193,7 @@
   UpstreamState* u = pool_.Find(r.upstream);
   if (!u) return;
   --u->prefills_in_flight;
+  u->own_prefill_tiers.Remove(r.tier);
   RecordFirstEvent(*u, elapsed, r.route->latency_target, options_.placement);
 }
 
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -82,11 +82,28 @@
   return EstimatedLoad(u, now, policy) / std::max(1, u.info.slots);
 }
 
-// Returns whether this process has as many prefills at `u` as the limit allows.
+// Returns whether this process has as many prefills at `u` as the limit allows,
+// not counting those that are less urgent than `request`.
 bool AtPrefillLimit(const UpstreamState& u, const PlacementRequest& request,
                     const PlacementPolicy& policy) {
-  return !policy.first_available && request.shape == WorkShape::kPrefill &&
-         u.prefills_in_flight >= std::max(1, static_cast<int>(u.prefill_limit));
+  if (policy.first_available || request.shape != WorkShape::kPrefill)
+    return false;
+  int n =
+      u.prefills_in_flight - u.own_prefill_tiers.LessUrgentThan(request.tier);
+  return n >= std::max(1, static_cast<int>(u.prefill_limit));
+}
+
+// Returns whether `u`, whose load per slot is `load_share`, has no room for
+// `request`. An engine admits the more urgent requests first, so that the less
+// urgent ones of this process leave room there. A plain upstream serves
+// requests in order of arrival.
+bool IsLoaded(const UpstreamState& u, const PlacementRequest& request,
+              double load_share) {
+  if (request.shape != WorkShape::kPlain) {
+    load_share -= 1.0 * u.own_tiers.LessUrgentThan(request.tier) /
+                  std::max(1, u.info.slots);
+  }
+  return load_share >= request.max_load;
 }
 
 // Return whether the mark of `u` is still in force.
@@ -105,7 +122,7 @@
                          const PlacementPolicy& policy) {
   Candidate s{index, 0, false, false};
   s.score = LoadShare(u, now, policy);
-  s.busy = s.score >= request.max_load || AtPrefillLimit(u, request, policy);
+  s.busy = IsLoaded(u, request, s.score) || AtPrefillLimit(u, request, policy);
   if (request.shape != WorkShape::kPlain) {
     bool reserved_for_decode = u.rank < request.decode_engines;
     s.shape_mismatch =
@@ -369,7 +386,7 @@
     } else if (Contains(request.tried_ids, u.info.id) ||
                !MayReceiveRequests(u, now, policy)) {
       ++n.unusable;
-    } else if (LoadShare(u, now, policy) >= request.max_load) {
+    } else if (IsLoaded(u, request, LoadShare(u, now, policy))) {
       ++n.loaded;
     } else if (AtPrefillLimit(u, request, policy)) {
       ++n.prefill_limited;
@@ -484,23 +501,20 @@
   return OwnSlotShare(policy.own_generations_share, slots, serving);
 }
 
-bool AcceptsGeneration(const UpstreamState& u, int slots, int serving,
-                       TimePoint now, const PlacementPolicy& policy) {
-  if (u.others_known) {
-    return EstimatedLoad(u, now, policy) <
-           policy.max_known_generations_share * slots;
-  }
-  if (u.in_flight < OwnGenerationLimit(slots, serving, policy)) {
-    return true;
-  }
-  if (u.in_flight >=
-      OwnSlotShare(policy.max_own_generations_share, slots, serving)) {
+bool AcceptsGeneration(const UpstreamState& u, Tier tier, int slots,
+                       int serving, TimePoint now,
+                       const PlacementPolicy& policy) {
+  int less_urgent = u.own_tiers.LessUrgentThan(tier);
+  double load = EstimatedLoad(u, now, policy) - less_urgent;
+  if (u.others_known) return load < policy.max_known_generations_share * slots;
+  int own = u.in_flight - less_urgent;
+  if (own < OwnGenerationLimit(slots, serving, policy)) return true;
+  if (own >= OwnSlotShare(policy.max_own_generations_share, slots, serving)) {
     return false;
   }
   bool recent_report = u.reported_at != TimePoint{} &&
                        now - u.reported_at <= policy.max_spare_report_age;
-  return recent_report &&
-         EstimatedLoad(u, now, policy) < policy.spare_load_share * slots;
+  return recent_report && load < policy.spare_load_share * slots;
 }
 
 bool FollowsPrefix(const PlacementRequest& request) {
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -97,6 +97,7 @@
   // Number of long prompts of this process in prefill at the engine, and the
   // limit of that number.
   int prefills_in_flight = 0;
+  TierCounts own_prefill_tiers;  // These prompts by tier.
   double prefill_limit = 2;
   // Position of the upstream in the order of its service's upstreams. The order
   // is the same in every entry process.
@@ -353,10 +354,12 @@
 // slots gets no more long generations from this process. `serving`: number of
 // processes that share the engine.
 int OwnGenerationLimit(int slots, int serving, const PlacementPolicy& policy);
-// Returns whether `u` may get another long generation, judged by
-// OwnGenerationLimit and the last load report of `u`.
-bool AcceptsGeneration(const UpstreamState& u, int slots, int serving,
-                       TimePoint now, const PlacementPolicy& policy);
+// Returns whether `u` may get another long generation of `tier`, judged by
+// OwnGenerationLimit and the last load report of `u`. Less urgent requests of
+// this process at `u` do not count: the engine admits the more urgent first.
+bool AcceptsGeneration(const UpstreamState& u, Tier tier, int slots,
+                       int serving, TimePoint now,
+                       const PlacementPolicy& policy);
 
 // Returns whether the prompt prefix of `request` decides which engine it goes
 // to.
--- a/src/upstream_pool.cc
+++ b/src/upstream_pool.cc
@@ -29,6 +29,7 @@
   reset.in_flight = state.in_flight;
   reset.own_tiers = state.own_tiers;
   reset.prefills_in_flight = state.prefills_in_flight;
+  reset.own_prefill_tiers = state.own_prefill_tiers;
   reset.awaiting_first_event = state.awaiting_first_event;
   reset.awaiting_since = state.awaiting_since;
   reset.last_activity_at = state.last_activity_at;
--- a/test/policy/placement_test.cc
+++ b/test/policy/placement_test.cc
@@ -26,6 +26,7 @@
 
 const TimePoint kNow = TimePoint(std::chrono::hours(1));
 const PlacementPolicy kPolicy;
+constexpr Tier kTier = 0;
 
 PlacementRequest MakeRequest(WorkShape shape, uint64_t affinity = 0) {
   PlacementRequest a;
@@ -343,15 +344,16 @@
   int own_limit = OwnGenerationLimit(kSlots, kEntries, kPolicy);
   UpstreamState u = Engines(1)[0];
   u.in_flight = own_limit;
-  CHECK_FALSE(AcceptsGeneration(u, kSlots, kEntries, kNow, kPolicy));
+  CHECK_FALSE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
   RecordLoadReport(u, 20, 0, kNow - Millis(100));
-  CHECK_TRUE(AcceptsGeneration(u, kSlots, kEntries, kNow, kPolicy));
-  CHECK_FALSE(AcceptsGeneration(u, kSlots, kEntries,
+  CHECK_TRUE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
+  CHECK_FALSE(AcceptsGeneration(u, kTier, kSlots, kEntries,
                                 kNow + std::chrono::seconds(1), kPolicy));
   RecordLoadReport(u, 60, 0, kNow - Millis(100));
-  CHECK_FALSE(AcceptsGeneration(u, kSlots, kEntries, kNow, kPolicy));
+  CHECK_FALSE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
   RecordLoadReport(u, 20, 0, kNow - Millis(100));
-  while (AcceptsGeneration(u, kSlots, kEntries, kNow, kPolicy)) ++u.in_flight;
+  while (AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy))
+    ++u.in_flight;
   CHECK_TRUE(u.in_flight <= 2 * kSlots / kEntries + 1);
 }
 
@@ -542,3 +544,46 @@
   MarkSlowDecoders(absl::MakeSpan(upstreams), kPolicy);
   for (const UpstreamState& u : upstreams) CHECK_FALSE(u.slow_decode);
 }
+
+// Guards against urgent requests that are refused while less urgent ones of the
+// same entry fill its part of every engine.
+TEST(placement, OwnLessUrgentRequestsKeepNoUrgentOneOut) {
+  constexpr int kSlots = 24;
+  constexpr int kEntries = 12;
+  constexpr Tier kLess = 2;
+  int limit = OwnGenerationLimit(kSlots, kEntries, kPolicy);
+  UpstreamState u = Engines(1)[0];
+  auto send = [&u](Tier tier) {
+    ++u.in_flight;
+    u.own_tiers.Add(tier);
+  };
+  for (int i = 0; i < limit; ++i) send(kLess);
+  CHECK_FALSE(AcceptsGeneration(u, kLess, kSlots, kEntries, kNow, kPolicy));
+  for (int i = 0; i < limit; ++i) {
+    CHECK_TRUE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
+    send(kTier);
+  }
+  CHECK_FALSE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
+}
+
+// Guards against the same at engines that are full, or at their limit of long
+// prompts, by the entry's own count. Plain upstreams order nothing.
+TEST(placement, EnginesFullOfOwnLessUrgentRequestsTakeAnUrgentOne) {
+  std::vector<UpstreamState> upstreams = Engines(2);
+  for (UpstreamState& u : upstreams) {
+    u.in_flight = u.info.slots;
+    u.prefills_in_flight = static_cast<int>(u.prefill_limit);
+    for (int i = 0; i < u.in_flight; ++i) u.own_tiers.Add(2);
+    for (int i = 0; i < u.prefills_in_flight; ++i) u.own_prefill_tiers.Add(2);
+  }
+  auto chosen = [&](WorkShape shape, Tier tier) {
+    PlacementRequest request = MakeRequest(shape);
+    request.tier = tier;
+    return ChooseUpstream(upstreams, request, kNow, 0, kPolicy).has_value();
+  };
+  for (WorkShape shape : {WorkShape::kPrefill, WorkShape::kDecode}) {
+    CHECK_TRUE(chosen(shape, 1));
+    CHECK_FALSE(chosen(shape, 2));
+  }
+  CHECK_FALSE(chosen(WorkShape::kPlain, 1));
+}
--- a/test/policy/shared_placement_test.cc
+++ b/test/policy/shared_placement_test.cc
@@ -14,6 +14,7 @@
 constexpr int kSlots = 96;
 const TimePoint kNow = TimePoint(std::chrono::hours(1));
 const PlacementPolicy kPolicy;
+constexpr Tier kTier = 0;
 
 std::vector<UpstreamState> Engines(int n) {
   std::vector<UpstreamState> engines(static_cast<size_t>(n));
@@ -67,12 +68,12 @@
   constexpr int kEntries = 27;
   UpstreamState u = Engines(1)[0];
   u.others_work.generating = kSlots;
-  CHECK_FALSE(AcceptsGeneration(u, kSlots, kEntries, kNow, kPolicy));
+  CHECK_FALSE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
   u.others_work.generating = 10;
   u.in_flight = 2 * kSlots / kEntries + 1;
-  CHECK_TRUE(AcceptsGeneration(u, kSlots, kEntries, kNow, kPolicy));
+  CHECK_TRUE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
   u.others_known = false;
-  CHECK_FALSE(AcceptsGeneration(u, kSlots, kEntries, kNow, kPolicy));
+  CHECK_FALSE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
 }
 
 // Guards against an old load report that hides what the others have sent since.
