Shared load: streams by urgency level, so that others' less urgent ones keep no urgent one out

Entries now tell their streams by urgency level. The levels follow the message's other parts; processes of earlier releases skip them, and a message without them leaves every stream its place. Two to four bytes more for an engine with less urgent streams.

The new test of placement fails without the levels.

--- a/src/engine_load_wire.cc
+++ b/src/engine_load_wire.cc
@@ -33,6 +33,8 @@
 constexpr int64_t kMaxAgeMs = 60'000;
 constexpr int kMaxProcesses = 1'000'000;
 constexpr Tier kMaxTier = 255;
+// Position of the streams by level in a message.
+constexpr size_t kLevelsIndex = 11;
 
 // Rounded numbers: below 32 as they are, above with five significant bits.
 constexpr int64_t kExactBelow = 32;
@@ -169,6 +171,31 @@
   return r;
 }
 
+// Bits of a record's level part: the levels, after the most urgent, of which
+// the engine has streams.
+void PutLevels(const EngineRecord& r, std::string* out) {
+  uint8_t bits = 0;
+  for (size_t i = 1; i < r.work.streams.size(); ++i)
+    if (r.work.streams[i] > 0) bits |= 1 << i;
+  PutByte(bits, out);
+  for (size_t i = 1; i < r.work.streams.size(); ++i)
+    if (bits & 1 << i) PutByte(RoundToByte(r.work.streams[i]), out);
+}
+
+EngineWork ReadLevels(Reader& in) {
+  EngineWork w;
+  uint8_t bits = in.Byte();
+  if (bits & 1 || bits >> kUrgencyLevels) in.Fail();
+  for (size_t i = 1; i < w.streams.size(); ++i)
+    if (bits & 1 << i) w.streams[i] = static_cast<int>(FromByte(in.Byte()));
+  return w;
+}
+
+bool TellsLevels(const EngineRecord& r) {
+  return std::any_of(r.work.streams.begin() + 1, r.work.streams.end(),
+                     [](int n) { return n > 0; });
+}
+
 void PutArrival(const ReportingProcess& p, std::string* out) {
   PutFixed(p.process, 8, out);
   PutVarint(p.seq & ((uint64_t{1} << 62) - 1), out);
@@ -235,6 +262,26 @@
   return in.ok();
 }
 
+// The level parts of all records, in their order. Processes of earlier releases
+// send none and skip it.
+void AppendLevels(const EngineLoadMessage& m, json* message) {
+  if (std::none_of(m.records.begin(), m.records.end(), TellsLevels)) return;
+  message->push_back(PackItems(m.records, kMaxLoadRecords, PutLevels));
+}
+
+bool DecodeLevels(const json& message, EngineLoadMessage* m) {
+  if (message.size() <= kLevelsIndex) return true;
+  std::vector<EngineWork> levels;
+  if (!UnpackItems(message.at(kLevelsIndex), kMaxLoadRecords, ReadLevels,
+                   &levels) ||
+      levels.size() != m->records.size()) {
+    return false;
+  }
+  for (size_t i = 0; i < levels.size(); ++i)
+    m->records[i].work.streams = levels[i].streams;
+  return true;
+}
+
 int64_t BoundedInteger(const json& j, int64_t max) {
   return std::clamp<int64_t>(IntegerFromJson<int64_t>(j), 0, max);
 }
@@ -242,14 +289,16 @@
 }  // namespace
 
 std::string EncodeEngineLoad(const EngineLoadMessage& m) {
-  return ToCbor(json::array(
+  json message = json::array(
       {static_cast<int>(m.kind), m.process, m.seq, m.base_seq, m.send_complete,
        std::clamp<int64_t>(m.oldest.count(), 0, kMaxAgeMs),
        std::clamp(m.processes, 0, kMaxProcesses),
        PackItems(m.records, kMaxLoadRecords, PutRecord),
        PackItems(m.arrivals, kMaxLoadRecords, PutArrival),
        PackItems(m.accounts, kMaxAccountItems, PutAccount),
-       PackItems(m.returns, kMaxReturnItems, PutReturn)}));
+       PackItems(m.returns, kMaxReturnItems, PutReturn)});
+  AppendLevels(m, &message);
+  return ToCbor(message);
 }
 
 absl::StatusOr<EngineLoadMessage> DecodeEngineLoad(absl::string_view bytes) {
@@ -271,7 +320,8 @@
     if (!UnpackItems(j.at(7), kMaxLoadRecords, ReadRecord, &m.records) ||
         !UnpackItems(j.at(8), kMaxLoadRecords, ReadArrival, &m.arrivals) ||
         !UnpackItems(j.at(9), kMaxAccountItems, ReadAccount, &m.accounts) ||
-        !UnpackItems(j.at(10), kMaxReturnItems, ReadReturn, &m.returns)) {
+        !UnpackItems(j.at(10), kMaxReturnItems, ReadReturn, &m.returns) ||
+        !DecodeLevels(j, &m)) {
       return absl::InvalidArgumentError("malformed items of engine load");
     }
     return m;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -330,13 +330,18 @@
                                         r.route->latency_target * share));
 }
 
+Urgency Gateway::UrgencyOf(const Request& r) {
+  return {r.tier,
+          std::min(UrgencyLevel(*r.service, r.tier), kUrgencyLevels - 1)};
+}
+
 PlacementRequest Gateway::PlacementRequestFor(const Request& r) const {
   PlacementRequest input;
   input.service = r.service->name;
   input.affinity = r.affinity;
   input.shared_tokens = r.shared_tokens;
   input.data_centre = options_.data_centre;
-  input.tier = r.tier;
+  input.urgency = UrgencyOf(r);
   input.tried_ids = r.tried_upstreams;
   if (r.build) input.build = *r.build;
   input.shape = r.shape;
@@ -389,7 +394,7 @@
       continue;
     }
     u.at_own_limit =
-        !AcceptsGeneration(u, r.tier, r.service->engine->slots,
+        !AcceptsGeneration(u, UrgencyOf(r), r.service->engine->slots,
                            static_cast<int>(shares), now, options_.placement);
   }
 }
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -189,6 +189,7 @@
   bool ConfigMayBeOutdated(const absl::Status& rejection) const;
   absl::Status AdmitRequest(Request& r);
   void Dispatch(Request& r);
+  static Urgency UrgencyOf(const Request& r);
   PlacementRequest PlacementRequestFor(const Request& r) const;
   UpstreamSubset SubsetFor(const Request& r, int decode_engines,
                            TimePoint now) const;
--- a/src/gateway_timed.cc
+++ b/src/gateway_timed.cc
@@ -26,10 +26,6 @@
                                       : f.max_output_tokens;
 }
 
-int LevelOf(const ServiceRule& service, Tier tier) {
-  return std::min(UrgencyLevel(service, tier), kUrgencyLevels - 1);
-}
-
 int64_t UnsharedTokens(const RequestFacts& f, int64_t shared_tokens) {
   return std::max<int64_t>(0, f.prompt_tokens - shared_tokens);
 }
@@ -101,7 +97,7 @@
 
 void Gateway::CountSent(Request& r, UpstreamState& u, bool copied) {
   r.work = {};
-  r.work.level = LevelOf(*r.service, r.tier);
+  r.work.level = UrgencyOf(r).level;
   r.work.pending_prefill = ExpectedPrefill(r, u, copied, clock_.Now());
   r.work.memory_tokens = r.work.pending_prefill + OutputTokens(r.facts);
   if (r.stream()) {
@@ -113,7 +109,7 @@
 
 TimedRequest Gateway::TimedRequestFor(const Request& r, TimePoint now) const {
   TimedRequest t;
-  t.level = LevelOf(*r.service, r.tier);
+  t.level = UrgencyOf(r).level;
   t.packed = r.stream() && r.shape == WorkShape::kDecode;
   t.follows_prefix =
       r.affinity != 0 && r.shape == WorkShape::kPrefill &&
--- a/src/policy/engine_load.cc
+++ b/src/policy/engine_load.cc
@@ -16,6 +16,7 @@
 void EngineWork::Add(const EngineWork& other) {
   for (size_t i = 0; i < pending_prefill.size(); ++i)
     pending_prefill[i] += other.pending_prefill[i];
+  for (size_t i = 0; i < streams.size(); ++i) streams[i] += other.streams[i];
   awaiting_first_event += other.awaiting_first_event;
   generating += other.generating;
   memory_tokens += other.memory_tokens;
@@ -31,6 +32,7 @@
     return std::llround(static_cast<double>(n) * factor);
   };
   for (int64_t& n : pending_prefill) n = scaled(n);
+  for (int& n : streams) n = static_cast<int>(scaled(n));
   awaiting_first_event = static_cast<int>(scaled(awaiting_first_event));
   generating = static_cast<int>(scaled(generating));
   memory_tokens = scaled(memory_tokens);
@@ -45,10 +47,17 @@
                      [](int64_t n) { return n == 0; });
 }
 
+int EngineWork::LessUrgentThan(int level) const {
+  int n = 0;
+  for (size_t i = static_cast<size_t>(level) + 1; i < streams.size(); ++i)
+    n += streams[i];
+  return std::clamp(n, 0, std::max(0, awaiting_first_event + generating));
+}
+
 bool EngineWork::operator==(const EngineWork& other) const {
   return pending_prefill == other.pending_prefill &&
          awaiting_first_event == other.awaiting_first_event &&
-         generating == other.generating &&
+         generating == other.generating && streams == other.streams &&
          tightest_gap_target == other.tightest_gap_target &&
          memory_tokens == other.memory_tokens;
 }
--- a/src/policy/engine_load.h
+++ b/src/policy/engine_load.h
@@ -17,7 +17,7 @@
 
 namespace medlarwalk {
 
-// Number of urgency levels by which prefill work is counted. Level 0 is the
+// Number of urgency levels by which work is counted. Level 0 is the
 // most urgent tier of the service, the last level is all further tiers.
 inline constexpr int kUrgencyLevels = 4;
 
@@ -35,6 +35,9 @@
   std::array<int64_t, kUrgencyLevels> pending_prefill{};
   int awaiting_first_event = 0;  // Streams without a first event.
   int generating = 0;            // Streams that have sent an event.
+  // Streams of both kinds by urgency level. Fewer than these in all if a sender
+  // told none.
+  std::array<int, kUrgencyLevels> streams{};
   // Tightest event gap target among the streams at the engine; zero: no
   // streams.
   Millis tightest_gap_target{};
@@ -48,6 +51,9 @@
   // Precondition: `factor` is not negative.
   void Scale(double factor);
   bool empty() const;
+  // Returns the number of streams that are known to be less urgent than
+  // `level`.
+  int LessUrgentThan(int level) const;
   bool operator==(const EngineWork& other) const;
 };
 
--- a/src/policy/engine_load_table.cc
+++ b/src/policy/engine_load_table.cc
@@ -23,6 +23,8 @@
 void Subtract(const EngineWork& part, EngineWork* from) {
   for (size_t i = 0; i < part.pending_prefill.size(); ++i)
     from->pending_prefill[i] -= part.pending_prefill[i];
+  for (size_t i = 0; i < part.streams.size(); ++i)
+    from->streams[i] -= part.streams[i];
   from->awaiting_first_event -= part.awaiting_first_event;
   from->generating -= part.generating;
   from->memory_tokens -= part.memory_tokens;
--- a/src/policy/own_engine_work.cc
+++ b/src/policy/own_engine_work.cc
@@ -9,6 +9,10 @@
   return u.own_work.pending_prefill[static_cast<size_t>(work.level)];
 }
 
+int& Streams(const AttemptWork& work, UpstreamState& u) {
+  return u.own_work.streams[static_cast<size_t>(work.level)];
+}
+
 // Adds `change` to the number of streams with this event gap target.
 void ChangeGapTargetCount(Millis target, int change, UpstreamState& u) {
   if (target == Millis::zero()) return;
@@ -32,6 +36,7 @@
   work->first_event = false;
   PendingPrefill(*work, u) += work->pending_prefill;
   ++u.own_work.awaiting_first_event;
+  ++Streams(*work, u);
   u.own_work.memory_tokens += work->memory_tokens;
   ChangeGapTargetCount(work->gap_target, 1, u);
 }
@@ -49,6 +54,7 @@
   EngineKey engine = work->engine;
   work->engine = 0;
   if (engine == 0 || engine != u.engine_key) return;
+  --Streams(*work, u);
   if (work->first_event) {
     --u.own_work.generating;
   } else {
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -82,26 +82,33 @@
   return EstimatedLoad(u, now, policy) / std::max(1, u.info.slots);
 }
 
+// Returns the number of requests at `u` that are known to be less urgent than
+// `urgency` and are counted in its estimated load.
+int LessUrgentAt(const UpstreamState& u, const Urgency& urgency) {
+  int n = u.own_tiers.LessUrgentThan(urgency.tier);
+  return u.others_known ? n + u.others_work.LessUrgentThan(urgency.level) : n;
+}
+
 // Returns whether this process has as many prefills at `u` as the limit allows,
 // not counting those that are less urgent than `request`.
 bool AtPrefillLimit(const UpstreamState& u, const PlacementRequest& request,
                     const PlacementPolicy& policy) {
   if (policy.first_available || request.shape != WorkShape::kPrefill)
     return false;
-  int n =
-      u.prefills_in_flight - u.own_prefill_tiers.LessUrgentThan(request.tier);
+  int n = u.prefills_in_flight -
+          u.own_prefill_tiers.LessUrgentThan(request.urgency.tier);
   return n >= std::max(1, static_cast<int>(u.prefill_limit));
 }
 
 // Returns whether `u`, whose load per slot is `load_share`, has no room for
 // `request`. An engine admits the more urgent requests first, so that the less
-// urgent ones of this process leave room there. A plain upstream serves
-// requests in order of arrival.
+// urgent ones leave room there. A plain upstream serves requests in order of
+// arrival.
 bool IsLoaded(const UpstreamState& u, const PlacementRequest& request,
               double load_share) {
   if (request.shape != WorkShape::kPlain) {
-    load_share -= 1.0 * u.own_tiers.LessUrgentThan(request.tier) /
-                  std::max(1, u.info.slots);
+    load_share -=
+        1.0 * LessUrgentAt(u, request.urgency) / std::max(1, u.info.slots);
   }
   return load_share >= request.max_load;
 }
@@ -374,7 +381,7 @@
   for (const UpstreamState& u : upstreams) {
     if (!Fits(u, request) || !u.listed || u.info.draining) continue;
     ++n.upstreams;
-    int less_urgent = u.own_tiers.LessUrgentThan(request.tier);
+    int less_urgent = LessUrgentAt(u, request.urgency);
     n.less_urgent += less_urgent;
     int full_before = n.at_own_limit + n.loaded + n.prefill_limited;
     if (u.at_own_limit) {
@@ -501,13 +508,12 @@
   return OwnSlotShare(policy.own_generations_share, slots, serving);
 }
 
-bool AcceptsGeneration(const UpstreamState& u, Tier tier, int slots,
-                       int serving, TimePoint now,
+bool AcceptsGeneration(const UpstreamState& u, const Urgency& urgency,
+                       int slots, int serving, TimePoint now,
                        const PlacementPolicy& policy) {
-  int less_urgent = u.own_tiers.LessUrgentThan(tier);
-  double load = EstimatedLoad(u, now, policy) - less_urgent;
+  double load = EstimatedLoad(u, now, policy) - LessUrgentAt(u, urgency);
   if (u.others_known) return load < policy.max_known_generations_share * slots;
-  int own = u.in_flight - less_urgent;
+  int own = u.in_flight - u.own_tiers.LessUrgentThan(urgency.tier);
   if (own < OwnGenerationLimit(slots, serving, policy)) return true;
   if (own >= OwnSlotShare(policy.max_own_generations_share, slots, serving)) {
     return false;
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -135,6 +135,12 @@
   EngineForecast forecast;
 };
 
+// Urgency of a request at its service.
+struct Urgency {
+  Tier tier = 0;
+  int level = 0;  // Urgency level (engine_load.h).
+};
+
 // The kind of engine work that dominates a request.
 enum class WorkShape {
   kPlain,    // Any request to an upstream that is not an engine.
@@ -294,7 +300,7 @@
   uint64_t affinity = 0;      // Hash of the shared prompt prefix; 0: none.
   int64_t shared_tokens = 0;  // Number of tokens of the shared prompt prefix.
   absl::string_view data_centre;
-  Tier tier = 0;
+  Urgency urgency;
   absl::Span<const std::string> tried_ids;  // Ids of upstreams already tried.
   double max_load = 1.0;  // Load per slot from which an upstream is busy.
   // Not 0: only the upstream selected by this hash may take the request,
@@ -354,11 +360,11 @@
 // slots gets no more long generations from this process. `serving`: number of
 // processes that share the engine.
 int OwnGenerationLimit(int slots, int serving, const PlacementPolicy& policy);
-// Returns whether `u` may get another long generation of `tier`, judged by
-// OwnGenerationLimit and the last load report of `u`. Less urgent requests of
-// this process at `u` do not count: the engine admits the more urgent first.
-bool AcceptsGeneration(const UpstreamState& u, Tier tier, int slots,
-                       int serving, TimePoint now,
+// Returns whether `u` may get another long generation, judged by
+// OwnGenerationLimit and the last load report of `u`. Less urgent requests at
+// `u` do not count: the engine admits the more urgent first.
+bool AcceptsGeneration(const UpstreamState& u, const Urgency& urgency,
+                       int slots, int serving, TimePoint now,
                        const PlacementPolicy& policy);
 
 // Returns whether the prompt prefix of `request` decides which engine it goes
@@ -407,10 +413,10 @@
   int prefill_limited =
       0;         // Prefills of this process are at the prefill limit.
   int free = 0;  // Has room, but is not a preferred engine of the prefix.
-  // Those of at_own_limit, loaded and prefill_limited at which this process has
-  // less urgent requests.
+  // Those of at_own_limit, loaded and prefill_limited that have less urgent
+  // requests, as far as this process knows.
   int full_of_less_urgent = 0;
-  int less_urgent = 0;  // Less urgent requests of this process at all of them.
+  int less_urgent = 0;  // Less urgent requests at all of them.
 };
 AvailabilityCounts CountAvailability(absl::Span<const UpstreamState> upstreams,
                                      const PlacementRequest& request,
--- a/test/engine_load_wire_test.cc
+++ b/test/engine_load_wire_test.cc
@@ -97,3 +97,21 @@
   for (size_t n = 0; n < bytes.size(); ++n)
     CHECK_FALSE(DecodeEngineLoad(bytes.substr(0, n)).ok());
 }
+
+// Streams by level cost at most four bytes an engine; a message without them is
+// one of an earlier release.
+TEST(engine_load_wire, StreamsByLevelAreToldInFewBytes) {
+  EngineLoadMessage m = BusyMessage(53);
+  size_t before = EncodeEngineLoad(m).size();
+  for (EngineRecord& r : m.records) r.work.streams = {7, 3, 40, 0};
+  m.records[1].work.streams = {};
+  std::string bytes = EncodeEngineLoad(m);
+  CHECK(bytes.size() <= before + 53 * 4);
+  absl::StatusOr<EngineLoadMessage> d = DecodeEngineLoad(bytes);
+  CHECK(d.ok());
+  LONGS_EQUAL(3, d->records[0].work.streams[1]);
+  DOUBLES_EQUAL(40, d->records[0].work.streams[2], 40 / 32.0);
+  LONGS_EQUAL(0, d->records[1].work.streams[2]);
+  for (size_t n = 0; n < bytes.size(); ++n)
+    CHECK_FALSE(DecodeEngineLoad(bytes.substr(0, n)).ok());
+}
--- a/test/policy/placement_test.cc
+++ b/test/policy/placement_test.cc
@@ -26,7 +26,7 @@
 
 const TimePoint kNow = TimePoint(std::chrono::hours(1));
 const PlacementPolicy kPolicy;
-constexpr Tier kTier = 0;
+constexpr Urgency kMostUrgent{0, 0};
 
 PlacementRequest MakeRequest(WorkShape shape, uint64_t affinity = 0) {
   PlacementRequest a;
@@ -344,15 +344,18 @@
   int own_limit = OwnGenerationLimit(kSlots, kEntries, kPolicy);
   UpstreamState u = Engines(1)[0];
   u.in_flight = own_limit;
-  CHECK_FALSE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
+  CHECK_FALSE(
+      AcceptsGeneration(u, kMostUrgent, kSlots, kEntries, kNow, kPolicy));
   RecordLoadReport(u, 20, 0, kNow - Millis(100));
-  CHECK_TRUE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
-  CHECK_FALSE(AcceptsGeneration(u, kTier, kSlots, kEntries,
+  CHECK_TRUE(
+      AcceptsGeneration(u, kMostUrgent, kSlots, kEntries, kNow, kPolicy));
+  CHECK_FALSE(AcceptsGeneration(u, kMostUrgent, kSlots, kEntries,
                                 kNow + std::chrono::seconds(1), kPolicy));
   RecordLoadReport(u, 60, 0, kNow - Millis(100));
-  CHECK_FALSE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
+  CHECK_FALSE(
+      AcceptsGeneration(u, kMostUrgent, kSlots, kEntries, kNow, kPolicy));
   RecordLoadReport(u, 20, 0, kNow - Millis(100));
-  while (AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy))
+  while (AcceptsGeneration(u, kMostUrgent, kSlots, kEntries, kNow, kPolicy))
     ++u.in_flight;
   CHECK_TRUE(u.in_flight <= 2 * kSlots / kEntries + 1);
 }
@@ -550,20 +553,22 @@
 TEST(placement, OwnLessUrgentRequestsKeepNoUrgentOneOut) {
   constexpr int kSlots = 24;
   constexpr int kEntries = 12;
-  constexpr Tier kLess = 2;
+  constexpr Urgency kLess{2, 2};
   int limit = OwnGenerationLimit(kSlots, kEntries, kPolicy);
   UpstreamState u = Engines(1)[0];
   auto send = [&u](Tier tier) {
     ++u.in_flight;
     u.own_tiers.Add(tier);
   };
-  for (int i = 0; i < limit; ++i) send(kLess);
+  for (int i = 0; i < limit; ++i) send(kLess.tier);
   CHECK_FALSE(AcceptsGeneration(u, kLess, kSlots, kEntries, kNow, kPolicy));
   for (int i = 0; i < limit; ++i) {
-    CHECK_TRUE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
-    send(kTier);
+    CHECK_TRUE(
+        AcceptsGeneration(u, kMostUrgent, kSlots, kEntries, kNow, kPolicy));
+    send(kMostUrgent.tier);
   }
-  CHECK_FALSE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
+  CHECK_FALSE(
+      AcceptsGeneration(u, kMostUrgent, kSlots, kEntries, kNow, kPolicy));
 }
 
 // Guards against the same at engines that are full, or at their limit of long
@@ -576,9 +581,9 @@
     for (int i = 0; i < u.in_flight; ++i) u.own_tiers.Add(2);
     for (int i = 0; i < u.prefills_in_flight; ++i) u.own_prefill_tiers.Add(2);
   }
-  auto chosen = [&](WorkShape shape, Tier tier) {
+  auto chosen = [&](WorkShape shape, int tier) {
     PlacementRequest request = MakeRequest(shape);
-    request.tier = tier;
+    request.urgency = {tier, tier};
     return ChooseUpstream(upstreams, request, kNow, 0, kPolicy).has_value();
   };
   for (WorkShape shape : {WorkShape::kPrefill, WorkShape::kDecode}) {
--- a/test/policy/shared_placement_test.cc
+++ b/test/policy/shared_placement_test.cc
@@ -14,7 +14,7 @@
 constexpr int kSlots = 96;
 const TimePoint kNow = TimePoint(std::chrono::hours(1));
 const PlacementPolicy kPolicy;
-constexpr Tier kTier = 0;
+constexpr Urgency kMostUrgent{0, 0};
 
 std::vector<UpstreamState> Engines(int n) {
   std::vector<UpstreamState> engines(static_cast<size_t>(n));
@@ -68,12 +68,15 @@
   constexpr int kEntries = 27;
   UpstreamState u = Engines(1)[0];
   u.others_work.generating = kSlots;
-  CHECK_FALSE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
+  CHECK_FALSE(
+      AcceptsGeneration(u, kMostUrgent, kSlots, kEntries, kNow, kPolicy));
   u.others_work.generating = 10;
   u.in_flight = 2 * kSlots / kEntries + 1;
-  CHECK_TRUE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
+  CHECK_TRUE(
+      AcceptsGeneration(u, kMostUrgent, kSlots, kEntries, kNow, kPolicy));
   u.others_known = false;
-  CHECK_FALSE(AcceptsGeneration(u, kTier, kSlots, kEntries, kNow, kPolicy));
+  CHECK_FALSE(
+      AcceptsGeneration(u, kMostUrgent, kSlots, kEntries, kNow, kPolicy));
 }
 
 // Guards against an old load report that hides what the others have sent since.
@@ -85,3 +88,22 @@
   u.others_work.generating = 40;
   DOUBLES_EQUAL(45, EstimatedLoad(u, kNow, kPolicy), 1e-9);
 }
+
+// Guards against urgent requests that are refused while less urgent ones of
+// other entries fill the engines. Streams of untold level keep their place.
+TEST(shared_placement, LessUrgentWorkOfOthersKeepsNoUrgentRequestOut) {
+  constexpr int kEntries = 27;
+  constexpr Urgency kLess{2, 2};
+  UpstreamState u = Engines(1)[0];
+  u.others_work.generating = kSlots;
+  auto accepts = [&](const Urgency& urgency) {
+    return AcceptsGeneration(u, urgency, kSlots, kEntries, kNow, kPolicy);
+  };
+  CHECK_FALSE(accepts(kMostUrgent));
+  u.others_work.streams[2] = kSlots;
+  CHECK_TRUE(accepts(kMostUrgent));
+  CHECK_FALSE(accepts(kLess));
+  u.others_known = false;
+  u.in_flight = kSlots;
+  CHECK_FALSE(accepts(kMostUrgent));
+}
