Streams: after a restart of all, none goes on at the only other version

Cause: the versions that a service ran of late were known to running entries only. A started entry that lists one version took it for the only one, asked nobody and let each stream go on there, also when the last servers of another version had just left.

Control now keeps the versions listed within the last minute, on its disk too (file "builds", written before a list with a new version is published), and tells its followers. An entry concludes from its list only with that history, or a minute after its start. The product's own entry, whose upstreams have no list, goes on as before.

--- a/src/control.cc
+++ b/src/control.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "build_history_store.h"
 #include "heap_use.h"
 #include "log.h"
 #include "loop_order.h"
@@ -176,11 +177,18 @@
   quarantine_.MergeReported(
       LoadCrashRecords(options_.data_dir, {now, wall_.UnixNow()}));
   saved_quarantine_version_ = quarantine_.version();
+  std::optional<std::vector<BuildRecord>> builds =
+      LoadBuilds(options_.data_dir);
+  builds_complete_ = builds.has_value() || options_.bootstrap;
+  if (builds) builds_.Merge(*builds, now);
+  saved_builds_version_ = builds ? builds_.version() : 0;
   LogEvent("store_opened", {{"id", stored->self.id},
                             {"term", stored->term},
                             {"snapshot", stored->snapshot.index},
                             {"entries", stored->log.size()},
-                            {"version", stored->snapshot.version}});
+                            {"version", stored->snapshot.version},
+                            {"builds", builds ? builds->size() : 0},
+                            {"builds_known", builds_complete_ ? 1 : 0}});
   ReplicaOptions o;
   o.tolerated_failures = options_.tolerated_failures;
   Replica::Hooks h;
@@ -437,6 +445,8 @@
   leader_watch_.next_request().serving_endpoints = DirectServingEndpoints();
   quarantine_.Tick(now);
   SaveQuarantine(now);
+  builds_.RemoveExpired(now);
+  if (now - builds_save_tried_at_ >= kBuildsSaveInterval) SaveBuildHistory(now);
   limits_.RemoveStaleLimits(
       [this](const std::string& id) {
         return list_history_.list().Find(id) != nullptr;
@@ -529,6 +539,7 @@
                             {"from", previous_version},
                             {"upstreams", list_history_.list().size()}});
   leader_watch_.next_request().list_version = list_history_.version();
+  RecordBuilds(clock_.Now());
   AnswerWatches();
 }
 
--- a/src/control.h
+++ b/src/control.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "build_history.h"
 #include "control_load.h"
 #include "control_wire.h"
 #include "h2.h"
@@ -88,6 +89,8 @@
   // Time out of sync with the leader after which a process treats the leader as
   // lost.
   static constexpr auto kLeaderlessTimeout = Millis(1200);
+  // Minimum time between two tries to save the versions of upstreams.
+  static constexpr auto kBuildsSaveInterval = Millis(200);
   // Maximum time that a call waits for a leader: about one election.
   static constexpr auto kLeaderWait = Millis(850);
 
@@ -159,6 +162,13 @@
   void MergeCrashRecords(absl::string_view encoded, bool from_leader);
   void MergeLimitRecords(absl::string_view encoded, bool from_leader);
   void SaveQuarantine(TimePoint now);
+  // Records the versions in a new list and saves them if they have changed.
+  // Must precede the publication of the list: a stream may begin at a new
+  // version at once.
+  void RecordBuilds(TimePoint now);
+  void SaveBuildHistory(TimePoint now);
+  // Returns whether no version that was listed within kBuildMemory is missing.
+  bool BuildsKnown(TimePoint now) const;
   void ApplyListChange(const WatchReply& r);
   bool VersionConfirmedFor(const PendingWatch& w, TimePoint now) const;
   bool MayPublishTo(const PendingWatch& w, TimePoint now) const;
@@ -209,6 +219,11 @@
   // while some may be missing.
   bool quarantine_complete_ = false;
   int64_t saved_quarantine_version_ = 0;
+  BuildHistory builds_;
+  bool builds_complete_ = false;  // Has the versions from before its start.
+  TimePoint builds_recorded_since_ = kNever;  // First list since the start.
+  int64_t saved_builds_version_ = 0;
+  TimePoint builds_save_tried_at_{};
   TimePoint quarantine_save_tried_at_{};
   WatchClient leader_watch_;
   ListHistory list_history_;
--- a/src/control_records.cc
+++ b/src/control_records.cc
@@ -1,6 +1,7 @@
 // Crash records and upstream limits in the control process: merges what entries
 // and the leader report, and saves the quarantine to disk.
 #include "absl/status/statusor.h"
+#include "build_history_store.h"
 #include "control.h"
 #include "log.h"
 #include "quarantine_store.h"
@@ -59,4 +60,30 @@
   }
 }
 
+void Control::RecordBuilds(TimePoint now) {
+  if (builds_recorded_since_ == kNever) builds_recorded_since_ = now;
+  builds_.RecordList(list_history_.list().All(), now);
+  SaveBuildHistory(now);
+}
+
+void Control::SaveBuildHistory(TimePoint now) {
+  if (!replica_ || builds_.version() == saved_builds_version_ ||
+      !BuildsKnown(now)) {
+    return;
+  }
+  builds_save_tried_at_ = now;
+  absl::Status s = SaveBuilds(options_.data_dir, builds_.Records(now),
+                              options_.before_disk_write);
+  if (s.ok()) {
+    saved_builds_version_ = builds_.version();
+  } else {
+    LogWarn("store_failed", {{"op", "builds"}, {"error", s.message()}});
+  }
+}
+
+bool Control::BuildsKnown(TimePoint now) const {
+  return builds_complete_ || (builds_recorded_since_ != kNever &&
+                              now - builds_recorded_since_ >= kBuildMemory);
+}
+
 }  // namespace medlarwalk
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -147,6 +147,9 @@
     metrics_.SetListUnread(list_unread_, list_rest_unread_);
   }
   quarantine_complete_ = true;
+  if (r.builds) builds_.Merge(*r.builds, clock_.Now());
+  builds_complete_ |= r.builds_version != 0;
+  leader_watch_.next_request().builds_version = r.builds_version;
   if (r.list) ApplyListChange(r);
 }
 
@@ -162,7 +165,9 @@
   // watch requests the complete list.
   leader_watch_.next_request().list_version =
       applied ? list_history_.version() : 0;
-  if (applied) AnswerWatches();
+  if (!applied) return;
+  RecordBuilds(clock_.Now());
+  AnswerWatches();
 }
 
 WatchReply Control::MakeWatchReply(const WatchRequest& r) {
@@ -198,6 +203,9 @@
     w.quarantine = std::make_shared<const std::string>(
         EncodeCrashRecords(quarantine_.RecordsToPublish(), now));
   }
+  if (BuildsKnown(now)) w.builds_version = builds_.version();
+  if (w.builds_version != 0 && w.builds_version != r.builds_version)
+    w.builds = builds_.Records(now);
   w.limits_version = limits_.version();
   if (w.limits_version != r.limits_version) {
     w.limits = std::make_shared<const std::string>(
@@ -282,6 +290,7 @@
          (list_history_.version() &&
           list_history_.version() != w.request.list_version) ||
          quarantine_.version() != w.request.quarantine_version ||
+         (BuildsKnown(now) && builds_.version() != w.request.builds_version) ||
          limits_.version() != w.request.limits_version);
     // A follower that sent reports waits for their acknowledgment, so its watch
     // is answered even if there is no news.
--- a/src/control_wire.cc
+++ b/src/control_wire.cc
@@ -325,6 +325,22 @@
   return DecodeCbor<std::vector<UsageProcessState>>(bytes, UsageStatesFromJson);
 }
 
+json BuildRecordsToJson(absl::Span<const BuildRecord> records) {
+  json out = json::array();
+  for (const BuildRecord& r : records)
+    out.push_back({r.service, r.build, r.age.count()});
+  return out;
+}
+
+std::vector<BuildRecord> BuildRecordsFromJson(const json& j) {
+  std::vector<BuildRecord> out;
+  for (const json& r : j) {
+    out.push_back({r.at(0).get<std::string>(), r.at(1).get<std::string>(),
+                   AgeFromJson(r.at(2))});
+  }
+  return out;
+}
+
 std::string EncodeWatchRequest(const WatchRequest& r) {
   json j = {{"n", r.name},
             {"z", r.data_centre},
@@ -347,6 +363,7 @@
   if (!r.serving_endpoints.empty())
     j["o"] = ToJsonBinary(PackEndpoints(r.serving_endpoints));
   if (r.serving_version != 0) j["v"] = r.serving_version;
+  if (r.builds_version != 0) j["h"] = r.builds_version;
   return ToCbor(j);
 }
 
@@ -373,6 +390,7 @@
     if (Document d = FindDocument(j, "o"))
       r.serving_endpoints = UnpackEndpoints(*d);
     r.serving_version = IntegerFromJson<int64_t>(j, "v", 0);
+    r.builds_version = IntegerFromJson<int64_t>(j, "h", 0);
     return r;
   });
 }
@@ -393,10 +411,13 @@
   if (r.serving) j["o"] = ToJsonBinary(PackEndpoints(*r.serving));
   if (r.list_unread != 0 || r.list_rest_unread)
     j["z"] = {r.list_unread, r.list_rest_unread};
+  if (r.builds_version != 0)
+    j["v"] = {r.builds_version,
+              r.builds ? BuildRecordsToJson(*r.builds) : json()};
   std::string head = ToCbor(j);
   // The documents are appended as the last pairs of the map, so that they need
   // no copy. The first byte of a CBOR map holds its number of pairs if that is
-  // below 24; this map has fewer than 23 pairs.
+  // below 24; this map has at most 23 pairs.
   head[0] = static_cast<char>(head[0] + (r.config ? 1 : 0) + (r.list ? 1 : 0) +
                               (r.quarantine ? 1 : 0) + (r.limits ? 1 : 0));
   Payload out(std::move(head));
@@ -434,6 +455,11 @@
     r.limits_version = IntegerFromJson<int64_t>(j, "b", 0);
     r.limits = FindDocument(j, "y");
     r.serving_index = IntegerFromJson<int>(j, "r", -1);
+    if (j.contains("v")) {
+      r.builds_version = IntegerFromJson<int64_t>(j["v"].at(0));
+      if (!j["v"].at(1).is_null())
+        r.builds = BuildRecordsFromJson(j["v"].at(1));
+    }
     r.unix_ms = IntegerFromJson<int64_t>(j, "t", 0);
     r.usage_committed_through = IntegerFromJson<int64_t>(j, "f", 0);
     r.usage_copy.number = IntegerFromJson<int64_t>(j, "n", 0);
--- a/src/control_wire.h
+++ b/src/control_wire.h
@@ -11,6 +11,7 @@
 
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
+#include "build_history.h"
 #include "nlohmann/json.hpp"
 #include "payload.h"
 #include "quarantine.h"
@@ -61,6 +62,7 @@
   int64_t limits_version = 0;
   // Reported limits of upstreams, encoded; "" if there are none.
   std::string limits;
+  int64_t builds_version = 0;  // WatchReply::builds_version of the last reply.
   // Time on the follower's wall clock, in Unix milliseconds; 0 if not given.
   int64_t unix_ms = 0;
   // Reported usage records, encoded; "" if there are none.
@@ -85,6 +87,11 @@
 // Returns a hash that identifies the set of endpoints; never 0.
 int64_t EndpointsVersion(const std::vector<ControlEndpoint>& endpoints);
 
+// Encoding of versions of upstreams, in messages and on disk.
+nlohmann::json BuildRecordsToJson(absl::Span<const BuildRecord> records);
+// Throws nlohmann::json::exception if `j` is malformed.
+std::vector<BuildRecord> BuildRecordsFromJson(const nlohmann::json& j);
+
 struct WatchReply {
   // Time since the answering process was last known to be in sync with a
   // leader, in ms; negative if it never was.
@@ -101,6 +108,11 @@
   // Encoded limits of upstreams; null if the follower holds the newest
   // limits_version.
   Document limits;
+  // BuildHistory::version() of the answering process; 0 if it may lack versions
+  // that have left within kBuildMemory.
+  int64_t builds_version = 0;
+  // Nullopt if the follower holds the newest builds_version.
+  std::optional<std::vector<BuildRecord>> builds;
   // Time since the upstream list was read from its source, in ms; negative if
   // it was never read.
   int64_t list_age_ms = -1;
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -56,6 +56,7 @@
                  const std::vector<CrashWatch::InterruptedCall>& calls) {
             OnUpstreamCrash(upstream, how, calls);
           }),
+      builds_complete_at_(clock.Now() + kBuildMemory),
       prefix_cache_index_(kPrefixHolderTrust, kMaxRememberedParts),
       waiting_queue_(options_.waiting),
       account_shares_(options_.account_shares),
@@ -88,7 +89,7 @@
     prefix_cache_index_.RemoveEngine(id);
     limits_.RecordLimit(id, std::nullopt, clock_.Now());
   }
-  TrackBuilds(clock_.Now());
+  builds_.RecordList(upstreams, clock_.Now());
   crash_watch_.OnListUpdate();
   ApplyLimitsToUpstreams();
   decode_paces_changed_ = true;
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "account_shares.h"
+#include "build_history.h"
 #include "caller_server.h"
 #include "crash_watch.h"
 #include "dialect.h"
@@ -71,6 +72,10 @@
   // configuration does not allow gets a final rejection; later, it waits for a
   // newer configuration. If zero, the rejection is always final.
   Duration config_trust{};
+  // Whether the upstreams run versions of their own list and history
+  // (TrustListUntil, MergeBuilds). If false, the list counts as current and its
+  // versions as the only ones.
+  bool builds_vary = false;
   // Called when a request of `account` has begun to run at an upstream, as far
   // as this shows in the answer. May be empty.
   std::function<void(const std::string& account)> on_request_run;
@@ -117,6 +122,12 @@
   // time `as_of`.
   void RecordConfigCurrent(TimePoint as_of);
   void SetUpstreams(absl::Span<const UpstreamInfo> upstreams);
+  // Sets the time until which the list of upstreams counts as current. A stream
+  // of unknown origin goes on only where the list is current.
+  void TrustListUntil(TimePoint until) { list_trusted_until_ = until; }
+  // Adds versions that upstreams have run of late. Until the first call, others
+  // may have run than those listed since the start.
+  void MergeBuilds(absl::Span<const BuildRecord> records);
   // Sets the number of entry processes that share the upstreams and the retry
   // budgets, and the index of this process among them (negative if unknown).
   void SetEntryCount(int entry_count, int index = -1);
@@ -173,6 +184,9 @@
   // Returns the service of `r` and its software version if no service of the
   // route has run several versions of late.
   std::optional<StreamOrigin> SoleOrigin(const Request& r) const;
+  // Returns whether this process knows all versions that the upstreams have run
+  // of late.
+  bool KnowsBuilds(TimePoint now) const;
   // Returns whether `r` goes on with a stream at one of several versions of its
   // service. Few upstreams may be left to it: it is not held up for the room of
   // others.
@@ -184,7 +198,6 @@
                           const std::optional<StreamOrigin>& origin);
   void RecordStreamOrigin(Request& r, const std::string& build);
   void RefreshStreamOrigin(Request& r, TimePoint now);
-  void TrackBuilds(TimePoint now);
   void ResumeRequestsAwaitingConfig();
   bool ConfigMayBeOutdated(const absl::Status& rejection) const;
   absl::Status AdmitRequest(Request& r);
@@ -359,14 +372,10 @@
   HoldTrials hold_trials_;
   RateLimitTable limits_;
   SharedEngineLoad shared_load_;
-  // Software versions of one service's listed upstreams.
-  struct ServiceBuilds {
-    std::string build;  // One of them.
-    bool several = false;
-    // Until then, streams may exist that other versions began.
-    TimePoint several_until{};
-  };
-  std::map<std::string, ServiceBuilds> service_builds_;
+  BuildHistory builds_;
+  // From then on `builds_` has the versions from before the start.
+  TimePoint builds_complete_at_{};
+  TimePoint list_trusted_until_{};
   uint64_t limit_changes_applied_ = 0;
   uint64_t quarantine_changes_seen_ = 0;
   PrefixCacheIndex prefix_cache_index_;
--- a/src/gateway_streams.cc
+++ b/src/gateway_streams.cc
@@ -11,9 +11,8 @@
 namespace medlarwalk {
 namespace {
 
-// Time after its start for which a stream may be taken up, at least; longer for
-// routes with long timeouts.
-constexpr auto kMinStreamMemory = std::chrono::seconds(60);
+// Time after its start for which the origin of a stream is kept, in timeouts of
+// its route; kBuildMemory at least.
 constexpr int kStreamMemoryTimeouts = 2;
 // Time between two records of the origin of one stream.
 constexpr auto kOriginRefresh = std::chrono::seconds(2);
@@ -26,51 +25,37 @@
   return r.stream() && r.route->resumable && r.facts.last_event;
 }
 
-// Records which software versions the listed upstreams of each service run.
-void Gateway::TrackBuilds(TimePoint now) {
-  std::map<absl::string_view, ServiceBuilds> listed;
-  for (const UpstreamState& u : pool_.upstreams()) {
-    if (!u.listed) continue;
-    auto [it, added] = listed.try_emplace(u.info.service);
-    if (added) it->second.build = u.info.build;
-    if (it->second.build != u.info.build) it->second.several = true;
-  }
-  for (auto& [service, fresh] : listed) {
-    auto [it, added] = service_builds_.try_emplace(std::string(service), fresh);
-    ServiceBuilds& known = it->second;
-    if (fresh.several ||
-        (!added && (known.several || known.build != fresh.build)))
-      known.several_until = now + kMinStreamMemory;
-    known.build = std::move(fresh.build);
-    known.several = fresh.several;
-  }
+void Gateway::MergeBuilds(absl::Span<const BuildRecord> records) {
+  builds_.Merge(records, clock_.Now());
+  builds_complete_at_ = {};
+}
+
+bool Gateway::KnowsBuilds(TimePoint now) const {
+  return !options_.builds_vary ||
+         (now >= builds_complete_at_ && now < list_trusted_until_);
 }
 
 std::optional<StreamOrigin> Gateway::SoleOrigin(const Request& r) const {
   TimePoint now = clock_.Now();
+  if (!KnowsBuilds(now)) return std::nullopt;
   std::optional<StreamOrigin> sole;
   for (const auto& s : r.route->services) {
-    auto it = service_builds_.find(s.service);
-    if (it == service_builds_.end()) continue;
-    if (it->second.several || now < it->second.several_until)
-      return std::nullopt;
-    if (s.service == r.service->name)
-      sole = StreamOrigin{s.service, it->second.build};
+    std::vector<std::string> builds = builds_.BuildsOf(s.service, now);
+    if (builds.size() > 1) return std::nullopt;
+    if (builds.size() == 1 && s.service == r.service->name)
+      sole = StreamOrigin{s.service, builds[0]};
   }
   return sole;
 }
 
 bool Gateway::MayHaveFewUpstreams(const Request& r) const {
   if (!r.build) return false;
-  auto it = service_builds_.find(r.service->name);
-  return it != service_builds_.end() && it->second.several;
+  return builds_.ListsSeveral(r.service->name);
 }
 
 void Gateway::DispatchTakenUpStream(Request& r) {
-  std::optional<StreamOrigin> sole = SoleOrigin(r);
-  bool certain = sole && r.route->services.size() == 1;
-  if (certain || r.facts.resumes.empty() || !options_.find_stream_origin) {
-    DispatchFromOrigin(r, sole);
+  if (r.facts.resumes.empty() || !options_.find_stream_origin) {
+    DispatchFromOrigin(r, SoleOrigin(r));
     return;
   }
   options_.find_stream_origin(
@@ -89,6 +74,15 @@
       origin &&
       std::any_of(r.route->services.begin(), r.route->services.end(),
                   [&](const auto& s) { return s.service == origin->service; });
+  LogEvent(
+      "stream_taken_up",
+      {{"request", r.facts.id},
+       {"resumes", r.facts.resumes},
+       {"build", origin ? origin->build : ""},
+       {"known", origin ? 1 : 0},
+       {"builds_known", KnowsBuilds(clock_.Now()) ? 1 : 0},
+       {"list_trust_ms",
+        options_.builds_vary ? ToMs(list_trusted_until_ - clock_.Now()) : -1}});
   if (!routed) {
     FailRequest(r, ErrorKind::kNotRun,
                 origin ? "service of the stream has no route"
@@ -116,7 +110,7 @@
   record.attempt = taken_up ? kFinalAttempt : r.origin_number;
   record.origin = {r.service->name, build};
   record.lifetime = std::chrono::duration_cast<Millis>(std::max<Duration>(
-      kMinStreamMemory, r.route->timeout * kStreamMemoryTimeouts));
+      kBuildMemory, r.route->timeout * kStreamMemoryTimeouts));
   options_.on_stream_sent(record);
 }
 
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -25,6 +25,9 @@
 // upstreams too late.
 constexpr Duration kMaxListAge = Millis(2000);
 constexpr int kMaxListAgeInReads = 2;
+// Time for which a list that is read again in time counts as current beyond the
+// time of the reads: control holds a watch without news for most of it.
+constexpr Duration kListTrust = Millis(600);
 // Time after SIGTERM for which new connections are accepted. New connections
 // arrive until two readiness probes have failed and the load balancer has
 // removed this host.
@@ -62,6 +65,7 @@
             o.on_stream_sent = [this](const StreamRecord& record) {
               stream_origins_.Record(record);
             };
+            o.builds_vary = true;
             o.find_stream_origin = [this](StreamKey key, auto found) {
               stream_origins_.Find(key, std::move(found));
             };
@@ -203,6 +207,7 @@
   // the first one.
   bool first = watch_.next_request().config_version == 0;
   if (r.config && (in_sync || !first)) ApplyConfig(r.config_version, *r.config);
+  RecordBuilds(r);
   if (!in_sync) {
     ApplyNewerList(r);
     return;
@@ -224,8 +229,8 @@
   }
   if (r.list) ApplyListUpdate(r);
   if (r.list_age_ms < 0) return;
-  list_current_at_ = clock_.Now() - Millis(r.list_age_ms);
   control_list_interval_ = Millis(r.list_interval_ms);
+  RecordListCurrent(clock_.Now() - Millis(r.list_age_ms));
   list_read_pacer_.RecordCallsPerRead(r.list_pages);
   RecordListUnread(r.list_unread, r.list_rest_unread);
   metrics_.ObserveListAge(ToSeconds(Millis(r.list_age_ms)));
@@ -344,7 +349,21 @@
   if (read_at <= list_current_at_) return;
   if (r.list) ApplyListUpdate(r);
   if (r.list && watch_.next_request().list_version == 0) return;
+  RecordListCurrent(read_at);
+}
+
+// Merges the versions of upstreams that control knows.
+void Serving::RecordBuilds(const WatchReply& r) {
+  if (r.builds) gateway_.MergeBuilds(*r.builds);
+  if (r.builds_version != 0)
+    watch_.next_request().builds_version = r.builds_version;
+}
+
+// Records that the list held here was read from its source at `read_at`.
+void Serving::RecordListCurrent(TimePoint read_at) {
   list_current_at_ = read_at;
+  gateway_.TrustListUntil(read_at + kListTrust +
+                          kMaxListAgeInReads * control_list_interval_);
 }
 
 void Serving::ApplyConfig(int64_t version, const std::string& document) {
@@ -396,7 +415,7 @@
                   {"upstreams", list_.size()},
                   {"age_ms", ToMs(now - list_current_at_)},
                   {"interval_ms", ToMs(list_read_pacer_.Interval())}});
-        list_current_at_ = now;
+        RecordListCurrent(now);
         watch_.next_request().list_version = list_.version();
         gateway_.SetUpstreams(list_.All());
       },
