HTTP client: an answer whose head is cut off is no answer

Cause: libcurl reports success for an answer whose connection closes between two lines of its head, also after the status line alone or an interim answer; the agent then relayed the status and no body. A call is now whole only if the head of a final answer has ended.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -9,6 +9,12 @@
 #include "loop_order.h"
 
 namespace medlarwalk {
+namespace {
+
+// Answers of a lower status are interim ones.
+constexpr int kFirstFinalStatus = 200;
+
+}  // namespace
 
 struct HttpClient::ActiveCall {
   HttpClient* client;
@@ -21,6 +27,9 @@
   size_t body_bytes = 0;   // Received so far.
   HeaderList head_fields;  // Of the answer's head that is being read.
   bool head_is_http11 = true;
+  // The head of the final answer is complete. libcurl reports success for an
+  // answer whose connection closes between two lines of its head.
+  bool head_ended = false;
   int send_attempts = 0;  // Number of times libcurl began to send the request.
 
   // Reads one line of an answer's head. Returns false if the answer cannot be
@@ -33,14 +42,18 @@
   // Passes the status and the Content-Type to on_status.
   void ReportStatus() {
     status_reported = true;
-    long code = 0;
     const char* type = nullptr;
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &code);
     curl_easy_getinfo(easy, CURLINFO_CONTENT_TYPE, &type);
     if (call.on_status) {
-      call.on_status(static_cast<int>(code), absl::NullSafeStringView(type));
+      call.on_status(StatusCode(), absl::NullSafeStringView(type));
     }
   }
+  // Returns the status code of the last head; 0 before it.
+  int StatusCode() const {
+    long code = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &code);
+    return static_cast<int>(code);
+  }
 };
 
 struct HttpClient::Socket {
@@ -144,12 +157,14 @@
   } else if (absl::StartsWith(line, "HTTP/")) {
     head_fields.clear();
     head_is_http11 = !absl::StartsWith(line, "HTTP/1.0");
+    head_ended = false;
   } else if (!line.empty()) {
     std::pair<absl::string_view, absl::string_view> field =
         absl::StrSplit(line, absl::MaxSplits(':', 1));
     head_fields.emplace_back(field.first, field.second);
   } else {
     s = CheckHead();
+    head_ended = StatusCode() >= kFirstFinalStatus;
   }
   if (!s.ok())
     LogWarn("answer_malformed", {{"url", call.url}, {"reason", s.message()}});
@@ -159,9 +174,7 @@
 absl::Status HttpClient::ActiveCall::CheckHead() const {
   absl::Status s = CheckFields(head_fields);
   if (!s.ok()) return s;
-  long status = 0;
-  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-  return DecideAnswerFraming(head_is_http11, static_cast<int>(status),
+  return DecideAnswerFraming(head_is_http11, StatusCode(),
                              call.method == "HEAD", head_fields)
       .status();
 }
@@ -193,10 +206,10 @@
     CURLcode code = msg->data.result;
     uint64_t id = a->id;
     HttpCallResult r;
-    long http = 0;
-    curl_easy_getinfo(a->easy, CURLINFO_RESPONSE_CODE, &http);
-    r.http_status = static_cast<int>(http);
-    if (code != CURLE_OK) {
+    r.http_status = a->StatusCode();
+    if (code == CURLE_OK && !a->head_ended) {
+      r.status = absl::UnavailableError("the answer's head is cut off");
+    } else if (code != CURLE_OK) {
       r.status = absl::UnavailableError(curl_easy_strerror(code));
       r.never_sent = a->send_attempts == 0;
       r.refused = r.never_sent && code == CURLE_COULDNT_CONNECT;
--- a/test/answer_end_test.cc
+++ b/test/answer_end_test.cc
@@ -79,6 +79,7 @@
 struct CallResult {
   bool ended = false;
   CallEnd end = CallEnd::kNotSent;
+  int status = 0;
   std::string body;
   std::string why;
 };
@@ -88,7 +89,10 @@
   u.request.method = "GET";
   u.request.target = "/";
   u.request.headers = {{"host", "x"}};
-  u.on_head = [](const MessageHead&) { return true; };
+  u.on_head = [result](const MessageHead& h) {
+    result->status = h.status;
+    return true;
+  };
   u.on_body = [result](absl::string_view d) {
     result->body.append(d.data(), d.size());
   };
@@ -133,6 +137,28 @@
   return result;
 }
 
+// Calls an engine through a new agent beside it.
+CallResult CallThroughAgent(struct ev_loop* loop, const Settings& settings,
+                            std::vector<std::string> pieces, Ending ending) {
+  BootClock clock;
+  const UpstreamSettings* engine = settings.FindUpstream("ledgerhand-1");
+  const HostSettings* host = settings.FindHost(engine->agent);
+  Endpoint endpoint;
+  CHECK_TRUE(ParseEndpoint(engine->url.substr(7), &endpoint).ok());
+  ScriptedServer peer(loop, std::move(pieces), ending, endpoint.port);
+  Agent agent(loop, clock, settings, host->name, "");
+  CHECK_TRUE(agent.Start().ok());
+  H2Client client(loop, clock, "127.0.0.1", host->port, Millis(1000),
+                  Millis(3000));
+  auto link = std::make_shared<AgentLink>(client);
+  CallResult result;
+  UpstreamCall u = MakeGetCall(&result);
+  u.request.headers = {{kH2Upstream, engine->name}};
+  link->Start(std::move(u));
+  CHECK_TRUE(RunLoopUntil(loop, [&] { return result.ended; }));
+  return result;
+}
+
 std::string Frame(char type, char flags, char stream, std::string payload) {
   std::string out(9, '\0');
   out[2] = static_cast<char>(payload.size());
@@ -236,34 +262,43 @@
 // recognizes streams only by "data:" at the start of the first piece would take
 // this stream for a plain answer, which ends when its connection closes.
 TEST(answer_end, StreamWithAShortFirstPieceIsRecognized) {
-  BootClock clock;
-  int base = ClaimPortRange();
-  Settings settings = *ParseSettings(DefaultSettingsJson(base));
-  const UpstreamSettings* engine = settings.FindUpstream("ledgerhand-1");
-  const HostSettings* host = settings.FindHost(engine->agent);
+  const Settings settings =
+      *ParseSettings(DefaultSettingsJson(ClaimPortRange()));
   const std::string head =
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
   std::string stream = "data: a\n\ndata: [DONE]\n\n";
-  auto call_through_agent = [&](std::vector<std::string> pieces) {
-    Endpoint endpoint;
-    CHECK_TRUE(ParseEndpoint(engine->url.substr(7), &endpoint).ok());
-    ScriptedServer peer(loop, std::move(pieces), Ending::kClose, endpoint.port);
-    Agent agent(loop, clock, settings, host->name, "");
-    CHECK_TRUE(agent.Start().ok());
-    H2Client client(loop, clock, "127.0.0.1", host->port, Millis(1000),
-                    Millis(3000));
-    auto link = std::make_shared<AgentLink>(client);
-    CallResult result;
-    UpstreamCall u = MakeGetCall(&result);
-    u.request.headers = {{kH2Upstream, engine->name}};
-    link->Start(std::move(u));
-    CHECK_TRUE(RunLoopUntil(loop, [&] { return result.ended; }));
-    return result;
+  auto end_of = [&](const std::string& rest) {
+    return CallThroughAgent(loop, settings, {head + "da", rest}, Ending::kClose)
+        .end;
   };
-  CHECK_TRUE(call_through_agent({head + "da", stream.substr(2)}).end ==
-             CallEnd::kWhole);
-  CHECK_FALSE(call_through_agent({head + "da", stream.substr(2, 7)}).end ==
-              CallEnd::kWhole);
+  CHECK_TRUE(end_of(stream.substr(2)) == CallEnd::kWhole);
+  CHECK_FALSE(end_of(stream.substr(2, 7)) == CallEnd::kWhole);
+}
+
+// Guards against a 200 framed as whole with an empty body: an upstream stops in
+// the middle of its answer's head and closes.
+TEST(answer_end, AHeadCutOffAtAnyByteIsNoAnswerThroughAnAgent) {
+  const Settings settings =
+      *ParseSettings(DefaultSettingsJson(ClaimPortRange()));
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+  for (const char* rest : {"\r\nshort", "Content-Length: 5\r\n\r\nshort"}) {
+    const std::string answer = head + rest;
+    CallResult whole =
+        CallThroughAgent(loop, settings, {answer}, Ending::kClose);
+    CHECK_TRUE(whole.end == CallEnd::kWhole);
+    LONGS_EQUAL(200, whole.status);
+    STRCMP_EQUAL("short", whole.body.c_str());
+    size_t head_bytes = answer.find("\r\n\r\n") + 4;
+    for (size_t length = 1; length < head_bytes; ++length) {
+      for (Ending ending : {Ending::kClose, Ending::kReset}) {
+        CallResult cut = CallThroughAgent(loop, settings,
+                                          {answer.substr(0, length)}, ending);
+        CHECK_TRUE_TEXT(
+            cut.status / 100 == 5 || cut.end != CallEnd::kWhole,
+            absl::StrCat("cut after ", length, " bytes: ", cut.status).c_str());
+      }
+    }
+  }
 }
 
 // Guards against an engine that continues a prefill after the caller has
