Callers: the answers that they do not read are bounded in sum

Cause: an answer that was handed to its caller's connection left the gateway's sum of buffered bytes and was in no other.

Answers that are being made keep their limits. A write buffer that has been sent frees its memory.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -34,6 +34,12 @@
 // Time without progress after which a caller counts as one that does not read
 // its answer. Slow readers take bytes in steps of half a socket buffer.
 constexpr Duration kUnreadTimeout = Millis(2500);
+// Time without progress after which a caller's answer may be given up if the
+// answers of all callers take too much memory: several round trips.
+constexpr Duration kMinUnreadTime = Millis(100);
+// Unsent bytes of an answer from which it is checked at once whether all take
+// too much memory.
+constexpr size_t kLargeUnsentBytes = size_t{64} * 1024;
 // Descriptors reserved for links, listeners, logs and files.
 constexpr size_t kReservedDescriptors = 100;
 
@@ -125,6 +131,7 @@
     ++answered_;
     last_activity_ = server_->clock_.Now();
     limits_ = server_->limits_;
+    if (unsent() >= kLargeUnsentBytes) server_->LimitUnsentBytes();
     if (close_after_) {
       last_answer_done_ = true;
       unparsed_.clear();
@@ -161,6 +168,14 @@
     return unsent() > 0 &&
            server_->poll_clock_.Now() - progress_at_ <= kUnreadTimeout;
   }
+  // Returns the time for which the caller has read nothing of its complete
+  // answer; zero if the answer is being made or has been read.
+  Duration UnreadTime() {
+    if (answering_ || unsent() == 0) return Duration::zero();
+    RecordProgress();
+    return std::max(Duration::zero(),
+                    server_->poll_clock_.Now() - progress_at_);
+  }
   bool caller_left() const { return tcp_->PeerClosed(); }
   TimePoint last_activity() const { return last_activity_; }
   bool has_unread() const { return tcp_->HasUnreadData(); }
@@ -529,6 +544,31 @@
   }
 }
 
+void CallerServer::LimitUnsentBytes() {
+  struct UnreadAnswer {
+    Duration unread_time;
+    size_t bytes;
+    std::shared_ptr<CallerConnection> connection;
+  };
+  std::vector<UnreadAnswer> unread;
+  size_t total = 0;
+  for (const auto& [p, c] : connections_) {
+    total += c->unsent();
+    Duration unread_time = c->UnreadTime();
+    if (unread_time >= kMinUnreadTime)
+      unread.push_back({unread_time, c->unsent(), c});
+  }
+  if (total <= max_unsent_bytes_) return;
+  std::sort(unread.begin(), unread.end(), [](const auto& a, const auto& b) {
+    return a.unread_time > b.unread_time;
+  });
+  for (const UnreadAnswer& u : unread) {
+    if (total <= max_unsent_bytes_) return;
+    u.connection->GiveUp("memory for others");
+    total -= u.bytes;
+  }
+}
+
 void CallerServer::OnEvictionTimer(struct ev_loop*, ev_timer* w, int) {
   static_cast<CallerServer*>(w->data)->EvictIdleConnections();
 }
@@ -546,6 +586,7 @@
   std::vector<std::shared_ptr<CallerConnection>> all;
   for (auto& [p, c] : self->connections_) all.push_back(c);
   for (auto& c : all) c->CloseIfTimedOut(now);
+  self->LimitUnsentBytes();
 }
 
 }  // namespace medlarwalk
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -106,6 +106,10 @@
   // idle longest are closed. If all are busy, new callers wait in the listen
   // backlog.
   void set_max_connections(size_t n) { max_connections_ = n; }
+  // Limits the bytes of all answers that are not yet written to their callers'
+  // sockets. Beyond it, callers that read nothing of a complete answer are
+  // given up, the longest first.
+  void set_max_unsent_bytes(size_t n) { max_unsent_bytes_ = n; }
   // Sets `f`, which is called with the reason for each request that is refused
   // because it is malformed or exceeds a limit.
   void set_on_malformed(std::function<void(absl::string_view reason)> f) {
@@ -128,6 +132,7 @@
 
  private:
   friend class CallerConnection;
+  void LimitUnsentBytes();
   static void OnTimeoutCheck(struct ev_loop* loop, ev_timer* w, int revents);
   static void OnEvictionTimer(struct ev_loop* loop, ev_timer* w, int revents);
   // Closes idle connections if the maximum number is reached, and pauses
@@ -146,6 +151,7 @@
   std::function<void(absl::string_view reason)> on_malformed_;
   bool closing_after_answers_ = false;
   size_t max_connections_ = SIZE_MAX;
+  size_t max_unsent_bytes_ = SIZE_MAX;
   ev_timer timeout_check_timer_{};
   // Timer of eviction attempts; active while new callers wait for a connection.
   ev_timer eviction_timer_{};
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -226,7 +226,8 @@
     sent_ += static_cast<size_t>(n);
   }
   if (unsent() == 0) {
-    out_.clear();
+    // An assignment would keep the memory.
+    std::string().swap(out_);
     sent_ = 0;
     if (close_after_writes_) {
       Close();
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -146,6 +146,7 @@
   InitTimer(&tick_, OnTick, kTickSeconds, kTickSeconds);
   tick_.data = this;
   callers_.set_max_connections(MaxCallerConnections(options_.descriptors));
+  callers_.set_max_unsent_bytes(options_.max_unsent_bytes);
   callers_.set_on_malformed([this](absl::string_view reason) {
     metrics_.CountMalformedRequest(reason);
   });
--- a/src/serving.h
+++ b/src/serving.h
@@ -38,6 +38,8 @@
   Duration grace = std::chrono::seconds(8);  // Time from SIGTERM to SIGKILL.
   // Maximum number of file descriptors that this process may have open.
   size_t descriptors = DescriptorLimit();
+  // See CallerServer::set_max_unsent_bytes().
+  size_t max_unsent_bytes = SIZE_MAX;
   GatewayOptions gateway;
   Dialect dialect;
   ListSource list;
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -255,3 +255,37 @@
   CHECK_TRUE(received.size() > body.size());
   CHECK_TRUE(absl::StrContains(received, "HTTP/1.1 400 "));
 }
+
+// Guards against memory that grows by the answers of callers that read nothing.
+// The one that reads still gets its whole answer.
+TEST(caller_server, AnswersThatCallersDoNotReadAreBoundedInSum) {
+  constexpr size_t kAnswerBytes = size_t{8} << 20;
+  constexpr int kSilentCallers = 6;
+  const std::string body(kAnswerBytes, 'b');
+  CallerServer server(loop, clock, [&](std::shared_ptr<CallerExchange> ex) {
+    ex->Respond(200, {}, body);
+  });
+  server.set_max_unsent_bytes(2 * kAnswerBytes);
+  Endpoint endpoint{"127.0.0.1", ClaimPortRange()};
+  CHECK_TRUE(server.Listen(endpoint).ok());
+  std::vector<std::shared_ptr<TcpConnection>> callers;
+  auto call = [&](bool reads, size_t* received) {
+    auto tcp = TcpConnection::Connect(loop, endpoint, Millis(1000));
+    TcpEvents events;
+    events.on_data = [received](absl::string_view d) { *received += d.size(); };
+    tcp->set_events(std::move(events));
+    CHECK_TRUE(RunUntil([&] { return tcp->connected(); }, 1000));
+    tcp->SetReadPaused(!reads);
+    tcp->Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    callers.push_back(tcp);
+    RunUntil([] { return false; }, 20);
+    clock.Advance(Millis(200));
+  };
+  size_t unread = 0;
+  for (int i = 0; i < kSilentCallers; ++i) call(false, &unread);
+  CHECK_TRUE(server.connections() <= 4);
+  size_t received = 0;
+  call(true, &received);
+  CHECK_TRUE(RunUntil([&] { return received > kAnswerBytes; }, 2000));
+  CHECK_TRUE(server.connections() <= 4);
+}
