Watch: followers of earlier releases are not answered without a pause for versions

A follower of an earlier release states no version of the history of upstreams' versions, so that each of its watches counted as having news and would have been answered at once, again and again. Only a follower that states a version gets an answer for a new one; others get the records with the next answer. A control process that is not up to date makes an entry's history longer, not complete.

--- a/src/control.h
+++ b/src/control.h
@@ -172,6 +172,7 @@
   void ApplyListChange(const WatchReply& r);
   bool VersionConfirmedFor(const PendingWatch& w, TimePoint now) const;
   bool MayPublishTo(const PendingWatch& w, TimePoint now) const;
+  bool HasNewBuildsFor(const PendingWatch& w, TimePoint now) const;
   void AnswerWatches();
   using ConfirmDone = std::function<void(absl::StatusOr<int64_t>)>;
   void ConfirmVersionLocally(ConfirmDone done);
--- a/src/control_watch.cc
+++ b/src/control_watch.cc
@@ -271,6 +271,13 @@
          replica_->config_version() >= confirmed_version_;
 }
 
+// Returns whether `w` must be answered for the versions of upstreams. Followers
+// of earlier releases state no version and would be answered without a pause.
+bool Control::HasNewBuildsFor(const PendingWatch& w, TimePoint now) const {
+  return w.request.builds_version != 0 && BuildsKnown(now) &&
+         builds_.version() != w.request.builds_version;
+}
+
 // Answers each watch for which there is news or whose deadline has passed. If
 // this process is out of sync with the leader, answers all watches, so that the
 // followers switch to another control process.
@@ -290,7 +297,7 @@
          (list_history_.version() &&
           list_history_.version() != w.request.list_version) ||
          quarantine_.version() != w.request.quarantine_version ||
-         (BuildsKnown(now) && builds_.version() != w.request.builds_version) ||
+         HasNewBuildsFor(w, now) ||
          limits_.version() != w.request.limits_version);
     // A follower that sent reports waits for their acknowledgment, so its watch
     // is answered even if there is no news.
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -125,9 +125,10 @@
   // Sets the time until which the list of upstreams counts as current. A stream
   // of unknown origin goes on only where the list is current.
   void TrustListUntil(TimePoint until) { list_trusted_until_ = until; }
-  // Adds versions that upstreams have run of late. Until the first call, others
-  // may have run than those listed since the start.
-  void MergeBuilds(absl::Span<const BuildRecord> records);
+  // Adds versions that upstreams have run of late. `complete`: none is missing.
+  // Until the first complete call, others may have run than those listed since
+  // the start.
+  void MergeBuilds(absl::Span<const BuildRecord> records, bool complete);
   // Sets the number of entry processes that share the upstreams and the retry
   // budgets, and the index of this process among them (negative if unknown).
   void SetEntryCount(int entry_count, int index = -1);
--- a/src/gateway_streams.cc
+++ b/src/gateway_streams.cc
@@ -25,9 +25,10 @@
   return r.stream() && r.route->resumable && r.facts.last_event;
 }
 
-void Gateway::MergeBuilds(absl::Span<const BuildRecord> records) {
+void Gateway::MergeBuilds(absl::Span<const BuildRecord> records,
+                          bool complete) {
   builds_.Merge(records, clock_.Now());
-  builds_complete_at_ = {};
+  if (complete) builds_complete_at_ = {};
 }
 
 bool Gateway::KnowsBuilds(TimePoint now) const {
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -208,7 +208,7 @@
   // the first one.
   bool first = watch_.next_request().config_version == 0;
   if (r.config && (in_sync || !first)) ApplyConfig(r.config_version, *r.config);
-  RecordBuilds(r);
+  RecordBuilds(r, in_sync);
   if (!in_sync) {
     ApplyNewerList(r);
     return;
@@ -353,10 +353,11 @@
   RecordListCurrent(read_at);
 }
 
-// Merges the versions of upstreams that control knows.
-void Serving::RecordBuilds(const WatchReply& r) {
-  if (r.builds) gateway_.MergeBuilds(*r.builds);
-  if (r.builds_version != 0)
+// Merges the versions of upstreams that control knows. A control process that
+// is not up to date may miss some.
+void Serving::RecordBuilds(const WatchReply& r, bool in_sync) {
+  if (r.builds) gateway_.MergeBuilds(*r.builds, in_sync);
+  if (in_sync && r.builds_version != 0)
     watch_.next_request().builds_version = r.builds_version;
 }
 
--- a/src/serving.h
+++ b/src/serving.h
@@ -84,7 +84,7 @@
   void UpdateUsageState(TimePoint now);
   void ApplyListUpdate(const WatchReply& r);
   void ApplyNewerList(const WatchReply& r);
-  void RecordBuilds(const WatchReply& r);
+  void RecordBuilds(const WatchReply& r, bool in_sync);
   void RecordListCurrent(TimePoint read_at);
   void ApplyConfig(int64_t version, const std::string& document);
   // Records what the last read of the upstream list left unread.
