--- a/src/gateway.h
+++ b/src/gateway.h
@@ -72,9 +72,9 @@
   // configuration does not allow gets a final rejection; later, it waits for a
   // newer configuration. If zero, the rejection is always final.
   Duration config_trust{};
-  // Whether the upstreams run versions of their own list and history
-  // (TrustListUntil, MergeBuilds). If false, the list counts as current and its
-  // versions as the only ones.
+  // Whether upstreams may run software versions that this process does not know
+  // of: TrustListUntil and MergeBuilds then tell how far it knows them. If
+  // false, the list counts as current and its versions as the only ones.
   bool builds_vary = false;
   // Called when a request of `account` has begun to run at an upstream, as far
   // as this shows in the answer. May be empty.
--- a/src/policy/tier_counts.h
+++ b/src/policy/tier_counts.h
@@ -17,11 +17,6 @@
   void Add(Tier tier) { ++CountOf(tier); }
   // Precondition: a request of `tier` is counted.
   void Remove(Tier tier) { --CountOf(tier); }
-  int total() const {
-    int n = 0;
-    for (const auto& [t, count] : counts_) n += count;
-    return n;
-  }
   // Returns the number of requests that are less urgent than `tier`.
   int LessUrgentThan(Tier tier) const {
     int n = 0;
--- a/test/policy/placement_test.cc
+++ b/test/policy/placement_test.cc
@@ -571,8 +571,9 @@
       AcceptsGeneration(u, kMostUrgent, kSlots, kEntries, kNow, kPolicy));
 }
 
-// Guards against the same at engines that are full, or at their limit of long
-// prompts, by the entry's own count. Plain upstreams order nothing.
+// Guards against urgent requests that are refused because engines are full, or
+// at their limit of long prompts, with less urgent ones of the same entry.
+// Plain upstreams serve in order of arrival, and keep their limit.
 TEST(placement, EnginesFullOfOwnLessUrgentRequestsTakeAnUrgentOne) {
   std::vector<UpstreamState> upstreams = Engines(2);
   for (UpstreamState& u : upstreams) {
