Log: when a request came during a stop, and answers not delivered at a close

Hypotheses 1 to 3 of docs/incidents/lost-around-sigterm.md could not be told apart: request_ended did not say whether a request had come before or during the stop, and a close on an answer that the caller's host has not acknowledged, or while the caller still sends, wrote no line. Now stop_ms in request_ended, unacked and discarded in caller_given_up, undelivered and open in stopped. No decision changes. UnacknowledgedBytes() moved from h2_connection.h to tcp.h.

--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -251,7 +251,7 @@
                                                   ? kAccountCrashesUpstreams
                                                   : kPartCrashesUpstreams);
   }
-  if (draining_ && r.shape == WorkShape::kDecode) {
+  if (drain_started_at_ && r.shape == WorkShape::kDecode) {
     return MakeError(ErrorKind::kDraining, "stopping");
   }
   std::vector<PartHold> lapsed = FindLapsedHolds(r);
@@ -640,6 +640,9 @@
        {"returning", r.returning ? 1 : 0},
        {"promised_ms", r.promised_delay ? ToMs(*r.promised_delay) : -1},
        {"ms", ToMs(elapsed)},
+       {"stop_ms", drain_started_at_ ? absl::StrCat(ToMs(r.exchange->arrived -
+                                                         *drain_started_at_))
+                                     : ""},
        {"first_ms",
         r.stream_started ? ToMs(r.first_event_at - r.exchange->arrived) : -1},
        {"events", r.events},
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -165,7 +165,7 @@
   // Begins a planned stop. New long generations are rejected, because they
   // would not finish within the grace period; their callers can go to another
   // entry process at once.
-  void BeginDrain() { draining_ = true; }
+  void BeginDrain() { drain_started_at_ = clock_.Now(); }
   // Gives every unfinished request its final answer, when the grace period of a
   // planned stop ends.
   void FailUnfinishedRequests();
@@ -434,7 +434,7 @@
   // last marked.
   bool decode_paces_changed_ = false;
   TimePoint avoided_counted_at_{};  // Last update of the avoidance metrics.
-  bool draining_ = false;
+  std::optional<TimePoint> drain_started_at_;
 };
 
 }  // namespace medlarwalk
--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -101,12 +101,15 @@
   // if a request or an answer may be lost with it.
   void GiveUp(absl::string_view why) {
     bool unread = has_unread();
-    if (answering_ || reading() || unread || unsent() > 0) {
+    bool undelivered = undelivered_bytes() > 0;
+    if (answering_ || reading() || unread || undelivered || discarded_ > 0) {
       LogWarn("caller_given_up", {{"why", why},
                                   {"answering", answering_ ? 1 : 0},
                                   {"reading", reading() ? 1 : 0},
                                   {"unread", unread ? 1 : 0},
                                   {"unsent", unsent()},
+                                  {"unacked", tcp_->unacknowledged()},
+                                  {"discarded", discarded_},
                                   {"answered_before", answered_}});
     }
     Disconnect();
@@ -120,6 +123,10 @@
 
   void Send(absl::string_view data) { tcp_->Write(data); }
   size_t unsent() const { return tcp_->unsent(); }
+  // Returns the bytes of answers that the caller's host has not acknowledged.
+  size_t undelivered_bytes() const {
+    return tcp_->unsent() + tcp_->unacknowledged();
+  }
 
   // Closes the connection or prepares it for the next request after a complete
   // answer.
@@ -283,7 +290,10 @@
   }
 
   void OnData(absl::string_view data) {
-    if (ending()) return;
+    if (ending()) {
+      discarded_ += data.size();
+      return;
+    }
     if (!answering_) last_activity_ = server_->clock_.Now();
     unparsed_.append(data.data(), data.size());
     if (!answering_) ParseBuffered();
@@ -366,6 +376,7 @@
   bool refused_ = false;
   int answered_ = 0;               // Requests answered on this connection.
   bool last_answer_done_ = false;  // No request is read any more.
+  size_t discarded_ = 0;           // Bytes received while ending().
   size_t unsent_before_ = 0;       // unsent() at the last RecordProgress().
   TimePoint progress_at_{};        // When the caller last read a part.
   TimePoint last_activity_;
@@ -580,6 +591,12 @@
   return n;
 }
 
+int CallerServer::undelivered_answers() const {
+  int n = 0;
+  for (const auto& [p, c] : connections_) n += c->undelivered_bytes() > 0;
+  return n;
+}
+
 void CallerServer::OnTimeoutCheck(struct ev_loop*, ev_timer* w, int) {
   auto* self = static_cast<CallerServer*>(w->data);
   TimePoint now = self->poll_clock_.Now();
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -128,6 +128,9 @@
   // Returns the number of requests that are being read or answered or have
   // arrived unread, and of answers being read by their callers.
   int requests_in_progress() const;
+  // Returns the number of connections with bytes of answers that the caller's
+  // host has not acknowledged.
+  int undelivered_answers() const;
   size_t connections() const { return connections_.size(); }
 
  private:
--- a/src/net/h2_connection.h
+++ b/src/net/h2_connection.h
@@ -4,10 +4,8 @@
 #define MEDLARWALK_H2_CONNECTION_H_
 
 #include <ev.h>
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <nghttp2/nghttp2.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -29,14 +27,6 @@
 
 namespace medlarwalk {
 
-// Returns the number of bytes written to socket `fd` that the peer's host has
-// not acknowledged; 0 if the connection has failed.
-inline size_t UnacknowledgedBytes(int fd) {
-  int n = 0;
-  if (ioctl(fd, SIOCOUTQ, &n) != 0) return 0;
-  return static_cast<size_t>(n);
-}
-
 inline constexpr size_t kH2ReadBlock = size_t{16} * 1024;
 
 inline nghttp2_nv MakeNv(const std::string& name, const std::string& value) {
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -2,9 +2,11 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -54,6 +56,12 @@
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 }
 
+size_t UnacknowledgedBytes(int fd) {
+  int n = 0;
+  if (ioctl(fd, SIOCOUTQ, &n) != 0) return 0;
+  return static_cast<size_t>(n);
+}
+
 void PrepareConnection(int fd) {
   SetNonBlocking(fd);
   setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -35,6 +35,10 @@
 // unsent bytes, because urgent data cannot overtake queued data.
 void PrepareConnection(int fd);
 
+// Returns the number of bytes written to socket `fd` that the peer's host has
+// not acknowledged; 0 if the connection has failed.
+size_t UnacknowledgedBytes(int fd);
+
 class TcpConnection;
 
 // Callbacks of a connection. Each of them may close the connection.
@@ -91,6 +95,8 @@
   // Also true while received bytes wait, and while reading is paused.
   bool PeerClosed() const;
   size_t unsent() const { return out_.size() - sent_; }
+  // Returns UnacknowledgedBytes() of the socket.
+  size_t unacknowledged() const { return UnacknowledgedBytes(fd_); }
 
  private:
   static void OnIo(struct ev_loop* loop, ev_io* w, int revents);
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -446,7 +446,10 @@
       gateway_.open_requests() == 0 && callers_.requests_in_progress() == 0;
   bool out_of_time = since > options_.grace - kGraceMargin / 2;
   if (stopped_accepting_ && (drained || out_of_time)) {
-    LogEvent("stopped", {});
+    LogEvent("stopped", {{"stop_ms", ToMs(since)},
+                         {"open", gateway_.open_requests()},
+                         {"connections", callers_.connections()},
+                         {"undelivered", callers_.undelivered_answers()}});
     ev_break(loop_, EVBREAK_ALL);
   }
 }
