Stop: an entry takes only requests that end before it does

Callers saw: a stream that was sent late in the grace period of a planned stop, on a connection whose earlier answer had promised to keep it or with a slow body, was passed on and cut 0.25 s before the end, without a whole answer (LOST).

Cause: a stopping entry refused only what the request's token counts told to be a long generation. Everything else was taken at any moment, and nothing compared how long it may last with what is left. Class: work accepted without a look at how long the one who accepts it will be there.

Change: MayTakeWhileStopping(), pure, on a load pattern as its test: taken is what its deadline ends before the stop, and for as long as the load balancer sends new connections also a plain request that ten times its latency target leaves time for. The rest is answered 503 with the short Retry-After at once, not run, so that its caller goes on at another entry. A long generation whose deadline ends in time is taken now.

--- a/src/entry.cc
+++ b/src/entry.cc
@@ -139,7 +139,7 @@
   draining_ = true;
   caller_server_.CloseAfterAnswers();
   caller_server_.StopAccepting();
-  gateway_.BeginDrain();
+  gateway_.BeginDrain(std::nullopt);
   LogEvent("drain_started", {{"open", gateway_.open_requests()}});
 }
 
--- a/src/gateway.cc
+++ b/src/gateway.cc
@@ -251,9 +251,10 @@
                                                   ? kAccountCrashesUpstreams
                                                   : kPartCrashesUpstreams);
   }
-  if (drain_started_at_ && r.shape == WorkShape::kDecode) {
+  StopCandidate candidate = {r.stream(), r.shape, r.route->latency_target,
+                             r.deadline};
+  if (stop_ && !MayTakeWhileStopping(candidate, *stop_, clock_.Now()))
     return MakeError(ErrorKind::kDraining, "stopping");
-  }
   std::vector<PartHold> lapsed = FindLapsedHolds(r);
   if (!hold_trials_.Start(lapsed, r.seq, clock_.Now())) {
     return MakeError(ErrorKind::kQuarantined,
@@ -640,9 +641,8 @@
        {"returning", r.returning ? 1 : 0},
        {"promised_ms", r.promised_delay ? ToMs(*r.promised_delay) : -1},
        {"ms", ToMs(elapsed)},
-       {"stop_ms", drain_started_at_ ? absl::StrCat(ToMs(r.exchange->arrived -
-                                                         *drain_started_at_))
-                                     : ""},
+       {"stop_ms",
+        stop_ ? absl::StrCat(ToMs(r.exchange->arrived - stop_->began_at)) : ""},
        {"first_ms",
         r.stream_started ? ToMs(r.first_event_at - r.exchange->arrived) : -1},
        {"events", r.events},
--- a/src/gateway.h
+++ b/src/gateway.h
@@ -37,6 +37,7 @@
 #include "routing_config.h"
 #include "send_slots.h"
 #include "shared_engine_load.h"
+#include "stop_admission.h"
 #include "stream_origin_table.h"
 #include "tier_admission.h"
 #include "timed_placement.h"
@@ -162,10 +163,11 @@
   void Tick();
   int open_requests() const { return static_cast<int>(requests_.size()); }
   bool has_config() const { return config_ != nullptr; }
-  // Begins a planned stop. New long generations are rejected, because they
-  // would not finish within the grace period; their callers can go to another
-  // entry process at once.
-  void BeginDrain() { drain_started_at_ = clock_.Now(); }
+  // Begins a planned stop. Requests that may not end before `ends_at` are
+  // rejected from now on; without it, new long generations are.
+  void BeginDrain(std::optional<TimePoint> ends_at) {
+    stop_ = PlannedStop{clock_.Now(), ends_at};
+  }
   // Gives every unfinished request its final answer, when the grace period of a
   // planned stop ends.
   void FailUnfinishedRequests();
@@ -434,7 +436,7 @@
   // last marked.
   bool decode_paces_changed_ = false;
   TimePoint avoided_counted_at_{};  // Last update of the avoidance metrics.
-  std::optional<TimePoint> drain_started_at_;
+  std::optional<PlannedStop> stop_;
 };
 
 }  // namespace medlarwalk
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -28,10 +28,6 @@
 // Time for which a list that is read again in time counts as current beyond the
 // time of the reads: control holds a watch without news for most of it.
 constexpr Duration kListTrust = Millis(600);
-// Time after SIGTERM for which new connections are accepted. New connections
-// arrive until two readiness probes have failed and the load balancer has
-// removed this host.
-constexpr auto kAcceptWhileDraining = Millis(2500);
 // Time after SIGTERM at which idle connections are closed; callers open new
 // ones at other entry processes.
 constexpr auto kCloseIdleAfter = Millis(1500);
@@ -429,14 +425,14 @@
   draining_ = true;
   drain_started_at_ = clock_.Now();
   callers_.CloseAfterAnswers();
-  gateway_.BeginDrain();
+  gateway_.BeginDrain(drain_started_at_ + options_.grace - kGraceMargin);
   LogEvent("drain_started", {{"open", gateway_.open_requests()},
                              {"connections", callers_.connections()}});
 }
 
 void Serving::AdvanceDrain(TimePoint now) {
   Duration since = now - drain_started_at_;
-  if (since > kAcceptWhileDraining && !stopped_accepting_) {
+  if (since > kRoutedAfterStop && !stopped_accepting_) {
     stopped_accepting_ = true;
     callers_.StopAccepting();
   }
