Callers: a last answer stays until its caller has stopped sending

Cause: a connection was closed one second after its last answer, whatever still came on it; the process ended without waiting for such connections; and idle connections were closed, at a stop and for others' room, while the caller's host had not acknowledged the answer before. A close with unread bytes, or bytes after a close, reset the connection, and the reset overtakes what was written. Class: a connection given up by the clock of the one who has finished, not by what the other end has got.

Evidence: ALastAnswerStaysWhileItsCallerSends and AStopWaitsForCallersThatSendAfterTheirLastAnswer fail on the code before (closed after one second; 0 in progress for 1).

Change: bytes that come after the last answer prolong the wait, to ten seconds at most; a stop waits for such connections until the grace ends; unread bytes are read before the process closes what is left; an answer that is not acknowledged keeps an idle connection for up to 2.5 s. A refused (malformed) caller is closed after one second as before. A planned stop may last up to a second longer.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -27,10 +27,13 @@
 // because scanning all connections for each new caller would cost more than
 // serving the callers.
 constexpr size_t kEvictOneIn = 8;
-// Time for which a connection stays open after its last answer, unless the
-// caller closes it. A close with unread bytes resets the connection, and so do
-// bytes that arrive after a close; the reset may overtake the answer.
+// Time without bytes of the caller for which a connection stays open after its
+// last answer, unless the caller closes it. A close with unread bytes resets
+// the connection, and so do bytes that arrive after a close; the reset may
+// overtake the answer.
 constexpr Millis kLastAnswerLinger(1000);
+// Time after its last answer at which a caller that sends on is closed.
+constexpr Millis kMaxLastAnswerLinger(10'000);
 // Time without progress after which a caller counts as one that does not read
 // its answer. Slow readers take bytes in steps of half a socket buffer.
 constexpr Duration kUnreadTimeout = Millis(2500);
@@ -76,7 +79,7 @@
     e.on_closed = [this](absl::Status) { shared_from_this()->Disconnect(); };
     e.on_drained = [this] {
       auto self = shared_from_this();
-      if (ending()) last_activity_ = server_->clock_.Now();
+      if (ending()) last_activity_ = ended_at_ = server_->clock_.Now();
       if (exchange_ && exchange_->on_drained_) exchange_->on_drained_();
     };
     tcp_->set_events(std::move(e));
@@ -118,6 +121,7 @@
   // Closes the connection without a callback: its server is being destroyed.
   void Drop() {
     DetachExchange();
+    tcp_->DiscardReceived();
     tcp_->Close();
   }
 
@@ -141,6 +145,7 @@
     if (unsent() >= kLargeUnsentBytes) server_->LimitUnsentBytes();
     if (close_after_) {
       last_answer_done_ = true;
+      ended_at_ = last_activity_;
       unparsed_.clear();
       UpdateReadPaused();
       tcp_->ShutdownAfterWrites();
@@ -213,7 +218,8 @@
       return;
     }
     if (ending()) {
-      if (now - last_activity_ > kLastAnswerLinger)
+      if (now - last_activity_ > kLastAnswerLinger ||
+          now - ended_at_ > kMaxLastAnswerLinger)
         GiveUp(refused_ ? "refused" : "last answer sent");
       return;
     }
@@ -225,8 +231,18 @@
       GiveUp(parser_.started() ? "request incomplete" : "idle");
   }
   void CloseIfIdle() {
-    bool lingers = ending() && unsent() == 0;
-    if (!busy() && !lingers && !has_unread_request()) GiveUp("draining");
+    if (!busy() && !lingers() && !delivering() && !has_unread_request())
+      GiveUp("draining");
+  }
+  // Returns whether the last answer is sent and the caller, which may still be
+  // sending, has not closed the connection.
+  bool lingers() const { return ending() && unsent() == 0; }
+  // Returns whether the caller's host has not acknowledged an answer that was
+  // sent a short time ago. If a request crossed the close of the connection,
+  // the reset that follows would overtake the answer.
+  bool delivering() const {
+    return server_->clock_.Now() - last_activity_ <= kUnreadTimeout &&
+           tcp_->unacknowledged() > 0;
   }
 
  private:
@@ -292,6 +308,8 @@
   void OnData(absl::string_view data) {
     if (ending()) {
       discarded_ += data.size();
+      // What a refused caller sends is no reason to wait for it.
+      if (!refused_) last_activity_ = server_->clock_.Now();
       return;
     }
     if (!answering_) last_activity_ = server_->clock_.Now();
@@ -358,7 +376,7 @@
     DetachExchange();
     unparsed_.clear();
     close_after_ = refused_ = true;
-    progress_at_ = last_activity_ = server_->clock_.Now();
+    progress_at_ = last_activity_ = ended_at_ = server_->clock_.Now();
     unsent_before_ = unsent();
   }
 
@@ -380,6 +398,7 @@
   size_t unsent_before_ = 0;       // unsent() at the last RecordProgress().
   TimePoint progress_at_{};        // When the caller last read a part.
   TimePoint last_activity_;
+  TimePoint ended_at_{};         // When the last answer was complete and sent.
   TimePoint head_started_at_{};  // When the current request began to arrive.
   // The limits at the start of the current request or idle period.
   CallerLimits limits_;
@@ -538,7 +557,7 @@
     for (const auto& c : idle) {
       if (closed == to_close) break;
       --not_examined;
-      if (c->has_unread()) continue;
+      if (c->has_unread() || c->delivering()) continue;
       c->GiveUp("room for others");
       ++closed;
     }
@@ -587,7 +606,7 @@
 int CallerServer::requests_in_progress() const {
   int n = 0;
   for (const auto& [p, c] : connections_)
-    n += c->busy() || c->has_unread_request();
+    n += c->busy() || c->lingers() || c->has_unread_request();
   return n;
 }
 
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -22,6 +22,8 @@
 
 constexpr size_t kReadBlock = size_t{32} * 1024;
 constexpr int kListenBacklog = 1024;
+// Bound of DiscardReceived(): more than a socket buffer holds.
+constexpr size_t kMaxDiscardedBytes = size_t{8} << 20;
 // Delay before the next accept after one failed for lack of file descriptors.
 constexpr double kAcceptRetrySeconds = 0.1;
 // Time without acknowledgement after which a connection fails. With the default
@@ -163,6 +165,15 @@
   events_ = {};
 }
 
+void TcpConnection::DiscardReceived() {
+  char buf[kReadBlock];
+  for (size_t n = 0; n < kMaxDiscardedBytes && fd_ >= 0;) {
+    ssize_t r = recv(fd_, buf, sizeof(buf), MSG_DONTWAIT);
+    if (r <= 0) return;
+    n += static_cast<size_t>(r);
+  }
+}
+
 void TcpConnection::CloseWithReset() {
   linger reset_on_close{1, 0};
   if (fd_ >= 0) {
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -79,6 +79,9 @@
   void ShutdownAfterWrites();
   // Closes the connection immediately, without a callback.
   void Close();
+  // Reads and discards what the peer has sent, up to a bound. A close with
+  // unread bytes resets the connection, and written bytes are lost with it.
+  void DiscardReceived();
   // Closes the connection immediately with a TCP reset, so that the peer cannot
   // mistake it for an orderly end. No callback follows.
   void CloseWithReset();
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -289,3 +289,64 @@
   CHECK_TRUE(RunUntil([&] { return received > kAnswerBytes; }, 2000));
   CHECK_TRUE(server.connections() <= 4);
 }
+
+// Guards against an answer that is lost to a reset: the last one of a
+// connection, whose caller is still sending its next request. A caller that
+// sends without end is closed.
+TEST(caller_server, ALastAnswerStaysWhileItsCallerSends) {
+  CallerServer server(loop, clock, [&](std::shared_ptr<CallerExchange> ex) {
+    ex->Respond(200, {}, "whole");
+  });
+  CHECK_TRUE(server.Listen({"127.0.0.1", 0}).ok());
+  for (int seconds : {3, 60}) {
+    auto caller = TcpConnection::Connect(loop, {"127.0.0.1", server.port()},
+                                         Millis(1000));
+    bool closed = false;
+    TcpEvents e;
+    e.on_closed = [&](absl::Status) { closed = true; };
+    caller->set_events(std::move(e));
+    CHECK_TRUE(RunUntil([&] { return caller->connected(); }, 1000));
+    // It reads nothing yet, so it learns of a close by a reset only.
+    caller->SetReadPaused(true);
+    caller->Write(
+        "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n");
+    CHECK_TRUE(RunUntil([&] { return server.connections() == 1; }, 1000));
+    for (int i = 0; i < seconds * 2 && server.connections() > 0; ++i) {
+      caller->Write("bytes of its body");
+      RunUntil([] { return false; }, 300);
+      clock.Advance(Millis(500));
+    }
+    LONGS_EQUAL(seconds == 3 ? 1 : 0, server.connections());
+    clock.Advance(Millis(1100));
+    CHECK_TRUE(RunUntil([&] { return server.connections() == 0; }, 1000));
+    caller->Close();
+  }
+}
+
+// Guards against a stop that ends while a caller still sends after its last
+// answer: the end of the process resets the connection, and the answer with it.
+TEST(caller_server, AStopWaitsForCallersThatSendAfterTheirLastAnswer) {
+  CallerServer server(loop, clock, [&](std::shared_ptr<CallerExchange> ex) {
+    ex->Respond(200, {}, "whole");
+  });
+  CHECK_TRUE(server.Listen({"127.0.0.1", 0}).ok());
+  auto caller =
+      TcpConnection::Connect(loop, {"127.0.0.1", server.port()}, Millis(1000));
+  CHECK_TRUE(RunUntil([&] { return caller->connected(); }, 1000));
+  server.CloseAfterAnswers();
+  caller->SetReadPaused(true);
+  caller->Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK_TRUE(RunUntil([&] { return server.connections() == 1; }, 1000));
+  RunUntil([] { return false; }, 50);
+  caller->Write("POST / HTTP/1.1\r\nHo");
+  RunUntil([] { return false; }, 50);
+  server.StopAccepting();
+  LONGS_EQUAL(1, server.requests_in_progress());
+  caller->Write("st: a\r\n");
+  RunUntil([] { return false; }, 50);
+  LONGS_EQUAL(1, server.requests_in_progress());
+  caller->Close();
+  CHECK_TRUE(
+      RunUntil([&] { return server.requests_in_progress() == 0; }, 1000));
+}
