Callers: a stop waits only for callers that send on after their last answer

Counted is now only a caller that has sent bytes after it; such a caller may pause as long as within a request (header timeout), since a slow body's pauses may be longer than a second. caller_server, caller_timeouts and planned_stop pass.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -218,7 +218,8 @@
       return;
     }
     if (ending()) {
-      if (now - last_activity_ > kLastAnswerLinger ||
+      Duration linger = sends_on() ? header_timeout() : kLastAnswerLinger;
+      if (now - last_activity_ > linger ||
           now - ended_at_ > kMaxLastAnswerLinger)
         GiveUp(refused_ ? "refused" : "last answer sent");
       return;
@@ -237,6 +238,9 @@
   // Returns whether the last answer is sent and the caller, which may still be
   // sending, has not closed the connection.
   bool lingers() const { return ending() && unsent() == 0; }
+  // Returns whether the caller has gone on sending after its last answer. What
+  // a refused caller sends is no reason to wait for it.
+  bool sends_on() const { return ending() && !refused_ && discarded_ > 0; }
   // Returns whether the caller's host has not acknowledged an answer that was
   // sent a short time ago. If a request crossed the close of the connection,
   // the reset that follows would overtake the answer.
@@ -308,8 +312,7 @@
   void OnData(absl::string_view data) {
     if (ending()) {
       discarded_ += data.size();
-      // What a refused caller sends is no reason to wait for it.
-      if (!refused_) last_activity_ = server_->clock_.Now();
+      if (sends_on()) last_activity_ = server_->clock_.Now();
       return;
     }
     if (!answering_) last_activity_ = server_->clock_.Now();
@@ -606,7 +609,7 @@
 int CallerServer::requests_in_progress() const {
   int n = 0;
   for (const auto& [p, c] : connections_)
-    n += c->busy() || c->lingers() || c->has_unread_request();
+    n += c->busy() || c->sends_on() || c->has_unread_request();
   return n;
 }
 
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -126,8 +126,8 @@
   // unread bytes stays open until they are read.
   void CloseIdleConnections();
   // Returns the number of requests that are being read or answered or have
-  // arrived unread, of answers being read by their callers, and of connections
-  // whose callers have not closed them after their last answer.
+  // arrived unread, of answers being read by their callers, and of callers that
+  // send on after their last answer.
   int requests_in_progress() const;
   // Returns the number of connections with bytes of answers that the caller's
   // host has not acknowledged.
