Stop: connections in the listen backlog are accepted before the listener closes

Evidence: AConnectionInTheBacklogIsServedAtAStop fails on the code before (never answered).

Change: a stop accepts what waits, then closes the listener; a connection that has been idle for less than 20 ms stays, since its first request may be on the way (the same time as for others' room). caller_server, caller_timeouts, planned_stop and path pass.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -18,7 +18,8 @@
 // Bytes that are buffered of what a caller sends ahead while its previous
 // request is being answered. The rest is read after the answer.
 constexpr size_t kMaxUnparsedBytes = 1 << 20;
-// Minimum idle time before a connection may be evicted. If a connection became
+// Minimum idle time before a connection may be closed for others' room or at a
+// stop. If a connection became
 // idle more recently, its first or next request may already be in transit.
 constexpr Millis kMinIdle(20);
 // Interval of eviction attempts while new callers wait, in seconds.
@@ -232,6 +233,7 @@
       GiveUp(parser_.started() ? "request incomplete" : "idle");
   }
   void CloseIfIdle() {
+    if (server_->clock_.Now() - last_activity_ < kMinIdle) return;
     if (!busy() && !lingers() && !delivering() && !has_unread_request())
       GiveUp("draining");
   }
@@ -524,6 +526,7 @@
 
 void CallerServer::StopAccepting() {
   closing_after_answers_ = true;
+  listener_.AcceptPending();
   listener_.Stop();
   CloseIdleConnections();
 }
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -118,8 +118,8 @@
   // First step of a planned stop: every answer from now on closes its
   // connection.
   void CloseAfterAnswers() { closing_after_answers_ = true; }
-  // Second step of a planned stop: accepts no new connections and closes idle
-  // ones.
+  // Second step of a planned stop: accepts those that wait in the backlog, then
+  // no new connections, and closes idle ones.
   void StopAccepting();
   // Closes every connection without a request in progress whose caller has read
   // its answers, or has read nothing of them for seconds. A connection with
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -335,12 +335,15 @@
   static_cast<Acceptor*>(w->data)->UpdateWatcher();
 }
 
-void Acceptor::OnIo(struct ev_loop* loop, ev_io* w, int) {
-  auto* self = static_cast<Acceptor*>(w->data);
-  while (self->fd_ >= 0 && !self->paused_) {
-    int fd = accept4(self->fd_, nullptr, nullptr, SOCK_CLOEXEC);
+void Acceptor::OnIo(struct ev_loop*, ev_io* w, int) {
+  static_cast<Acceptor*>(w->data)->AcceptPending();
+}
+
+void Acceptor::AcceptPending() {
+  while (fd_ >= 0 && !paused_) {
+    int fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
     if (fd >= 0) {
-      self->on_accept_(fd);
+      on_accept_(fd);
       continue;
     }
     // The call was interrupted, or the peer has already disconnected: accept
@@ -348,9 +351,9 @@
     if (errno == EINTR || errno == ECONNABORTED) continue;
     if (errno == EAGAIN || errno == EWOULDBLOCK) return;
     LogWarn("accept_refused", {{"why", std::strerror(errno)}});
-    ev_timer_set(&self->retry_, kAcceptRetrySeconds, 0.);
-    ev_timer_start(loop, &self->retry_);
-    self->UpdateWatcher();
+    ev_timer_set(&retry_, kAcceptRetrySeconds, 0.);
+    ev_timer_start(loop_, &retry_);
+    UpdateWatcher();
     return;
   }
 }
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -139,6 +139,9 @@
   // Starts to listen; port 0 selects any free port. Errors: Unavailable when
   // the address cannot be bound.
   absl::Status Listen(const Endpoint& at);
+  // Accepts the connections that wait in the listen backlog, unless paused.
+  void AcceptPending();
+  // Closes the listener; connections in its backlog are reset.
   void Stop();
   // Pauses or resumes accepting. While paused, new connections wait in the
   // listen backlog.
@@ -174,6 +177,7 @@
   // Starts to listen; port 0 selects any free port. Errors: Unavailable when
   // the address cannot be bound.
   absl::Status Listen(const Endpoint& at) { return acceptor_.Listen(at); }
+  void AcceptPending() { acceptor_.AcceptPending(); }
   void Stop() { acceptor_.Stop(); }
   void SetPaused(bool paused) { acceptor_.SetPaused(paused); }
   int port() const { return acceptor_.port(); }
--- a/test/net/caller_server_test.cc
+++ b/test/net/caller_server_test.cc
@@ -1,6 +1,8 @@
 // The server for callers: slow senders and pipelined requests.
 #include "caller_server.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -350,3 +352,26 @@
   CHECK_TRUE(
       RunUntil([&] { return server.requests_in_progress() == 0; }, 1000));
 }
+
+// Guards against a request that is lost at a stop because its connection waits
+// in the listen backlog when the listener closes.
+TEST(caller_server, AConnectionInTheBacklogIsServedAtAStop) {
+  int answered = 0;
+  CallerServer server(loop, clock, [&](std::shared_ptr<CallerExchange> ex) {
+    ++answered;
+    ex->Respond(200, {}, "");
+  });
+  CHECK_TRUE(server.Listen({"127.0.0.1", 0}).ok());
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in at{};
+  CHECK_TRUE(ToSockaddr({"127.0.0.1", server.port()}, &at));
+  CHECK_EQUAL(0, connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at)));
+  constexpr absl::string_view kGet = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  CHECK_EQUAL(static_cast<ssize_t>(kGet.size()),
+              send(fd, kGet.data(), kGet.size(), MSG_NOSIGNAL));
+  server.StopAccepting();
+  CHECK_TRUE(RunUntil([&] { return answered == 1; }, 1000));
+  char buf[16];
+  CHECK_TRUE(recv(fd, buf, sizeof(buf), 0) > 0);
+  close(fd);
+}
