Callers: at the end of a process, unread bytes are read only for an answer's sake

DiscardReceived() at the end of the process also read requests that had come in the last moment; their callers, who may send an unsafe request again only if it was not read, lost that sign. Read on is now only where an answer is not acknowledged yet. caller_server and caller_timeouts pass.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -19,8 +19,8 @@
 // request is being answered. The rest is read after the answer.
 constexpr size_t kMaxUnparsedBytes = 1 << 20;
 // Minimum idle time before a connection may be closed for others' room or at a
-// stop. If a connection became
-// idle more recently, its first or next request may already be in transit.
+// stop. If it became idle more recently, its first or next request may already
+// be in transit.
 constexpr Millis kMinIdle(20);
 // Interval of eviction attempts while new callers wait, in seconds.
 constexpr double kEvictionSeconds = 0.025;
@@ -122,7 +122,9 @@
   // Closes the connection without a callback: its server is being destroyed.
   void Drop() {
     DetachExchange();
-    tcp_->DiscardReceived();
+    // A close with unread bytes would take the answer with it. Where there is
+    // none, the reset tells the caller that its request was not read.
+    if (undelivered_bytes() > 0) tcp_->DiscardReceived();
     tcp_->Close();
   }
 
