Links: a stop accepts the connections of the listen backlog

Callers saw (by a test of ours; not in the users' record): an unsafe request whose entry had just connected to an agent ended as unknown at the agent's planned stop, though the agent had never read it.

Cause: H2Server::StopAccepting closed the listener with established connections in its backlog. The kernel reset them, and a reset of an established connection counts as "may have run".

Evidence: ARequestInTheBacklogAtAStopIsNotExecuted failed on the code before (never_sent false).

Change: what waits is accepted before the listener closes and gets the GOAWAY that all connections get; it names no stream as processed, so the peer ends its requests as not sent and may send them elsewhere.

--- a/src/net/h2.cc
+++ b/src/net/h2.cc
@@ -89,6 +89,9 @@
 }
 
 void H2Server::StopAccepting() {
+  // A peer whose connection waits in the backlog may have sent requests; only a
+  // GOAWAY tells it that they were not processed.
+  acceptor_.AcceptPending();
   acceptor_.Stop();
   for (auto& [p, c] : connections_) c->SendGoAway();
 }
--- a/src/net/h2.h
+++ b/src/net/h2.h
@@ -87,8 +87,9 @@
 
   // Errors: Unavailable when the port cannot be bound.
   absl::Status Listen(const std::string& address, int port);
-  // Closes the listening socket and sends GOAWAY on open connections, so that
-  // peers open no new streams. Streams in progress finish.
+  // Accepts the connections of the listen backlog, closes the listening socket
+  // and sends GOAWAY on all connections, so that peers open no new streams.
+  // Streams in progress finish.
   void StopAccepting();
   // Returns the number of streams with an unfinished answer, over all
   // connections.
--- a/test/net/h2_test.cc
+++ b/test/net/h2_test.cc
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <optional>
+
 #include "CppUTest/TestHarness.h"
 #include "absl/strings/str_cat.h"
 #include "link_pool.h"
@@ -35,6 +37,18 @@
   return c;
 }
 
+// Returns a request with a body that records at its end whether it is known not
+// to have been processed.
+H2Call RequestWithBody(std::optional<bool>* never_sent) {
+  H2Call c;
+  c.path = "/";
+  c.body = Payload(std::string("body"));
+  c.on_close = [never_sent](const absl::Status&, bool never) {
+    *never_sent = never;
+  };
+  return c;
+}
+
 }  // namespace
 
 TEST_GROUP(h2){};
@@ -593,6 +607,34 @@
   ev_loop_destroy(loop);
 }
 
+// Guards against a request that ends as perhaps executed because its connection
+// waits in the listen backlog when the server stops.
+TEST(h2, ARequestInTheBacklogAtAStopIsNotExecuted) {
+  ClientAndServerLoops loops;
+  BootClock clock;
+  int executed = 0;
+  H2Server server(loops.server_loop,
+                  [&](const H2Request&, auto) { ++executed; });
+  CHECK_TRUE(server.Listen("127.0.0.1", loops.port).ok());
+  H2Client client(loops.client_loop, clock, "127.0.0.1", loops.port,
+                  Millis(1000), Millis(3000));
+  std::optional<bool> never_sent;
+  client.Submit(RequestWithBody(&never_sent));
+  RunUntil(
+      loops.client_loop, [] { return false; }, 50);  // Connects and sends.
+  CHECK_TRUE(client.healthy());
+  server.StopAccepting();
+  CHECK_TRUE(RunUntil(
+      loops.client_loop,
+      [&] {
+        ev_run(loops.server_loop, EVRUN_NOWAIT);
+        return never_sent.has_value();
+      },
+      2000));
+  CHECK_TRUE(*never_sent);
+  CHECK_EQUAL(0, executed);
+}
+
 namespace {
 
 // Speaks HTTP/2 through a session that the test controls frame by frame.
