Links: a client whose send fails reads the GOAWAY that came before

Callers saw (by a test of ours; not in the users' record): a request that its entry sent to an agent that had just ended at a planned stop ended as perhaps executed, an unsafe one as unknown, though the agent's GOAWAY, which named it as not processed, had been received.

Cause: the head of the request met the closed socket and brought a reset; the next send, of its body, failed, and the connection was given up at once with the GOAWAY unread. Other requests of the same loop iteration went the same way.

Change: after a failed send a client reads what has been received, then gives the connection up; requests beyond the last stream that a GOAWAY names end as not sent, also those whose head was never written. A server gives up at once as before, so that it takes no request whose answer can't be sent.

--- a/src/net/h2_connection.h
+++ b/src/net/h2_connection.h
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -147,7 +148,8 @@
     auto calls = std::move(client_streams_);
     client_streams_.clear();
     for (auto& [id, c] : calls) {
-      if (c.call.on_close) c.call.on_close(status, !connected_);
+      bool never_sent = !connected_ || id > last_processed_id_;
+      if (c.call.on_close) c.call.on_close(status, never_sent);
     }
   }
 
@@ -229,7 +231,7 @@
   // Writes the pending output of nghttp2 to the socket. Does nothing inside a
   // callback of nghttp2, where sending is not allowed.
   void Flush() {
-    if (in_callback_ || dead_ || closing_) return;
+    if (in_callback_ || dead_ || closing_ || send_failed_) return;
     if (!connected_) {
       // Nothing is sent before the connection is established, because a second
       // attempt may replace the socket.
@@ -245,7 +247,7 @@
             ev_io_start(loop_, &write_io_);
             return;
           }
-          MarkDead();
+          HandleSendFailure();
           return;
         }
         send_buffer_.erase(0, static_cast<size_t>(n));
@@ -307,6 +309,18 @@
     shutdown(fd_, SHUT_WR);
   }
 
+  // Ends the connection. A client first reads what was received before: it may
+  // hold the GOAWAY that tells which requests were not processed.
+  void HandleSendFailure() {
+    if (server_) {
+      MarkDead();
+      return;
+    }
+    send_failed_ = true;
+    ev_io_stop(loop_, &write_io_);
+    ev_feed_event(loop_, &read_io_, EV_READ);
+  }
+
   // Marks the connection as unusable and schedules its deletion by the owner.
   void MarkDead() {
     if (dead_) return;
@@ -342,7 +356,13 @@
         c->MarkDead();
         return;
       }
-      if (n < 0) break;
+      if (n < 0) {
+        if (c->send_failed_) {
+          c->MarkDead();
+          return;
+        }
+        break;
+      }
       c->data_received_ = true;
       if (c->closing_) continue;
       c->in_callback_ = true;
@@ -476,6 +496,10 @@
       }
       return 0;
     }
+    if (frame->hd.type == NGHTTP2_GOAWAY) {
+      c->last_processed_id_ = frame->goaway.last_stream_id;
+      return 0;
+    }
     bool headers = frame->hd.type == NGHTTP2_HEADERS;
     if (!headers && frame->hd.type != NGHTTP2_DATA) return 0;
     auto it = c->client_streams_.find(id);
@@ -591,6 +615,9 @@
   std::string send_buffer_;
   std::map<int32_t, ClientStream> client_streams_;
   std::map<int32_t, ServerStream> server_streams_;
+  bool send_failed_ = false;
+  // Client only: the last stream that the peer may process, from its GOAWAY.
+  int32_t last_processed_id_ = std::numeric_limits<int32_t>::max();
 };
 
 }  // namespace medlarwalk
--- a/test/net/h2_test.cc
+++ b/test/net/h2_test.cc
@@ -635,6 +635,45 @@
   CHECK_EQUAL(0, executed);
 }
 
+// Guards against a request that ends as perhaps executed although its peer had
+// announced its end: the reset that meets the request is seen before the GOAWAY
+// that came earlier.
+TEST(h2, RequestsAfterAnUnreadGoAwayAreNotExecuted) {
+  ClientAndServerLoops loops;
+  BootClock clock;
+  std::shared_ptr<H2Stream> held;
+  auto server = std::make_unique<H2Server>(
+      loops.server_loop,
+      [&](const H2Request&, auto s) { held = std::move(s); });
+  CHECK_TRUE(server->Listen("127.0.0.1", loops.port).ok());
+  H2Client client(loops.client_loop, clock, "127.0.0.1", loops.port,
+                  Millis(1000), Millis(3000));
+  std::string body;
+  bool closed = false;
+  client.Submit(GetRequest("/a", &body, &closed));
+  CHECK_TRUE(RunUntil(
+      loops.client_loop,
+      [&] {
+        ev_run(loops.server_loop, EVRUN_NOWAIT);
+        if (held) held->Respond(200, {}, std::string("whole"));
+        return closed;
+      },
+      2000));
+  server->StopAccepting();
+  RunUntil(
+      loops.server_loop, [] { return false; }, 50);
+  server.reset();
+  std::optional<bool> first;
+  std::optional<bool> second;
+  client.Submit(RequestWithBody(&first));
+  client.Submit(RequestWithBody(&second));
+  CHECK_TRUE(RunUntil(
+      loops.client_loop,
+      [&] { return first.has_value() && second.has_value(); }, 2000));
+  CHECK_TRUE(*first);
+  CHECK_TRUE(*second);
+}
+
 namespace {
 
 // Speaks HTTP/2 through a session that the test controls frame by frame.
