Links between processes: an answer without end fails its call at 8 MB

Cause: requests on a link are limited to kMaxLinkBodyBytes, answers were not. LinkPool::Post and an entry's poll of an agent's load append all that arrives; a peer that never ends its answer fills the memory, and the call never ends while bytes come.

Change: a call has a size beyond which its answer fails it; Post and the poll set kMaxLinkBodyBytes. The stream alone is reset, so that the other calls of the link go on; the test ends with a whole answer of 8 MB on the same link. Calls whose answers are passed on and not kept (an agent's answers to callers' requests) have no such size; the gateway bounds them.

--- a/src/entry.cc
+++ b/src/entry.cc
@@ -176,6 +176,7 @@
     call.method = "GET";
     call.path = "/mw/load";
     call.headers = {{kH2Upstream, u.id}};
+    call.max_body_bytes = kMaxLinkBodyBytes;
     auto report_text = std::make_shared<std::string>();
     call.on_data = [report_text](absl::string_view d) {
       report_text->append(d.data(), d.size());
--- a/src/net/h2.h
+++ b/src/net/h2.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -116,6 +117,9 @@
   std::string path;
   HeaderList headers;
   Payload body;
+  // Size in bytes beyond which the answer's body ends the call as failed. A
+  // call that keeps the body has to set it.
+  size_t max_body_bytes = std::numeric_limits<size_t>::max();
   std::function<void(int status, const std::map<std::string, std::string>&)>
       on_response;
   std::function<void(absl::string_view)> on_data;
--- a/src/net/h2_connection.h
+++ b/src/net/h2_connection.h
@@ -105,7 +105,7 @@
                                has_body ? &provider : nullptr, nullptr);
     if (id < 0) return 0;
     client_streams_[id] =
-        ClientStream{std::move(call), std::move(body), 0, {}, false, false};
+        ClientStream{std::move(call), std::move(body), 0, {}, 0, false, false};
     Flush();
     return id;
   }
@@ -277,6 +277,7 @@
     std::unique_ptr<Payload> body;
     int status;
     std::map<std::string, std::string> headers;
+    size_t answer_bytes;  // Received of the answer's body.
     bool response_reported;
     bool end_stream_received;  // The peer sent END_STREAM: the answer is
                                // complete.
@@ -293,6 +294,15 @@
     if (unfinished && s.on_close_) s.on_close_();
   }
 
+  // Resets stream `id` alone, because the other calls of the connection are
+  // sound, and fails its call. The peer may have processed the request.
+  void EndTooLongAnswer(const std::string& path, int32_t id) {
+    LogWarn("answer_too_long", {{"path", path}});
+    auto on_close = std::move(client_streams_.at(id).call.on_close);
+    Cancel(id);
+    if (on_close) on_close(absl::UnavailableError("answer too long"), false);
+  }
+
   // Ends the connection after the last frame of the session. A server whose
   // answers are all sent closes only its own side and leaves the rest to the
   // peer, which may not have received their ends yet: after a close, the next
@@ -506,7 +516,11 @@
       return 0;
     }
     auto it = c->client_streams_.find(id);
-    if (it != c->client_streams_.end() && it->second.call.on_data) {
+    if (it == c->client_streams_.end()) return 0;
+    it->second.answer_bytes += len;
+    if (it->second.answer_bytes > it->second.call.max_body_bytes) {
+      c->EndTooLongAnswer(it->second.call.path, id);
+    } else if (it->second.call.on_data) {
       it->second.call.on_data(chunk);
     }
     return 0;
--- a/src/net/link_pool.cc
+++ b/src/net/link_pool.cc
@@ -34,6 +34,7 @@
   H2Call call;
   call.path = std::string(path);
   call.body = std::move(body);
+  call.max_body_bytes = kMaxLinkBodyBytes;
   call.on_response = [status](int s, const auto&) { *status = s; };
   call.on_data = [answer, progress](absl::string_view d) {
     answer->append(d.data(), d.size());
--- a/src/net/link_pool.h
+++ b/src/net/link_pool.h
@@ -31,7 +31,7 @@
   H2Client& LinkTo(const std::string& address);
 
   // Called with the HTTP status and body of an answer. The status is 0 if no
-  // complete answer arrived.
+  // complete answer arrived, or one longer than kMaxLinkBodyBytes.
   using Done = std::function<void(int status, const std::string& body)>;
   // Posts `body` and returns a handle for H2Client::Cancel, or 0. Calls
   // `progress` whenever a part of the answer has arrived.
--- a/test/net/h2_test.cc
+++ b/test/net/h2_test.cc
@@ -731,3 +731,57 @@
   }
   ev_loop_destroy(loop);
 }
+
+// Guards against an answer without end on a link between processes: it is kept
+// whole and fills the memory.
+TEST(h2, AnswerWithoutEndEndsItsCallAlone) {
+  struct ev_loop* loop = ev_loop_new(EVFLAG_AUTO);
+  {
+    BootClock clock;
+    int port = testing::ClaimPortRange();
+    std::shared_ptr<H2Stream> endless;
+    std::shared_ptr<H2Stream> other;
+    H2Server server(loop, [&](const H2Request& r, auto s) {
+      (r.path == "/endless" ? endless : other) = std::move(s);
+    });
+    CHECK_TRUE(server.Listen("127.0.0.1", port).ok());
+    LinkPool links(loop, clock);
+    std::string address = absl::StrCat("127.0.0.1:", port);
+    int endless_status = -1;
+    size_t endless_kept = 0;
+    links.Post(address, "/endless", Payload(),
+               [&](int status, const std::string& body) {
+                 endless_status = status;
+                 endless_kept = body.size();
+               });
+    int other_status = -1;
+    std::string other_body;
+    links.Post(address, "/other", Payload(),
+               [&](int status, const std::string& body) {
+                 other_status = status;
+                 other_body = body;
+               });
+    CHECK_TRUE(RunUntil(
+        loop, [&] { return endless && other; }, 2000));
+    endless->StartStream(200, {});
+    const std::string piece(size_t{1} << 20, 'x');
+    constexpr int kPieces = 32;
+    for (int i = 0; i < kPieces && endless_status < 0; ++i) {
+      endless->Write(piece);
+      RunUntil(
+          loop,
+          [&] { return endless_status >= 0 || server.queued_bytes() == 0; },
+          2000);
+    }
+    LONGS_EQUAL(0, endless_status);
+    CHECK_TRUE(endless_kept <= kMaxLinkBodyBytes);
+    CHECK_TRUE(RunUntil(
+        loop, [&] { return endless->closed(); }, 2000));
+    other->Respond(200, {}, std::string(kMaxLinkBodyBytes, 'y'));
+    CHECK_TRUE(RunUntil(
+        loop, [&] { return other_status >= 0; }, 5000));
+    LONGS_EQUAL(200, other_status);
+    LONGS_EQUAL(kMaxLinkBodyBytes, other_body.size());
+  }
+  ev_loop_destroy(loop);
+}
