--- a/test/net/h2_test.cc
+++ b/test/net/h2_test.cc
@@ -602,11 +602,15 @@
       : tcp_(std::move(tcp)) {
     nghttp2_session_callbacks* callbacks = nullptr;
     nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_option* options = nullptr;
+    nghttp2_option_new(&options);
+    nghttp2_option_set_max_send_header_block_length(options, size_t{1} << 20);
     if (client) {
-      nghttp2_session_client_new(&session_, callbacks, nullptr);
+      nghttp2_session_client_new2(&session_, callbacks, nullptr, options);
     } else {
-      nghttp2_session_server_new(&session_, callbacks, nullptr);
+      nghttp2_session_server_new2(&session_, callbacks, nullptr, options);
     }
+    nghttp2_option_del(options);
     nghttp2_session_callbacks_del(callbacks);
     nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, nullptr, 0);
     TcpEvents e;
@@ -785,3 +789,41 @@
   }
   ev_loop_destroy(loop);
 }
+
+// Guards against a head of 500 KB on a link between processes, whose fields
+// fill the memory.
+TEST(h2, HeadOfAnAnswerWithTooManyFieldsEndsItsCall) {
+  struct ev_loop* loop = ev_loop_new(EVFLAG_AUTO);
+  {
+    BootClock clock;
+    size_t field_bytes = 0;
+    std::string body;
+    bool closed = false;
+    std::unique_ptr<RawH2Peer> peer;
+    TcpListener listener(loop, [&](std::shared_ptr<TcpConnection> tcp) {
+      peer = std::make_unique<RawH2Peer>(std::move(tcp), false);
+    });
+    CHECK_TRUE(listener.Listen(Endpoint{"127.0.0.1", 0}).ok());
+    H2Client client(loop, clock, "127.0.0.1", listener.port(), Millis(1000),
+                    Millis(3000));
+    H2Call call = GetRequest("/a", &body, &closed);
+    call.on_response = [&](int, const auto& headers) {
+      field_bytes = 0;
+      for (const auto& [k, v] : headers) field_bytes += k.size() + v.size();
+    };
+    client.Submit(std::move(call));
+    CHECK_TRUE(RunUntil(
+        loop, [&] { return peer && peer->received(); }, 2000));
+    constexpr int32_t kFirstStream = 1;
+    constexpr int kFields = 500;
+    HeaderList fields = {{":status", "200"}};
+    for (int i = 0; i < kFields; ++i)
+      fields.emplace_back(absl::StrCat("x-", i), std::string(1000, '~'));
+    peer->SendFields(kFirstStream, fields, false);
+    CHECK_TRUE(RunUntil(
+        loop, [&] { return closed || field_bytes > 0; }, 2000));
+    LONGS_EQUAL(0, field_bytes);
+    CHECK_TRUE(closed);
+  }
+  ev_loop_destroy(loop);
+}
