Log: a stop waits within its grace for the log to take its last line

Seen: an entry whose stdout is a pipe that is full when its stop is finished ends without `stopped` and without `lines_dropped`, so that nothing tells that lines of requests are missing.

Cause: a line is dropped when the log takes none, and the number of dropped lines is told with the next line; at the end of a process there is no next one.

Change: an entry with nothing left to do ends when the log takes a line, at the latest at the end of the grace as before. The tick asks, nothing blocks.

--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -119,6 +119,10 @@
   LOG4CXX_WARN(Logger(), FormatEvent(event, fields));
 }
 
+bool LogAcceptsLine() {
+  return RateLimiter().HasRoom(BootClock().Now()) && IsStdoutWritable();
+}
+
 int64_t LogLinesDropped() { return RateLimiter().dropped(); }
 
 }  // namespace medlarwalk
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -49,6 +49,9 @@
 // those of LogEvent().
 void LogWarn(absl::string_view event, std::initializer_list<Field> fields);
 
+// Returns whether a line written now would not be dropped.
+bool LogAcceptsLine();
+
 // Returns the number of log lines dropped since the process started.
 int64_t LogLinesDropped();
 
--- a/src/base/log_rate_limiter.h
+++ b/src/base/log_rate_limiter.h
@@ -22,11 +22,7 @@
   // line as dropped. `writable` says whether the log accepts a line without
   // blocking.
   bool AllowLine(TimePoint now, bool writable) {
-    if (last_refill_ != TimePoint{}) {
-      tokens_ =
-          std::min(burst_, tokens_ + rate_ * ToSeconds(now - last_refill_));
-    }
-    last_refill_ = now;
+    Refill(now);
     if (!writable || tokens_ < 1) {
       ++dropped_;
       ++unreported_;
@@ -35,12 +31,25 @@
     tokens_ -= 1;
     return true;
   }
+  // Returns whether the rate allows one more line at `now`.
+  bool HasRoom(TimePoint now) {
+    Refill(now);
+    return tokens_ >= 1;
+  }
   int64_t dropped() const { return dropped_; }
   // Returns the number of lines dropped since the last call, to be reported in
   // the log itself.
   int64_t TakeUnreported() { return std::exchange(unreported_, 0); }
 
  private:
+  void Refill(TimePoint now) {
+    if (last_refill_ != TimePoint{}) {
+      tokens_ =
+          std::min(burst_, tokens_ + rate_ * ToSeconds(now - last_refill_));
+    }
+    last_refill_ = now;
+  }
+
   double rate_;
   double burst_;
   double tokens_;
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -441,7 +441,9 @@
   bool drained =
       gateway_.open_requests() == 0 && callers_.requests_in_progress() == 0;
   bool out_of_time = since > options_.grace - kGraceMargin / 2;
-  if (stopped_accepting_ && (drained || out_of_time)) {
+  // The last line tells of the stop and of the lines that the log lacks, so it
+  // waits for a slow reader of the log.
+  if (stopped_accepting_ && ((drained && LogAcceptsLine()) || out_of_time)) {
     LogEvent("stopped", {{"stop_ms", ToMs(since)},
                          {"open", gateway_.open_requests()},
                          {"connections", callers_.connections()},
--- a/test/base/log_test.cc
+++ b/test/base/log_test.cc
@@ -27,3 +27,14 @@
   CHECK_FALSE(log_rate_limiter.AllowLine(now, false));
   CHECK_TRUE(log_rate_limiter.AllowLine(now, true));
 }
+
+// Guards against a process that ends although its last line would be dropped.
+TEST(log, TellsWhetherALineWouldBeDropped) {
+  TimePoint now(std::chrono::hours(1));
+  LogRateLimiter log_rate_limiter(100, 1);
+  CHECK_TRUE(log_rate_limiter.HasRoom(now));
+  CHECK_TRUE(log_rate_limiter.AllowLine(now, true));
+  CHECK_FALSE(log_rate_limiter.HasRoom(now));
+  LONGS_EQUAL(0, log_rate_limiter.dropped());
+  CHECK_TRUE(log_rate_limiter.HasRoom(now + std::chrono::milliseconds(10)));
+}
