Stop: a plain request of a route without a latency target needs its deadline in time

A plain request of a route that states no latency target was taken for 2.5 s after SIGTERM however long it might last, and could be cut at the end of the grace period. Cause: ten times a missing target is zero, which is always within what is left. All routes in the protocol's example state one, so nothing changes there.

--- a/src/policy/stop_admission.h
+++ b/src/policy/stop_admission.h
@@ -24,8 +24,8 @@
 struct StopCandidate {
   bool stream = false;
   WorkShape shape = WorkShape::kPlain;
-  Duration latency_target{};
-  TimePoint deadline{};  // When the request ends at the latest.
+  Duration latency_target{};  // Zero: the route states none.
+  TimePoint deadline{};       // When the request ends at the latest.
 };
 
 // Returns whether a stopping process takes a request that is complete at `now`.
@@ -36,7 +36,8 @@
                                  TimePoint now) {
   if (!s.ends_at) return c.shape != WorkShape::kDecode;
   if (c.deadline <= *s.ends_at) return true;
-  if (c.stream || now - s.began_at > kRoutedAfterStop) return false;
+  if (c.stream || c.latency_target <= Duration::zero()) return false;
+  if (now - s.began_at > kRoutedAfterStop) return false;
   return c.latency_target * kMaxPlainTargets <= *s.ends_at - now;
 }
 
--- a/test/policy/stop_admission_test.cc
+++ b/test/policy/stop_admission_test.cc
@@ -104,3 +104,13 @@
   c.shape = WorkShape::kDecode;
   CHECK_FALSE(MayTakeWhileStopping(c, open, kBegan));
 }
+
+// Guards against a route that states no latency target counting as one that
+// answers at once: its plain requests were taken however long they may last.
+TEST(stop_admission, APlainRequestWithoutALatencyTargetNeedsItsDeadlineInTime) {
+  StopCandidate c = Plain(Millis(1000), Millis(30'000));
+  c.latency_target = Duration::zero();
+  CHECK_FALSE(Takes(c, Millis(1000)));
+  c.deadline = kBegan + kGrace;
+  CHECK_TRUE(Takes(c, Millis(1000)));
+}
