Stop: with a short grace period, the listener closes and the process ends within it

With a grace period of less than 2.5 s the listener stayed open until SIGKILL, which the process always met. Cause: both the listener's close and the end waited for a fixed 2.5 s. Change: the listener closes at 2.5 s or when unfinished requests are cut, whichever comes first, so that the end is no longer kept from coming.

--- a/src/serving.cc
+++ b/src/serving.cc
@@ -432,7 +432,9 @@
 
 void Serving::AdvanceDrain(TimePoint now) {
   Duration since = now - drain_started_at_;
-  if (since > kRoutedAfterStop && !stopped_accepting_) {
+  Duration accepting =
+      std::min<Duration>(kRoutedAfterStop, options_.grace - kGraceMargin);
+  if (since > accepting && !stopped_accepting_) {
     stopped_accepting_ = true;
     callers_.StopAccepting();
   }
--- a/test/serving_test.cc
+++ b/test/serving_test.cc
@@ -24,7 +24,7 @@
 // given, and an entry process that follows it. No source of the list answers.
 class EntryRig {
  public:
-  EntryRig()
+  explicit EntryRig(Duration grace = std::chrono::seconds(8))
       : loop_(ev_loop_new(EVFLAG_AUTO)),
         port_(ClaimPortRange()),
         lists_(64, EncodeListChange) {
@@ -35,6 +35,7 @@
     CHECK_TRUE(control_->Listen("127.0.0.1", port_).ok());
     ServingOptions o;
     o.name = "entry";
+    o.grace = grace;
     o.frontend = Endpoint{"127.0.0.1", port_ + 1};
     o.readiness = Endpoint{"127.0.0.1", port_ + 2};
     o.readiness_path = "/ready";
@@ -89,6 +90,28 @@
     return answer;
   }
 
+  // Begins a planned stop. Returns whether the listener for callers is closed
+  // within `limit`.
+  bool StopAndAwaitNoListener(Duration limit) {
+    entry_->Drain();
+    TimePoint until = clock_.Now() + limit;
+    bool refused = false;
+    while (!refused && clock_.Now() < until) {
+      ev_run(loop_, EVRUN_NOWAIT);
+      auto tcp = TcpConnection::Connect(loop_, {"127.0.0.1", port_ + 1},
+                                        std::chrono::seconds(1));
+      TcpEvents e;
+      e.on_closed = [&](const absl::Status&) { refused = true; };
+      tcp->set_events(std::move(e));
+      TimePoint next = clock_.Now() + Millis(20);
+      while (!refused && !tcp->connected() && clock_.Now() < next)
+        ev_run(loop_, EVRUN_NOWAIT);
+      tcp->Close();
+      usleep(5000);
+    }
+    return refused;
+  }
+
  private:
   void Answer(const H2Request& q, H2Stream& stream) {
     absl::StatusOr<WatchRequest> w = DecodeWatchRequest(q.body);
@@ -160,3 +183,11 @@
                             "\r\n\r\nready=1 has_config=1 upstreams=1 "
                             "list_unread=0 list_rest_unread=0\n"));
 }
+
+// Guards against a stop that lasts until the process is killed: with a grace
+// period shorter than the usual time of accepting, the listener stayed open.
+TEST(serving, AStopWithAShortGraceEndsWithinIt) {
+  constexpr Millis kShortGrace(1000);
+  EntryRig rig(kShortGrace);
+  CHECK_TRUE(rig.StopAndAwaitNoListener(kShortGrace));
+}
