Callers: a cut answer ends its connection as a last answer does

Cause: CallerConnection::Abort() closed as soon as the buffer was written. The same class as a last answer: a close with bytes on the way resets the connection.

Change: an answer with chunks is cut by closing the sending side; the caller's bytes are discarded until it closes, falls silent or ten seconds are over.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -159,20 +159,26 @@
     UpdateReadPaused();
   }
 
-  // Closes the connection at once, before the end of the answer.
+  // Ends the connection before the end of the answer, as after a last answer:
+  // the caller may not have read a whole answer before it.
   void Abort() {
     auto self = shared_from_this();
     // Resets the connection if the answer was begun without a length. After an
     // orderly close, the interrupted answer would look complete.
     bool reset = exchange_ && exchange_->started_ && !exchange_->chunked_;
     DetachExchange();
-    server_->connections_.erase(this);
     if (reset) {
+      server_->connections_.erase(this);
       tcp_->CloseWithReset();
       return;
     }
-    tcp_->CloseAfterWrites();
-    if (tcp_->open()) KeepSocketUntilFlushed();
+    RecordProgress();
+    answering_ = false;
+    close_after_ = last_answer_done_ = true;
+    ended_at_ = last_activity_ = server_->clock_.Now();
+    unparsed_.clear();
+    UpdateReadPaused();
+    tcp_->ShutdownAfterWrites();
   }
 
   // Returns whether a request is being read or answered, or the caller is still
@@ -293,14 +299,6 @@
     exchange_.reset();
   }
 
-  // Keeps the socket open until all buffered bytes are written to it.
-  void KeepSocketUntilFlushed() {
-    auto keep = tcp_;
-    TcpEvents e;
-    e.on_drained = [keep]() mutable { keep.reset(); };
-    tcp_->set_events(std::move(e));
-  }
-
   void OnRequestHead(MessageHead head) {
     exchange_ = std::make_shared<CallerExchange>();
     if (!head.keep_alive) close_after_ = true;
