--- a/test/procs.cc
+++ b/test/procs.cc
@@ -13,8 +13,12 @@
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <thread>
 
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+
 namespace medlarwalk::testing {
 
 namespace {
@@ -107,6 +111,16 @@
   return false;
 }
 
+size_t PeakMemoryOf(pid_t pid) {
+  constexpr absl::string_view kPeak = "VmHWM:";
+  std::ifstream status(absl::StrCat("/proc/", pid, "/status"));
+  for (std::string line; std::getline(status, line);) {
+    if (absl::StartsWith(line, kPeak))
+      return std::strtoull(line.c_str() + kPeak.size(), nullptr, 10) * 1024;
+  }
+  return 0;
+}
+
 bool WaitForPort(int port, int ms) {
   for (int waited = 0; waited <= ms; waited += kPollIntervalMs) {
     int fd = socket(AF_INET, SOCK_STREAM, 0);
--- a/test/procs.h
+++ b/test/procs.h
@@ -27,6 +27,10 @@
 // exited within this time.
 bool SignalAndWait(pid_t pid, int sig, int wait_ms = 5000);
 
+// Returns the peak of the memory that process `pid` has held, in bytes; 0 if it
+// does not run.
+size_t PeakMemoryOf(pid_t pid);
+
 // Waits up to `ms` until a process accepts connections on 127.0.0.1:`port`.
 // Returns false on timeout.
 bool WaitForPort(int port, int ms = 5000);
