Callers: the requests of all callers together have a limit of memory

Callers saw: an entry, a control process or the product's own entry that runs out of memory and ends while many clients send bodies, heads or requests ahead and stop short of their end.

Change: CallerServer counts what each connection makes it hold (bytes read, fields of a head with their overhead, the body, bytes sent ahead also in the socket of a paused connection) in one sum. request_memory.h decides, pure: who is refused beyond the limit (no recent bytes first, then the largest) and whether a complete request may be passed on (large ones get half). The refusal is 503 with Retry-After and holds: nothing refused has been passed on. What was sent ahead of an answer is dropped instead and the connection closes after the answer. Buffers are freed, not cleared; a body of known length does not grow beyond it.

Why it works: nothing a caller sends is held outside the sum, and what can't be refused any more (passed on) takes at most half of it, but for small ones.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -44,6 +44,8 @@
 // Unsent bytes of an answer from which it is checked at once whether all take
 // too much memory.
 constexpr size_t kLargeUnsentBytes = size_t{64} * 1024;
+// Time after which a caller whose request found no memory may return.
+constexpr absl::string_view kRetryAfterSeconds = "1";
 // Descriptors reserved for links, listeners, logs and files.
 constexpr size_t kReservedDescriptors = 100;
 
@@ -67,9 +69,7 @@
             Http1Parser::Kind::kRequest, server->limits_.header_bytes,
             server->limits_.body_bytes,
             MessageSink{[this](MessageHead h) { OnRequestHead(std::move(h)); },
-                        [this](absl::string_view d) {
-                          exchange_->body.append(d.data(), d.size());
-                        },
+                        [this](absl::string_view d) { AppendBody(d); },
                         [this] { request_done_ = true; }}),
         last_activity_(server->clock_.Now()),
         limits_(server->limits_) {}
@@ -94,6 +94,7 @@
     auto ex = std::move(exchange_);
     tcp_->Close();
     server_->connections_.erase(this);
+    CountHeldBytes(0);
     if (!ex) return;
     ex->connection_ = nullptr;
     auto f = std::move(ex->on_disconnect_);
@@ -149,14 +150,16 @@
     if (close_after_) {
       last_answer_done_ = true;
       ended_at_ = last_activity_;
-      unparsed_.clear();
+      ReleaseUnparsed();
       UpdateReadPaused();
+      UpdateHeldBytes();
       tcp_->ShutdownAfterWrites();
       return;
     }
     PrepareForNextRequest();
     if (!unparsed_.empty()) ParseBuffered();
     UpdateReadPaused();
+    UpdateHeldBytes();
   }
 
   // Ends the connection before the end of the answer, as after a last answer:
@@ -169,6 +172,7 @@
     DetachExchange();
     if (reset) {
       server_->connections_.erase(this);
+      CountHeldBytes(0);
       tcp_->CloseWithReset();
       return;
     }
@@ -176,11 +180,46 @@
     answering_ = false;
     close_after_ = last_answer_done_ = true;
     ended_at_ = last_activity_ = server_->clock_.Now();
-    unparsed_.clear();
+    ReleaseUnparsed();
     UpdateReadPaused();
+    UpdateHeldBytes();
     tcp_->ShutdownAfterWrites();
   }
 
+  // Counts what this connection holds in the server's sum.
+  void UpdateHeldBytes() {
+    size_t bytes = AheadBytes();
+    if (!ending() && parser_.started()) bytes += parser_.head_bytes();
+    if (exchange_) bytes += exchange_->body.capacity();
+    CountHeldBytes(bytes);
+  }
+  // Returns the memory that this caller's requests take, in bytes, as counted
+  // in the server's sum.
+  size_t held_bytes() const { return held_bytes_; }
+  // Returns the part of held_bytes() of a complete request.
+  size_t complete_bytes() const {
+    return answering_ ? held_bytes_ - std::min(held_bytes_, AheadBytes()) : 0;
+  }
+  // Returns what can be refused or dropped now: a request that is being read,
+  // or what was sent ahead of one that is being answered.
+  HeldRequest Refusable(TimePoint now) const {
+    size_t bytes = answering_ ? AheadBytes() : held_bytes_;
+    return {ending() ? 0 : bytes, now - last_received_at_};
+  }
+  // Gives up what Refusable() counts. A request that is being answered goes on;
+  // what was sent after it is discarded, and its connection then closes.
+  void RefuseForMemory() {
+    if (!answering_) {
+      Refuse(503, "no memory for the request");
+      return;
+    }
+    LogWarn("sent_ahead_dropped", {{"bytes", unparsed_.size()}});
+    close_after_ = drops_ahead_ = true;
+    ReleaseUnparsed();
+    UpdateReadPaused();
+    UpdateHeldBytes();
+  }
+
   // Returns whether a request is being read or answered, or the caller is still
   // reading an answer.
   bool busy() {
@@ -317,10 +356,41 @@
       if (sends_on()) last_activity_ = server_->clock_.Now();
       return;
     }
-    if (!answering_) last_activity_ = server_->clock_.Now();
+    last_received_at_ = server_->clock_.Now();
+    if (!answering_) last_activity_ = last_received_at_;
+    if (drops_ahead_) return;
     unparsed_.append(data.data(), data.size());
     if (!answering_) ParseBuffered();
+    if (unparsed_.empty()) ReleaseUnparsed();
     UpdateReadPaused();
+    if (!tcp_->open()) return;
+    UpdateHeldBytes();
+    server_->LimitRequestBytes();
+  }
+
+  void AppendBody(absl::string_view d) {
+    std::string& body = exchange_->body;
+    size_t size = body.size() + d.size();
+    // Growth by doubling would take up to twice a length that is known.
+    if (exchange_->head.content_length && size > body.capacity()) {
+      body.reserve(std::min<size_t>(*exchange_->head.content_length,
+                                    std::max(size, 2 * body.capacity())));
+    }
+    body.append(d.data(), d.size());
+  }
+
+  // Frees the buffer; clear() would keep its memory.
+  void ReleaseUnparsed() { std::string().swap(unparsed_); }
+
+  // Returns the bytes of what the caller sent after the request that is being
+  // answered, in this process and, while reading is paused, in its socket.
+  size_t AheadBytes() const {
+    return unparsed_.capacity() + (read_paused_ ? tcp_->unread() : 0);
+  }
+
+  void CountHeldBytes(size_t bytes) {
+    server_->request_bytes_ += bytes - held_bytes_;
+    held_bytes_ = bytes;
   }
 
   // Stops reading while a request is being answered and the buffer is full.
@@ -355,10 +425,15 @@
     if (!parser_.started()) BeginRequest();
     absl::Status s = parser_.Feed(&unparsed_);
     if (!s.ok()) {
-      RejectMalformed(StatusOfParseError(s), s.message());
+      Refuse(StatusOfParseError(s), s.message());
       return false;
     }
     if (!request_done_) return false;
+    if (!server_->MayPassOnRequest(exchange_->body.capacity() +
+                                   parser_.head_bytes())) {
+      Refuse(503, "no memory for the request");
+      return false;
+    }
     answering_ = true;
     exchange_->connection_ = this;
     exchange_->arrived = server_->clock_.Now();
@@ -367,20 +442,27 @@
     return true;
   }
 
-  // Answers `status`, and from then on discards what the caller sends.
-  void RejectMalformed(int status, absl::string_view reason) {
-    LogWarn("request_malformed", {{"status", status},
-                                  {"reason", reason},
-                                  {"answered_before", answered_}});
-    if (server_->on_malformed_) server_->on_malformed_(reason);
+  // Answers `status` to a request that has not been passed on, and from then on
+  // discards what the caller sends.
+  void Refuse(int status, absl::string_view reason) {
+    LogWarn(status == 503 ? "request_refused" : "request_malformed",
+            {{"status", status},
+             {"reason", reason},
+             {"held_bytes", held_bytes_},
+             {"held_by_all", server_->request_bytes_},
+             {"answered_before", answered_}});
+    if (server_->on_refused_) server_->on_refused_(reason);
     std::string out =
-        absl::StrCat("HTTP/1.1 ", status, " ", ReasonPhrase(status),
-                     "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
-    tcp_->Write(out);
+        absl::StrCat("HTTP/1.1 ", status, " ", ReasonPhrase(status), "\r\n",
+                     "Content-Length: 0\r\nConnection: close\r\n");
+    if (status == 503) AppendHeader(&out, "Retry-After", kRetryAfterSeconds);
+    tcp_->Write(absl::StrCat(out, "\r\n"));
     tcp_->ShutdownAfterWrites();
     DetachExchange();
-    unparsed_.clear();
+    ReleaseUnparsed();
+    parser_.Reset();
     close_after_ = refused_ = true;
+    UpdateHeldBytes();
     progress_at_ = last_activity_ = ended_at_ = server_->clock_.Now();
     unsent_before_ = unsent();
   }
@@ -400,8 +482,11 @@
   int answered_ = 0;               // Requests answered on this connection.
   bool last_answer_done_ = false;  // No request is read any more.
   size_t discarded_ = 0;           // Bytes received while ending().
-  size_t unsent_before_ = 0;       // unsent() at the last RecordProgress().
-  TimePoint progress_at_{};        // When the caller last read a part.
+  bool drops_ahead_ = false;  // What is sent after this request is discarded.
+  size_t held_bytes_ = 0;     // Counted in the server's sum.
+  TimePoint last_received_at_{};
+  size_t unsent_before_ = 0;  // unsent() at the last RecordProgress().
+  TimePoint progress_at_{};   // When the caller last read a part.
   TimePoint last_activity_;
   TimePoint ended_at_{};         // When the last answer was complete and sent.
   TimePoint head_started_at_{};  // When the current request began to arrive.
@@ -605,6 +690,31 @@
   }
 }
 
+void CallerServer::LimitRequestBytes() {
+  size_t limit = RequestBytesLimit();
+  if (request_bytes_ <= limit) return;
+  std::vector<std::shared_ptr<CallerConnection>> all;
+  std::vector<HeldRequest> held;
+  TimePoint now = clock_.Now();
+  for (const auto& [p, c] : connections_) {
+    HeldRequest h = c->Refusable(now);
+    if (h.bytes == 0) continue;
+    all.push_back(c);
+    held.push_back(h);
+  }
+  for (size_t i : ChooseRefused(held, request_bytes_, limit))
+    all[i]->RefuseForMemory();
+}
+
+bool CallerServer::MayPassOnRequest(size_t bytes) const {
+  size_t limit = RequestBytesLimit();
+  // Far below the limit, no scan of all connections is needed.
+  if (request_bytes_ + bytes <= limit / 2) return true;
+  size_t complete = 0;
+  for (const auto& [p, c] : connections_) complete += c->complete_bytes();
+  return MayPassOn(bytes, complete, limit);
+}
+
 void CallerServer::OnEvictionTimer(struct ev_loop*, ev_timer* w, int) {
   static_cast<CallerServer*>(w->data)->EvictIdleConnections();
 }
@@ -629,6 +739,9 @@
   for (auto& [p, c] : self->connections_) all.push_back(c);
   for (auto& c : all) c->CloseIfTimedOut(now);
   self->LimitUnsentBytes();
+  // What waits in the sockets of paused connections has grown meanwhile.
+  for (auto& [p, c] : self->connections_) c->UpdateHeldBytes();
+  self->LimitRequestBytes();
 }
 
 }  // namespace medlarwalk
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -16,6 +16,7 @@
 #include "absl/strings/string_view.h"
 #include "http1.h"
 #include "poll_clock.h"
+#include "request_memory.h"
 #include "tcp.h"
 #include "types.h"
 
@@ -110,10 +111,16 @@
   // sockets. Beyond it, callers that read nothing of a complete answer are
   // given up, the longest first.
   void set_max_unsent_bytes(size_t n) { max_unsent_bytes_ = n; }
+  // Limits the memory of all requests that are being read, wait or are being
+  // answered, with what their callers have sent ahead, to about `n` bytes; a
+  // request within the limits always fits (RequestMemoryLimit). Beyond it,
+  // requests are refused as ChooseRefused and MayPassOn say, with 503 and a
+  // time to return. They have not run.
+  void set_max_request_bytes(size_t n) { max_request_bytes_ = n; }
   // Sets `f`, which is called with the reason for each request that is refused
-  // because it is malformed or exceeds a limit.
-  void set_on_malformed(std::function<void(absl::string_view reason)> f) {
-    on_malformed_ = std::move(f);
+  // because it is malformed, exceeds a limit or finds no memory.
+  void set_on_refused(std::function<void(absl::string_view reason)> f) {
+    on_refused_ = std::move(f);
   }
   // First step of a planned stop: every answer from now on closes its
   // connection.
@@ -137,6 +144,13 @@
  private:
   friend class CallerConnection;
   void LimitUnsentBytes();
+  // Refuses requests while all together take too much memory.
+  void LimitRequestBytes();
+  // Returns whether a complete request of `bytes` may go to the handler.
+  bool MayPassOnRequest(size_t bytes) const;
+  size_t RequestBytesLimit() const {
+    return RequestMemoryLimit(max_request_bytes_, limits_.body_bytes);
+  }
   static void OnTimeoutCheck(struct ev_loop* loop, ev_timer* w, int revents);
   static void OnEvictionTimer(struct ev_loop* loop, ev_timer* w, int revents);
   // Closes idle connections if the maximum number is reached, and pauses
@@ -152,10 +166,12 @@
   Handler handler_;
   CallerLimits limits_;
   TcpListener listener_;
-  std::function<void(absl::string_view reason)> on_malformed_;
+  std::function<void(absl::string_view reason)> on_refused_;
   bool closing_after_answers_ = false;
   size_t max_connections_ = SIZE_MAX;
   size_t max_unsent_bytes_ = SIZE_MAX;
+  size_t max_request_bytes_ = kDefaultRequestMemory;
+  size_t request_bytes_ = 0;  // Sum of CallerConnection::held_bytes().
   ev_timer timeout_check_timer_{};
   // Timer of eviction attempts; active while new callers wait for a connection.
   ev_timer eviction_timer_{};
--- a/src/net/http1.cc
+++ b/src/net/http1.cc
@@ -14,6 +14,10 @@
 namespace medlarwalk {
 namespace {
 
+// Memory of a field besides its text, in bytes: a list that grows has room for
+// up to twice its fields.
+constexpr size_t kBytesPerField =
+    2 * sizeof(std::pair<std::string, std::string>);
 constexpr int kHttp11 = 11;  // Beast's version number for HTTP/1.1.
 
 namespace beast = boost::beast;
@@ -34,6 +38,7 @@
   // Returns why the message is malformed; Ok if Beast itself says so.
   const absl::Status& error() const { return error_; }
   void set_answers_head() { answers_head_ = true; }
+  size_t field_bytes() const { return field_bytes_; }
 
  private:
   void on_request_impl(http::verb, beast::string_view method,
@@ -52,6 +57,7 @@
   void on_field_impl(http::field, beast::string_view name,
                      beast::string_view value, error_code&) override {
     if (head_done_) return;  // Trailers are not forwarded.
+    field_bytes_ += kBytesPerField + name.size() + value.size();
     head_.headers.emplace_back(std::string(ToStringView(name)),
                                std::string(ToStringView(value)));
   }
@@ -122,6 +128,7 @@
   bool http11_ = true;
   bool answers_head_ = false;
   bool head_done_ = false;
+  size_t field_bytes_ = 0;
 };
 
 bool ContainsName(absl::Span<const absl::string_view> names,
@@ -282,6 +289,10 @@
   return impl_->Visit([](auto& p) { return p.is_done(); });
 }
 
+size_t Http1Parser::head_bytes() const {
+  return impl_->Visit([](auto& p) { return p.field_bytes(); });
+}
+
 bool Http1Parser::is_close_delimited() const {
   return impl_->Visit([](auto& p) { return p.need_eof(); });
 }
--- a/src/net/http1.h
+++ b/src/net/http1.h
@@ -97,6 +97,9 @@
   bool started() const;
   bool head_done() const;
   bool done() const;
+  // Returns the memory that the fields of the message take, in bytes, whether
+  // they are still here or were passed on. A field takes more than its text.
+  size_t head_bytes() const;
   // Returns whether the message is delimited by the end of its connection.
   bool is_close_delimited() const;
   // Returns how the end of the message was detected. Precondition: done().
@@ -104,6 +107,8 @@
   // Prepares the parser for the next message. Precondition: done() or not
   // started().
   void PrepareForNextMessage();
+  // Frees what was parsed of the current message, which is given up.
+  void Reset() { CreateParser(); }
   // Tells the parser that the next answer has no body because it answers a HEAD
   // request.
   void ExpectNoBody();
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -271,6 +271,12 @@
   return fd_ >= 0 && recv(fd_, &c, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+size_t TcpConnection::unread() const {
+  int n = 0;
+  if (fd_ < 0 || ioctl(fd_, FIONREAD, &n) != 0) return 0;
+  return static_cast<size_t>(n);
+}
+
 bool TcpConnection::PeerClosed() const {
   pollfd p{fd_, POLLRDHUP, 0};
   return fd_ >= 0 && poll(&p, 1, 0) > 0;
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -98,6 +98,8 @@
   // Also true while received bytes wait, and while reading is paused.
   bool PeerClosed() const;
   size_t unsent() const { return out_.size() - sent_; }
+  // Returns the number of received bytes that wait in the socket.
+  size_t unread() const;
   // Returns UnacknowledgedBytes() of the socket.
   size_t unacknowledged() const { return UnacknowledgedBytes(fd_); }
 
--- a/src/serving.h
+++ b/src/serving.h
@@ -40,6 +40,8 @@
   size_t descriptors = DescriptorLimit();
   // See CallerServer::set_max_unsent_bytes().
   size_t max_unsent_bytes = SIZE_MAX;
+  // See CallerServer::set_max_request_bytes().
+  size_t max_request_bytes = kDefaultRequestMemory;
   GatewayOptions gateway;
   Dialect dialect;
   ListSource list;
