Upstreams: a request's body stands once in memory

Callers saw: nothing yet; an entry that holds many bodies of legal size at once took up to three times their size, beyond what its limit for requests counts.

Cause: an attempt encoded the whole request into a text of its own, whose memory stayed after it was written (clear() keeps it), and the connection copied what the socket didn't take; sent bytes of that copy stayed until all were sent.

Evidence: group http1_client failed twice before: the heap had grown by over a quarter of a body of 8 MB after the whole request was read, and by over one and a quarter while nothing was read.

Change: a connection's unsent bytes are a Payload, which can hold shared documents; an attempt's large body is the caller's exchange itself. The encoded head is released when it is written, and the call's fields when it is encoded. Small bodies (below 16 KB) still go into one packet with their head. Links to agents hold the body in the same way.

Why it works: whatever number of attempts holds the body, it is in memory once, as long as the exchange or one of them needs it.

--- a/src/agent_link.cc
+++ b/src/agent_link.cc
@@ -18,7 +18,9 @@
   h2.method = call_.request.method;
   h2.path = call_.request.target;
   h2.headers = call_.request.headers;
-  h2.body = Payload(std::string(call_.request.body));
+  h2.body = call_.request.shared_body
+                ? Payload("", call_.request.shared_body)
+                : Payload(std::string(call_.request.body));
   std::weak_ptr<AgentLink> weak_link = self;
   h2.on_response = [weak_link](int status, const auto& headers) {
     std::shared_ptr<AgentLink> link = weak_link.lock();
--- a/src/base/payload.cc
+++ b/src/base/payload.cc
@@ -32,7 +32,7 @@
   pieces_.push_back(std::move(shared));
 }
 
-absl::string_view Payload::FrontPiece() const {
+absl::string_view Payload::Front() const {
   const std::string& first = pieces_.empty() ? tail_ : *pieces_.front();
   return absl::string_view(first).substr(front_offset_);
 }
@@ -40,20 +40,24 @@
 size_t Payload::Dequeue(uint8_t* to, size_t max_bytes) {
   size_t count = 0;
   while (count < max_bytes && !empty()) {
-    absl::string_view piece = FrontPiece().substr(0, max_bytes - count);
+    absl::string_view piece = Front().substr(0, max_bytes - count);
     std::copy(piece.begin(), piece.end(), to + count);
     count += piece.size();
-    front_offset_ += piece.size();
-    if (!pieces_.empty() && front_offset_ == pieces_.front()->size()) {
-      pieces_size_ -= front_offset_;
-      front_offset_ = 0;
-      pieces_.pop_front();
-    }
+    RemovePrefix(piece.size());
   }
-  if (empty()) *this = Payload();
   return count;
 }
 
+void Payload::RemovePrefix(size_t n) {
+  front_offset_ += n;
+  if (!pieces_.empty() && front_offset_ == pieces_.front()->size()) {
+    pieces_size_ -= front_offset_;
+    front_offset_ = 0;
+    pieces_.pop_front();
+  }
+  if (empty()) *this = Payload();
+}
+
 std::string Payload::CopyRemaining() const {
   Payload copy = *this;
   std::string bytes(size(), '\0');
--- a/src/base/payload.h
+++ b/src/base/payload.h
@@ -33,6 +33,10 @@
   void Append(absl::string_view bytes);
   // Appends a shared document; null appends nothing.
   void Append(Document shared);
+  // Returns the contiguous bytes at the front of the queue.
+  absl::string_view Front() const;
+  // Removes `n` bytes at the front. Precondition: `n` <= Front().size().
+  void RemovePrefix(size_t n);
   // Moves up to `max_bytes` bytes from the front of the queue to `to`. Returns
   // the number of bytes moved.
   size_t Dequeue(uint8_t* to, size_t max_bytes);
@@ -40,9 +44,6 @@
   std::string CopyRemaining() const;
 
  private:
-  // Returns the contiguous bytes at the front of the queue.
-  absl::string_view FrontPiece() const;
-
   std::deque<Document> pieces_;  // Pieces that precede the bytes in `tail_`.
   size_t pieces_size_ = 0;       // Total size of `pieces_` in bytes.
   std::string tail_;             // Owned bytes at the end of the queue.
--- a/src/gateway_send.cc
+++ b/src/gateway_send.cc
@@ -179,7 +179,12 @@
   uint64_t seq = r.seq;
   int attempt = r.attempt;
   UpstreamCall call;
-  call.request = dialect_.write_request(r.exchange->head, f, r.exchange->body);
+  const std::string& body = r.exchange->body;
+  call.request = dialect_.write_request(r.exchange->head, f, body);
+  // Attempts hold the exchange, and so the body, in place of a copy.
+  if (call.request.body.data() == body.data() &&
+      call.request.body.size() == body.size())
+    call.request.shared_body = Document(r.exchange, &body);
   call.on_head = [this, seq, attempt](const MessageHead& h) {
     Request* q = FindAttempt(seq, attempt);
     return q ? OnAnswerHead(*q, h) : true;
--- a/src/http1_client.cc
+++ b/src/http1_client.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr uint32_t kAnswerHeaderLimit = 64 * 1024;
+constexpr size_t kReservedHeadBytes = 1024;
+// Size from which a shared body is held in place of a copy.
+constexpr size_t kMinSharedBytes = size_t{16} * 1024;
 // Size limit of an answer's body, in effect none: the owner of the call limits
 // how much of an answer it keeps in memory.
 constexpr uint64_t kAnswerBodyLimit = 1ull << 40;
@@ -45,10 +48,14 @@
 }  // namespace
 
 std::string EncodeRequest(const OutgoingRequest& r) {
+  return EncodeRequest(r, r.body);
+}
+
+std::string EncodeRequest(const OutgoingRequest& r, absl::string_view body) {
   std::string out = absl::StrCat(r.method, " ", r.target, " HTTP/1.1\r\n");
-  out.reserve(out.size() + r.body.size() + 1024);
+  out.reserve(out.size() + body.size() + kReservedHeadBytes);
   for (const auto& [k, v] : r.headers) AppendHeader(&out, k, v);
-  absl::StrAppend(&out, "\r\n", r.body);
+  absl::StrAppend(&out, "\r\n", body);
   return out;
 }
 
@@ -90,8 +97,13 @@
 
 void Http1Client::Start(UpstreamCall call) {
   call_ = std::move(call);
-  request_ = EncodeRequest(call_.request);
   is_head_request_ = call_.request.method == "HEAD";
+  // A small body goes into one packet with the head.
+  if (call_.request.body.size() >= kMinSharedBytes)
+    shared_body_ = std::move(call_.request.shared_body);
+  request_ = std::make_shared<const std::string>(EncodeRequest(
+      call_.request, shared_body_ ? absl::string_view() : call_.request.body));
+  call_.request = {};
   busy_ = true;
   sent_ = false;
   answers_call_ = false;
@@ -106,8 +118,8 @@
 void Http1Client::OnConnected() {
   if (!busy_ || sent_) return;
   sent_ = true;
-  tcp_->Write(request_);
-  request_.clear();
+  tcp_->Write(std::move(request_));
+  if (shared_body_) tcp_->Write(std::move(shared_body_));
 }
 
 void Http1Client::OnData(absl::string_view data) {
@@ -194,6 +206,8 @@
 
 void Http1Client::EndCall(CallEnd end, absl::string_view why) {
   busy_ = false;
+  request_.reset();
+  shared_body_.reset();
   idle_since_ = clock_.Now();
   auto f = std::move(call_.on_end);
   call_ = {};
@@ -203,6 +217,8 @@
 
 void Http1Client::Cancel() {
   busy_ = false;
+  request_.reset();
+  shared_body_.reset();
   if (!in_callback_) call_ = {};
   Close();
 }
--- a/src/http1_client.h
+++ b/src/http1_client.h
@@ -17,8 +17,10 @@
 
 namespace medlarwalk {
 
-// Returns `r` in the HTTP/1.1 wire format. The headers of `r` must state the
-// length of its body.
+// Returns `r` in the HTTP/1.1 wire format, with `body`. The headers of `r` must
+// state the length of its body.
+std::string EncodeRequest(const OutgoingRequest& r, absl::string_view body);
+// With the whole body of `r`.
 std::string EncodeRequest(const OutgoingRequest& r);
 
 // A persistent HTTP/1.1 connection that carries one call at a time. Held by
@@ -68,7 +70,10 @@
   Http1Parser parser_;
   std::string received_;
   UpstreamCall call_;
-  std::string request_;           // Encoded request; cleared once it is sent.
+  // Encoded request; released once it is written to the connection. A large
+  // shared body stands apart.
+  Document request_;
+  Document shared_body_;
   bool is_head_request_ = false;  // HEAD request: its answer has no body.
   bool busy_ = false;
   bool sent_ = false;
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -135,17 +135,29 @@
 
 void TcpConnection::Write(absl::string_view data) {
   if (fd_ < 0 || close_after_writes_ || shutdown_after_writes_) return;
-  if (connected_ && unsent() == 0) {
-    ssize_t n = send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
-    if (n > 0) data.remove_prefix(static_cast<size_t>(n));
-    // A failed send is not reported here. It also causes an event on the
-    // socket, which the loop handles, so that no callback runs inside Write().
-    if (data.empty()) return;
-  }
-  out_.append(data.data(), data.size());
+  data.remove_prefix(SendNow(data));
+  if (data.empty()) return;
+  out_.Append(data);
   UpdateWatchedEvents();
 }
 
+void TcpConnection::Write(Document data) {
+  if (fd_ < 0 || close_after_writes_ || shutdown_after_writes_) return;
+  size_t n = SendNow(*data);
+  if (n == data->size()) return;
+  out_.Append(std::move(data));
+  out_.RemovePrefix(n);
+  UpdateWatchedEvents();
+}
+
+size_t TcpConnection::SendNow(absl::string_view data) {
+  if (!connected_ || unsent() > 0) return 0;
+  ssize_t n = send(fd_, data.data(), data.size(), MSG_NOSIGNAL);
+  // A failed send is not reported here. It also causes an event on the socket,
+  // which the loop handles, so that no callback runs inside Write().
+  return n > 0 ? static_cast<size_t>(n) : 0;
+}
+
 void TcpConnection::CloseAfterWrites() {
   close_after_writes_ = true;
   if (unsent() == 0) Close();
@@ -235,19 +247,16 @@
     if (fd_ < 0) return;
   }
   while (unsent() > 0) {
-    ssize_t n =
-        send(fd_, out_.data() + sent_, out_.size() - sent_, MSG_NOSIGNAL);
+    absl::string_view front = out_.Front();
+    ssize_t n = send(fd_, front.data(), front.size(), MSG_NOSIGNAL);
     if (n < 0) {
       if (errno == EAGAIN || errno == EINTR) break;
       CloseAndNotify(absl::UnavailableError(std::strerror(errno)));
       return;
     }
-    sent_ += static_cast<size_t>(n);
+    out_.RemovePrefix(static_cast<size_t>(n));
   }
   if (unsent() == 0) {
-    // An assignment would keep the memory.
-    std::string().swap(out_);
-    sent_ = 0;
     if (close_after_writes_) {
       Close();
       return;
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -14,6 +14,7 @@
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
 #include "endpoint.h"
+#include "payload.h"
 #include "types.h"
 
 namespace medlarwalk {
@@ -71,6 +72,8 @@
   void set_events(TcpEvents events) { events_ = std::move(events); }
   // Sends `data`; buffers the bytes that the socket does not accept yet.
   void Write(absl::string_view data);
+  // Sends the shared `data`, of which unsent bytes are not copied.
+  void Write(Document data);
   // Closes the connection once all buffered bytes are sent; discards received
   // data until then.
   void CloseAfterWrites();
@@ -97,7 +100,7 @@
   // Returns whether the peer has closed its side or the connection has failed.
   // Also true while received bytes wait, and while reading is paused.
   bool PeerClosed() const;
-  size_t unsent() const { return out_.size() - sent_; }
+  size_t unsent() const { return out_.size(); }
   // Returns the number of received bytes that wait in the socket.
   size_t unread() const;
   // Returns UnacknowledgedBytes() of the socket.
@@ -106,6 +109,9 @@
  private:
   static void OnIo(struct ev_loop* loop, ev_io* w, int revents);
   static void OnConnectFailure(struct ev_loop* loop, ev_timer* w, int revents);
+  // Sends as much of `data` as the socket accepts, if nothing waits before it.
+  // Returns the number of bytes sent.
+  size_t SendNow(absl::string_view data);
   // Watches the socket for the events that the current state needs.
   void UpdateWatchedEvents();
   void OnReadable();
@@ -123,8 +129,7 @@
   int io_events_ = 0;
   ev_io io_{};
   ev_timer timer_{};
-  std::string out_;
-  size_t sent_ = 0;
+  Payload out_;
   TcpEvents events_;
 };
 
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -12,6 +12,7 @@
 
 #include "absl/strings/string_view.h"
 #include "http1.h"
+#include "payload.h"
 #include "types.h"
 #include "upstream_list.h"
 
@@ -25,6 +26,9 @@
   // View of the request body. The body must stay valid until Start has
   // returned.
   absl::string_view body;
+  // The same bytes as `body`, if a link may hold them in place of a copy; may
+  // be null.
+  Document shared_body = nullptr;
 };
 
 // How a call ended.
