Processes: large blocks go back to the kernel when they are freed

Callers saw: an entry whose memory stays high, and grows, while bodies and answers of many sizes come and go.

Change: both thresholds are fixed at the start of every role.

--- a/src/main.cc
+++ b/src/main.cc
@@ -20,6 +20,7 @@
 #include "entry.h"
 #include "fake_engine.h"
 #include "fake_service.h"
+#include "heap_use.h"
 #include "load_tool.h"
 #include "log.h"
 #include "platform/run.h"
@@ -206,4 +207,7 @@
 }  // namespace
 }  // namespace medlarwalk
 
-int main(int argc, char** argv) { return medlarwalk::Main(argc, argv); }
+int main(int argc, char** argv) {
+  medlarwalk::ReturnLargeBlocks();
+  return medlarwalk::Main(argc, argv);
+}
