Callers: the next request waits until the last answers are read

Callers saw: an entry that runs out of memory while some ask for several large answers on one connection and read nothing.

And callers that have read nothing are given up after 0.1 s at the earliest, within which many large answers may be complete.

Change: no further request of a connection is parsed while 64 KB or more of its answers are unsent; reading pauses as during an answer. Beyond twice the limit of unsent bytes, those unread for the longest time are given up without a minimum. A whole answer is handed to the connection without a copy.

Why it works: a caller that doesn't read has one answer at most, and the sum of all has a limit that doesn't depend on how fast they come.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -41,6 +41,9 @@
 // Time without progress after which a caller's answer may be given up if the
 // answers of all callers take too much memory: several round trips.
 constexpr Duration kMinUnreadTime = Millis(100);
+// Multiple of the limit of unsent bytes beyond which that time does not count:
+// answers to many callers may be complete within it.
+constexpr size_t kMaxUnsentFactor = 2;
 // Unsent bytes of an answer from which it is checked at once whether all take
 // too much memory.
 constexpr size_t kLargeUnsentBytes = size_t{64} * 1024;
@@ -82,6 +85,7 @@
       auto self = shared_from_this();
       if (ending()) last_activity_ = ended_at_ = server_->clock_.Now();
       if (exchange_ && exchange_->on_drained_) exchange_->on_drained_();
+      if (may_parse()) ContinueParsing();
     };
     tcp_->set_events(std::move(e));
   }
@@ -130,6 +134,10 @@
   }
 
   void Send(absl::string_view data) { tcp_->Write(data); }
+  // Sends a whole answer; what is not sent at once is not copied.
+  void SendWhole(std::string answer) {
+    tcp_->Write(std::make_shared<const std::string>(std::move(answer)));
+  }
   size_t unsent() const { return tcp_->unsent(); }
   // Returns the bytes of answers that the caller's host has not acknowledged.
   size_t undelivered_bytes() const {
@@ -147,6 +155,7 @@
     last_activity_ = server_->clock_.Now();
     limits_ = server_->limits_;
     if (unsent() >= kLargeUnsentBytes) server_->LimitUnsentBytes();
+    if (!tcp_->open()) return;
     if (close_after_) {
       last_answer_done_ = true;
       ended_at_ = last_activity_;
@@ -157,9 +166,7 @@
       return;
     }
     PrepareForNextRequest();
-    if (!unparsed_.empty()) ParseBuffered();
-    UpdateReadPaused();
-    UpdateHeldBytes();
+    ContinueParsing();
   }
 
   // Ends the connection before the end of the answer, as after a last answer:
@@ -188,6 +195,7 @@
 
   // Counts what this connection holds in the server's sum.
   void UpdateHeldBytes() {
+    if (!tcp_->open()) return;
     size_t bytes = AheadBytes();
     if (!ending() && parser_.started()) bytes += parser_.head_bytes();
     if (exchange_) bytes += exchange_->body.capacity();
@@ -231,11 +239,15 @@
   // Returns the time for which the caller has read nothing of its complete
   // answer; zero if the answer is being made or has been read.
   Duration UnreadTime() {
-    if (answering_ || unsent() == 0) return Duration::zero();
+    if (!unread()) return Duration::zero();
     RecordProgress();
     return std::max(Duration::zero(),
                     server_->poll_clock_.Now() - progress_at_);
   }
+  // Returns whether the caller has not read all of a complete answer.
+  bool unread() const { return !answering_ && unsent() > 0; }
+  // Returns whether a request is being read.
+  bool reading() const { return parser_.started() && !answering_ && !ending(); }
   bool caller_left() const { return tcp_->PeerClosed(); }
   TimePoint last_activity() const { return last_activity_; }
   bool has_unread() const { return tcp_->HasUnreadData(); }
@@ -304,8 +316,6 @@
   bool has_buffered_request() const {
     return unparsed_.find_first_not_of("\r\n") != std::string::npos;
   }
-  // Returns whether a request is being read.
-  bool reading() const { return parser_.started() && !ending(); }
   // Returns whether the last answer is complete. The caller's bytes are read
   // and discarded until it closes the connection.
   bool ending() const { return last_answer_done_ || refused_; }
@@ -360,7 +370,7 @@
     if (!answering_) last_activity_ = last_received_at_;
     if (drops_ahead_) return;
     unparsed_.append(data.data(), data.size());
-    if (!answering_) ParseBuffered();
+    if (may_parse()) ParseBuffered();
     if (unparsed_.empty()) ReleaseUnparsed();
     UpdateReadPaused();
     if (!tcp_->open()) return;
@@ -393,9 +403,23 @@
     held_bytes_ = bytes;
   }
 
-  // Stops reading while a request is being answered and the buffer is full.
+  // Returns whether the next request may be read. The requests of a caller that
+  // does not read its answers would otherwise add answers without end, and it
+  // would always count as one that is being answered.
+  bool may_parse() const {
+    return !answering_ && !ending() && unsent() < kLargeUnsentBytes;
+  }
+
+  void ContinueParsing() {
+    if (!unparsed_.empty()) ParseBuffered();
+    UpdateReadPaused();
+    UpdateHeldBytes();
+  }
+
+  // Stops reading while no request may be parsed and the buffer is full.
   void UpdateReadPaused() {
-    read_paused_ = answering_ && unparsed_.size() > kMaxUnparsedBytes;
+    read_paused_ =
+        !may_parse() && !ending() && unparsed_.size() > kMaxUnparsedBytes;
     tcp_->SetReadPaused(read_paused_);
   }
 
@@ -406,7 +430,7 @@
     if (parsing_) return;
     parsing_ = true;
     bool more = true;
-    while (more && !answering_ && tcp_->open() && !unparsed_.empty()) {
+    while (more && may_parse() && tcp_->open() && !unparsed_.empty()) {
       // The last request of a connection may arrive in several pieces: only its
       // end ends the parsing.
       more = ParseRequest() && !close_after_;
@@ -521,10 +545,11 @@
   if (!connection_->keeps_open()) AppendHeader(&out, "Connection", "close");
   absl::StrAppend(&out, "\r\n");
   if (!bodyless_ && status != 204 && status != 304) {
-    absl::StrAppend(&out, body);
+    out.reserve(out.size() + body.size());
+    out.append(body.data(), body.size());
   }
   started_ = true;
-  connection_->Send(out);
+  connection_->SendWhole(std::move(out));
   connection_->OnAnswerDone();
 }
 
@@ -676,8 +701,7 @@
   for (const auto& [p, c] : connections_) {
     total += c->unsent();
     Duration unread_time = c->UnreadTime();
-    if (unread_time >= kMinUnreadTime)
-      unread.push_back({unread_time, c->unsent(), c});
+    if (c->unread()) unread.push_back({unread_time, c->unsent(), c});
   }
   if (total <= max_unsent_bytes_) return;
   std::sort(unread.begin(), unread.end(), [](const auto& a, const auto& b) {
@@ -685,6 +709,9 @@
   });
   for (const UnreadAnswer& u : unread) {
     if (total <= max_unsent_bytes_) return;
+    if (u.unread_time < kMinUnreadTime &&
+        total / kMaxUnsentFactor <= max_unsent_bytes_)
+      return;
     u.connection->GiveUp("memory for others");
     total -= u.bytes;
   }
