Callers: unfinished requests make room when all connections are taken

Callers saw: an entry that answers nobody: connections are accepted by its host and stay unread for as long as others keep sending a byte now and then.

Cause: only idle connections were closed for new callers.

Evidence: crowd_ConnectionsHeldByUnfinishedRequests failed before: 160 clients that send a byte each 0.5 s on 50 connections, an ordinary request unanswered for 30 s.

Change: when all connections are taken and none is idle, some of the requests that have been arriving for the longest time, a second at least, are given up. They have not been passed on. None is given up while a connection is free.

--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -24,6 +24,9 @@
 constexpr Millis kMinIdle(20);
 // Interval of eviction attempts while new callers wait, in seconds.
 constexpr double kEvictionSeconds = 0.025;
+// Time after its beginning at which an unfinished request may be given up for
+// others' room, if no connection is idle.
+constexpr Millis kMinUnfinished(1000);
 // One eviction closes at least 1/kEvictOneIn of the evictable connections,
 // because scanning all connections for each new caller would cost more than
 // serving the callers.
@@ -246,6 +249,8 @@
   }
   // Returns whether the caller has not read all of a complete answer.
   bool unread() const { return !answering_ && unsent() > 0; }
+  // Returns when the request that is being read began to arrive.
+  TimePoint request_began_at() const { return head_started_at_; }
   // Returns whether a request is being read.
   bool reading() const { return parser_.started() && !answering_ && !ending(); }
   bool caller_left() const { return tcp_->PeerClosed(); }
@@ -677,6 +682,7 @@
       c->GiveUp("room for others");
       ++closed;
     }
+    if (connections_.size() >= max_connections_) EvictUnfinishedRequests();
     accepting = not_examined > 0 || connections_.size() < max_connections_;
     if (!accepting && !ev_is_active(&eviction_timer_)) {
       LogWarn("callers_wait", {{"connections", connections_.size()}});
@@ -690,6 +696,21 @@
   }
 }
 
+void CallerServer::EvictUnfinishedRequests() {
+  TimePoint now = clock_.Now();
+  std::vector<std::shared_ptr<CallerConnection>> unfinished;
+  for (const auto& [p, c] : connections_) {
+    if (c->reading() && now - c->request_began_at() >= kMinUnfinished)
+      unfinished.push_back(c);
+  }
+  std::sort(unfinished.begin(), unfinished.end(),
+            [](const auto& a, const auto& b) {
+              return a->request_began_at() < b->request_began_at();
+            });
+  unfinished.resize((unfinished.size() + kEvictOneIn - 1) / kEvictOneIn);
+  for (const auto& c : unfinished) c->GiveUp("unfinished, room for others");
+}
+
 void CallerServer::LimitUnsentBytes() {
   struct UnreadAnswer {
     Duration unread_time;
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -104,7 +104,8 @@
   // longer timeout also applies to those that have begun.
   void set_limits(const CallerLimits& limits) { limits_ = limits; }
   // Limits the number of connections to about `n`. If there are more, those
-  // idle longest are closed. If all are busy, new callers wait in the listen
+  // idle longest are closed, then those whose request has been arriving for the
+  // longest time. If all are being answered, new callers wait in the listen
   // backlog.
   void set_max_connections(size_t n) { max_connections_ = n; }
   // Limits the bytes of all answers that are not yet written to their callers'
@@ -156,6 +157,8 @@
   // Closes idle connections if the maximum number is reached, and pauses
   // accepting while none can be closed.
   void EvictIdleConnections();
+  // Gives up some of the requests that have been arriving for the longest time.
+  void EvictUnfinishedRequests();
   // Returns the idle connections that may be closed to accept new callers, the
   // longest idle first.
   std::vector<std::shared_ptr<CallerConnection>> EvictableConnections() const;
