Probes and metrics: their addresses take little memory and few connections

Callers saw: an entry that runs out of memory, or of descriptors, by a crowd on the address of readiness probes or metrics.

Cause: these servers had the limits of callers for one request and none for connections: looked for on related paths, after the addresses of callers and operators.

Evidence: crowd_BodiesToTheReadinessAddress and crowd_IdleConnectionsToTheReadinessAddress failed before: 80 MB of 64, and more than 400 descriptors at MaxFds 400.

Measured (aarch64): both pass. Beside 500 open connections to the readiness address a probe is answered late (the test took 21 s): open.

--- a/src/agent.cc
+++ b/src/agent.cc
@@ -91,6 +91,7 @@
                         ServeMetrics(*ex);
                       }),
       client_(loop) {
+  metrics_server_.LimitToProbes();
   ev_signal_init(&sigterm_, OnSignal, SIGTERM);
   sigterm_.data = this;
   ev_signal_init(&sigint_, OnSignal, SIGINT);
--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -52,6 +52,11 @@
 constexpr size_t kLargeUnsentBytes = size_t{64} * 1024;
 // Time after which a caller whose request found no memory may return.
 constexpr absl::string_view kRetryAfterSeconds = "1";
+// Limits of a server of probes and metrics. Its connections are part of the
+// reserved descriptors.
+constexpr uint64_t kMaxProbeBodyBytes = uint64_t{64} * 1024;
+constexpr size_t kMaxProbeRequestBytes = size_t{1} << 20;
+constexpr size_t kMaxProbeConnections = 24;
 // Descriptors reserved for links, listeners, logs and files.
 constexpr size_t kReservedDescriptors = 100;
 
@@ -635,6 +640,12 @@
   for (auto& [p, c] : connections_) c->Drop();
 }
 
+void CallerServer::LimitToProbes() {
+  limits_.body_bytes = kMaxProbeBodyBytes;
+  max_request_bytes_ = kMaxProbeRequestBytes;
+  max_connections_ = kMaxProbeConnections;
+}
+
 absl::Status CallerServer::Listen(const Endpoint& at) {
   return listener_.Listen(at);
 }
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -108,6 +108,10 @@
   // longest time. If all are being answered, new callers wait in the listen
   // backlog.
   void set_max_connections(size_t n) { max_connections_ = n; }
+  // Sets the limits for a server of probes and metrics: few connections, and
+  // requests without a body to speak of. It then takes little of what the
+  // process needs to serve callers.
+  void LimitToProbes();
   // Limits the bytes of all answers that are not yet written to their callers'
   // sockets. Beyond it, callers that read nothing of a complete answer are
   // given up, the longest first.
--- a/src/serving.cc
+++ b/src/serving.cc
@@ -143,6 +143,8 @@
   tick_.data = this;
   callers_.set_max_connections(MaxCallerConnections(options_.descriptors));
   callers_.set_max_unsent_bytes(options_.max_unsent_bytes);
+  readiness_.LimitToProbes();
+  metrics_server_.LimitToProbes();
   callers_.set_max_request_bytes(options_.max_request_bytes);
   callers_.set_on_refused([this](absl::string_view reason) {
     metrics_.CountMalformedRequest(reason);
