Links: the bodies of all streams of a server have a limit

Callers saw: nothing yet; a process with links (control, agent) held up to 8 MB for each of 4096 streams of a connection, and a body until its answer ended.

Cause: a limit for each body, none for their sum; the class of the callers' requests, on our own links.

Evidence: h2, BodiesOfAllStreamsHaveALimit, failed before: with 16 bodies of 7 MB at once the heap grew beyond 80 MB.

Change: a server counts the bodies of requests that are not complete. Beyond 32 MB the stream that grows is reset as refused: its request has not been processed, and the client may send it again. A body is freed when its handler has returned.

Measured (aarch64): each of the 16 calls is processed whole or refused as not processed, and a call afterwards is processed. Groups h2, agent, process pass.

--- a/src/base/types.h
+++ b/src/base/types.h
@@ -141,6 +141,8 @@
 // Largest body of a message between medlarwalk's own processes, in bytes: a
 // full configuration (4 MiB at most) with its framing.
 inline constexpr size_t kMaxLinkBodyBytes = 8 << 20;
+// Limit of the bodies that are arriving on all streams of a server, in bytes.
+inline constexpr size_t kMaxLinkBodiesBytes = 4 * kMaxLinkBodyBytes;
 
 }  // namespace medlarwalk
 
--- a/src/net/h2.h
+++ b/src/net/h2.h
@@ -108,6 +108,7 @@
   struct ev_loop* loop_;
   H2Handler handler_;
   Acceptor acceptor_;
+  size_t body_bytes_ = 0;  // Of requests that are not complete yet.
   std::map<H2Connection*, std::unique_ptr<H2Connection>> connections_;
   friend class H2Connection;
 };
--- a/src/net/h2_connection.h
+++ b/src/net/h2_connection.h
@@ -82,7 +82,10 @@
     CloseSecondAttempt();
     close(fd_);
     nghttp2_session_del(session_);
-    for (auto& [id, s] : server_streams_) CloseServerStream(*s.answer);
+    for (auto& [id, s] : server_streams_) {
+      ReleaseBody(s);
+      CloseServerStream(*s.answer);
+    }
   }
 
   // Client only: opens a stream for `call`. Returns the stream id, or 0 on
@@ -138,6 +141,7 @@
     auto streams = std::move(server_streams_);
     server_streams_.clear();
     for (auto& [id, s] : streams) {
+      ReleaseBody(s);
       s.answer->on_close_ = nullptr;
       CloseServerStream(*s.answer);
     }
@@ -289,6 +293,24 @@
     std::shared_ptr<H2Stream> answer;
   };
 
+  // Server only: resets a stream whose request has not been processed, because
+  // the bodies of all streams take too much memory.
+  void RefuseStream(ServerStream& s, int32_t id) {
+    LogWarn("stream_refused", {{"path", s.request.path},
+                               {"bytes", s.request.body.size()},
+                               {"bytes_of_all", server_->body_bytes_}});
+    ReleaseBody(s);
+    server_streams_.erase(id);
+    nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, id,
+                              NGHTTP2_REFUSED_STREAM);
+  }
+
+  // Server only: frees the request's body, which counts in the server's sum.
+  void ReleaseBody(ServerStream& s) {
+    server_->body_bytes_ -= s.request.body.size();
+    std::string().swap(s.request.body);
+  }
+
   static void CloseServerStream(H2Stream& s) {
     bool unfinished = !s.finished_;
     s.closed_ = true;
@@ -502,6 +524,8 @@
         auto it = c->server_streams_.find(id);
         if (it != c->server_streams_.end()) {
           c->server_->handler_(it->second.request, it->second.answer);
+          it = c->server_streams_.find(id);
+          if (it != c->server_streams_.end()) c->ReleaseBody(it->second);
         }
       }
       return 0;
@@ -535,6 +559,11 @@
         if (it->second.request.body.size() + len > kMaxLinkBodyBytes) {
           return NGHTTP2_ERR_CALLBACK_FAILURE;
         }
+        if (c->server_->body_bytes_ + len > kMaxLinkBodiesBytes) {
+          c->RefuseStream(it->second, id);
+          return 0;
+        }
+        c->server_->body_bytes_ += len;
         it->second.request.body.append(chunk.data(), chunk.size());
       }
       return 0;
@@ -557,6 +586,7 @@
       auto it = c->server_streams_.find(id);
       if (it == c->server_streams_.end()) return 0;
       std::shared_ptr<H2Stream> answer = it->second.answer;
+      c->ReleaseBody(it->second);
       c->server_streams_.erase(it);
       CloseServerStream(*answer);
       return 0;
--- a/test/net/h2_test.cc
+++ b/test/net/h2_test.cc
@@ -9,6 +9,7 @@
 
 #include "CppUTest/TestHarness.h"
 #include "absl/strings/str_cat.h"
+#include "heap_use.h"
 #include "link_pool.h"
 #include "loop_order.h"
 #include "platform/test/gateway_rig.h"
@@ -908,3 +909,57 @@
   }
   ev_loop_destroy(loop);
 }
+
+// Guards against a server that holds a body for each of many streams: each is
+// within its limit, their sum is not.
+TEST(h2, BodiesOfAllStreamsHaveALimit) {
+  constexpr size_t kMegabyte = size_t{1} << 20;
+  constexpr int kCalls = 16;
+  constexpr size_t kBodyBytes = 7 * kMegabyte;
+  struct ev_loop* loop = ev_loop_new(EVFLAG_AUTO);
+  {
+    BootClock clock;
+    int port = testing::ClaimPortRange();
+    size_t whole = 0;
+    H2Server server(loop, [&](const H2Request& r, auto stream) {
+      whole += r.body.size() == kBodyBytes;
+      stream->Respond(200, {}, "");
+    });
+    CHECK_TRUE(server.Listen("127.0.0.1", port).ok());
+    H2Client client(loop, clock, "127.0.0.1", port, Millis(5000),
+                    Millis(20000));
+    auto body = std::make_shared<const std::string>(kBodyBytes, 'x');
+    size_t ended = 0;
+    size_t not_processed = 0;
+    auto submit = [&] {
+      H2Call call;
+      call.path = "/";
+      call.body = Payload("", body);
+      call.on_close = [&](const absl::Status& s, bool never_sent) {
+        ++ended;
+        not_processed += !s.ok() && never_sent;
+      };
+      client.Submit(std::move(call));
+    };
+    size_t before = ReadHeapUse().in_use;
+    size_t peak = 0;
+    for (int i = 0; i < kCalls; ++i) submit();
+    CHECK_TRUE(RunUntil(
+        loop,
+        [&] {
+          peak = std::max(peak, ReadHeapUse().in_use);
+          return ended == kCalls;
+        },
+        20000));
+    // A string that grows has room for up to twice its size.
+    CHECK_TRUE(peak < before + 2 * kMaxLinkBodiesBytes + 16 * kMegabyte);
+    LONGS_EQUAL(kCalls, whole + not_processed);
+    CHECK_TRUE(not_processed > 0);
+    submit();
+    CHECK_TRUE(RunUntil(
+        loop, [&] { return ended == kCalls + 1; }, 20000));
+    LONGS_EQUAL(kCalls + 1, whole + not_processed);
+    CHECK_TRUE(whole > 0);
+  }
+  ev_loop_destroy(loop);
+}
