Simplify: one encoder of requests, one check of a crowd, comments that stand alone

Comments leaned on the one above or opened on a bare what.

Ruled out, by reading: one function for TcpConnection::unread() and HasUnreadData(): the first asks FIONREAD and counts nothing where that is not supported, which is harmless for a sum and not for the second.

Behaviour stays as it is.

--- a/src/http1_client.cc
+++ b/src/http1_client.cc
@@ -48,14 +48,10 @@
 }  // namespace
 
 std::string EncodeRequest(const OutgoingRequest& r) {
-  return EncodeRequest(r, r.body);
-}
-
-std::string EncodeRequest(const OutgoingRequest& r, absl::string_view body) {
   std::string out = absl::StrCat(r.method, " ", r.target, " HTTP/1.1\r\n");
-  out.reserve(out.size() + body.size() + kReservedHeadBytes);
+  out.reserve(out.size() + r.body.size() + kReservedHeadBytes);
   for (const auto& [k, v] : r.headers) AppendHeader(&out, k, v);
-  absl::StrAppend(&out, "\r\n", body);
+  absl::StrAppend(&out, "\r\n", r.body);
   return out;
 }
 
@@ -99,10 +95,12 @@
   call_ = std::move(call);
   is_head_request_ = call_.request.method == "HEAD";
   // A small body goes into one packet with the head.
-  if (call_.request.body.size() >= kMinSharedBytes)
+  if (call_.request.shared_body &&
+      call_.request.body.size() >= kMinSharedBytes) {
     shared_body_ = std::move(call_.request.shared_body);
-  request_ = std::make_shared<const std::string>(EncodeRequest(
-      call_.request, shared_body_ ? absl::string_view() : call_.request.body));
+    call_.request.body = {};
+  }
+  request_ = std::make_shared<const std::string>(EncodeRequest(call_.request));
   call_.request = {};
   busy_ = true;
   sent_ = false;
@@ -206,8 +204,7 @@
 
 void Http1Client::EndCall(CallEnd end, absl::string_view why) {
   busy_ = false;
-  request_.reset();
-  shared_body_.reset();
+  ReleaseRequest();
   idle_since_ = clock_.Now();
   auto f = std::move(call_.on_end);
   call_ = {};
@@ -215,10 +212,14 @@
   if (f) f(end, reason);
 }
 
-void Http1Client::Cancel() {
-  busy_ = false;
+void Http1Client::ReleaseRequest() {
   request_.reset();
   shared_body_.reset();
+}
+
+void Http1Client::Cancel() {
+  busy_ = false;
+  ReleaseRequest();
   if (!in_callback_) call_ = {};
   Close();
 }
--- a/src/http1_client.h
+++ b/src/http1_client.h
@@ -17,10 +17,8 @@
 
 namespace medlarwalk {
 
-// Returns `r` in the HTTP/1.1 wire format, with `body`. The headers of `r` must
-// state the length of its body.
-std::string EncodeRequest(const OutgoingRequest& r, absl::string_view body);
-// With the whole body of `r`.
+// Returns `r` in the HTTP/1.1 wire format. The headers of `r` must state the
+// length of its body.
 std::string EncodeRequest(const OutgoingRequest& r);
 
 // A persistent HTTP/1.1 connection that carries one call at a time. Held by
@@ -64,15 +62,17 @@
   // Returns whether the call may still wait for its answer.
   bool MaySkip(size_t bytes);
   void EndCall(CallEnd end, absl::string_view why);
+  // Frees the request; what is not written yet never will be.
+  void ReleaseRequest();
 
   const Clock& clock_;
   std::shared_ptr<TcpConnection> tcp_;
   Http1Parser parser_;
   std::string received_;
   UpstreamCall call_;
-  // Encoded request; released once it is written to the connection. A large
-  // shared body stands apart.
+  // Encoded request without shared_body_; null once it is written.
   Document request_;
+  // Large body of the request, if its owner shares it; null once it is written.
   Document shared_body_;
   bool is_head_request_ = false;  // HEAD request: its answer has no body.
   bool busy_ = false;
--- a/src/net/caller_server.cc
+++ b/src/net/caller_server.cc
@@ -44,8 +44,8 @@
 // Time without progress after which a caller's answer may be given up if the
 // answers of all callers take too much memory: several round trips.
 constexpr Duration kMinUnreadTime = Millis(100);
-// Multiple of the limit of unsent bytes beyond which that time does not count:
-// answers to many callers may be complete within it.
+// Multiple of the limit of unsent bytes beyond which kMinUnreadTime does not
+// count: many answers may be complete within it.
 constexpr size_t kMaxUnsentFactor = 2;
 // Unsent bytes of an answer from which it is checked at once whether all take
 // too much memory.
@@ -408,6 +408,7 @@
     return unparsed_.capacity() + (read_paused_ ? tcp_->unread() : 0);
   }
 
+  // Replaces this connection's part of the server's sum.
   void CountHeldBytes(size_t bytes) {
     server_->request_bytes_ += bytes - held_bytes_;
     held_bytes_ = bytes;
@@ -732,8 +733,7 @@
   size_t total = 0;
   for (const auto& [p, c] : connections_) {
     total += c->unsent();
-    Duration unread_time = c->UnreadTime();
-    if (c->unread()) unread.push_back({unread_time, c->unsent(), c});
+    if (c->unread()) unread.push_back({c->UnreadTime(), c->unsent(), c});
   }
   if (total <= max_unsent_bytes_) return;
   std::sort(unread.begin(), unread.end(), [](const auto& a, const auto& b) {
@@ -798,7 +798,8 @@
   for (auto& [p, c] : self->connections_) all.push_back(c);
   for (auto& c : all) c->CloseIfTimedOut(now);
   self->LimitUnsentBytes();
-  // What waits in the sockets of paused connections has grown meanwhile.
+  // No event tells that bytes arrive in the socket of a paused connection, so
+  // they are counted here.
   for (auto& [p, c] : self->connections_) c->UpdateHeldBytes();
   self->LimitRequestBytes();
 }
--- a/src/upstream_link.h
+++ b/src/upstream_link.h
@@ -26,8 +26,8 @@
   // View of the request body. The body must stay valid until Start has
   // returned.
   absl::string_view body;
-  // The same bytes as `body`, if a link may hold them in place of a copy; may
-  // be null.
+  // Document with the bytes of `body`, which a link may hold in place of a
+  // copy; may be null.
   Document shared_body = nullptr;
 };
 
