--- a/review/lab2.cc
+++ b/review/lab2.cc
@@ -6,6 +6,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -377,6 +378,8 @@
   pid_t pid = fork();
   if (pid < 0) return false;
   if (pid == 0) {
+    // The process ends with this one, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(fd, STDOUT_FILENO);
     dup2(fd, STDERR_FILENO);
