--- a/review/lab2.cc
+++ b/review/lab2.cc
@@ -222,7 +222,8 @@
   fd_ = -1;
 }
 
-Lab::Lab(const LabOptions& options) : options_(options), record_("record.txt") {
+Lab::Lab(const LabOptions& options, const std::string& record)
+    : options_(options), record_(record) {
   signal(SIGPIPE, SIG_IGN);
   char folder[] = "/tmp/review2-XXXXXX";
   folder_ = mkdtemp(folder);
--- a/review/lab2.h
+++ b/review/lab2.h
@@ -95,12 +95,12 @@
 // on. Thread safety: Record() and Run() may be called from any thread.
 class Lab {
  public:
-  // Creates the record file in the current folder.
-  explicit Lab(const LabOptions& options);
+  // Writes what happens to the file `record`, which is created anew.
+  Lab(const LabOptions& options, const std::string& record);
   // Ends all processes that were started.
   ~Lab();
 
-  // Writes a line to record.txt, after the time in seconds since the start.
+  // Writes a line to the record, after the time in seconds since the start.
   void Record(const std::string& line);
   double Seconds() const;
 
