Tests: an answer with an odd byte in a field's name is no answer

What callers saw: nothing on this code. The users saw it on other systems of this kind: a field's name with a blank or a control byte was passed on, or the body behind it.

Nothing else is changed.

Statuses at the edges of HTTP's range are whole answers, as before.

--- a/test/net/framing_test.cc
+++ b/test/net/framing_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "CppUTest/TestHarness.h"
+#include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -103,6 +104,32 @@
           "5\r\nhello\r\n0\r\nbad line\r\n\r\n"};
 }
 
+// Ends of a head, each with a body that its reader would take for whole.
+constexpr absl::string_view kWholeBodies[] = {
+    "Content-Length: 5\r\n\r\nhello", "\r\nhello",
+    "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"};
+
+// Returns answers with a field whose name is no token: each byte that must not
+// stand in a name, a blank before the colon, no name at all.
+std::vector<std::string> AnswersWithABadFieldName() {
+  std::vector<std::string> fields = {"X : y", "X\t: y", ": y", "X y: z",
+                                     "Content Length: 5"};
+  for (int c = 0; c < 256; ++c) {
+    char byte = static_cast<char>(c);
+    bool token = absl::ascii_isalnum(byte) ||
+                 absl::StrContains("!#$%&'*+-.^_`|~:", std::string(1, byte));
+    if (token && c != 0) continue;
+    fields.push_back(absl::StrCat("X", std::string(1, byte), "Y: z"));
+    fields.push_back(absl::StrCat("X", std::string(1, byte), ": z"));
+  }
+  std::vector<std::string> out;
+  for (const std::string& field : fields) {
+    for (absl::string_view rest : kWholeBodies)
+      out.push_back(absl::StrCat("HTTP/1.1 200 OK\r\n", field, "\r\n", rest));
+  }
+  return out;
+}
+
 // Returns a chunked body that holds a request.
 std::string ChunkedInner() {
   return absl::StrCat(absl::Hex(kInner.size()), "\r\n", kInner,
@@ -234,6 +261,38 @@
     CHECK_TRUE(RunUntil([&] { return ended; }, 2000));
     return end;
   }
+
+  // As Call(), by the client with which agents call engines. Returns whether
+  // the answer is whole.
+  bool CallAsAgent(const std::string& answer, std::string* body) {
+    AnsweringServer server(loop, answer);
+    HttpClient client(loop);
+    bool ended = false;
+    bool whole = false;
+    HttpCall call;
+    call.method = "GET";
+    call.url = absl::StrCat("http://127.0.0.1:", server.port(), "/");
+    call.timeout = Millis(2000);
+    call.on_data = [&](absl::string_view d) { absl::StrAppend(body, d); };
+    call.on_done = [&](const HttpCallResult& r) {
+      ended = true;
+      whole = r.status.ok();
+    };
+    client.Start(std::move(call));
+    CHECK_TRUE(RunUntil([&] { return ended; }, 3000));
+    return whole;
+  }
+
+  // Checks that no reader takes any of `answers` or passes on a byte of it.
+  void CheckNoAnswers(const std::vector<std::string>& answers) {
+    for (const std::string& answer : answers) {
+      std::string shown = absl::CEscape(answer);
+      std::string body;
+      CHECK_TRUE_TEXT(Call(answer, &body) == CallEnd::kNoAnswer, shown.c_str());
+      CHECK_FALSE_TEXT(CallAsAgent(answer, &body), shown.c_str());
+      STRCMP_EQUAL_TEXT("", body.c_str(), shown.c_str());
+    }
+  }
 };
 
 // Guards against a request inside the body of another one being run, and that
@@ -409,21 +468,26 @@
   for (const std::string& field : MalformedFraming()) {
     std::string answer = absl::StrCat("HTTP/1.1 200 OK\r\n", field, "\r\n\r\n",
                                       "5\r\nhello\r\n0\r\n\r\n");
-    AnsweringServer server(loop, answer);
-    HttpClient client(loop);
-    bool ended = false;
-    bool whole = false;
-    HttpCall call;
-    call.method = "GET";
-    call.url = absl::StrCat("http://127.0.0.1:", server.port(), "/");
-    call.timeout = Millis(2000);
-    call.on_done = [&](const HttpCallResult& r) {
-      ended = true;
-      whole = r.status.ok();
-    };
-    client.Start(std::move(call));
-    CHECK_TRUE(RunUntil([&] { return ended; }, 3000));
-    CHECK_TRUE_TEXT(!whole, absl::CEscape(answer).c_str());
+    std::string body;
+    CHECK_FALSE_TEXT(CallAsAgent(answer, &body), absl::CEscape(answer).c_str());
+  }
+}
+
+// Guards against an answer with an odd byte in a field's name that is passed
+// on, with that field or with a body that isn't the server's.
+TEST(framing, AnAnswerWithABadFieldNameIsNoAnswer) {
+  CheckNoAnswers(AnswersWithABadFieldName());
+}
+
+// Guards against the loss of an answer with an unusual status.
+TEST(framing, AnswersOfEveryStatusAreWhole) {
+  for (int status : {200, 226, 299, 300, 399, 418, 499, 500, 599}) {
+    std::string body;
+    std::string answer = absl::StrCat("HTTP/1.1 ", status,
+                                      " X\r\nContent-Length: 5\r\n\r\nhello");
+    CHECK_TRUE(Call(answer, &body) == CallEnd::kWhole);
+    CHECK_TRUE(CallAsAgent(answer, &body));
+    STRCMP_EQUAL("hellohello", body.c_str());
   }
 }
 
