Answers: one whose status is none of HTTP's is no answer

What callers saw: a server in trouble answered with the status 000, and its caller got it as an answer (MIXED): "HTTP/1.1 0 <unknown-status>", with the server's stamp and body. By itself or behind an interim answer, on each kind of route; 600 to 999 too.

Cause: no reader checked the range. Beast takes any three digits, nghttp2 too; libcurl refuses what is below 100 and takes 600 to 999.

Change: IsStatus() (RFC 9110, section 15: 100 to 599) stands in framing.cc, where each reader of answers decides whether it can use a head: the client of servers, of the platform's list and of usage reports, and the agent's. The links between our processes, which have no framing to decide, ask it too; ending one stream is now one function for both of its reasons. A broken answer is an attempt without an answer: a repeatable request is sent elsewhere, any other gets 502, not executed again.

--- a/fuzz/http1.cc
+++ b/fuzz/http1.cc
@@ -1,6 +1,6 @@
 // Fuzz target: HTTP/1.1 messages. The parsed message does not depend on how its
-// bytes are split into reads. The first byte selects request or answer, and the
-// size of the reads.
+// bytes are split into reads, and an answer has a status. The first byte
+// selects request or answer, and the size of the reads.
 #include "http1.h"
 
 #include <algorithm>
@@ -27,6 +27,8 @@
          // A message whose codings are not just `chunked` goes no further.
          if (h.status == 0 && h.Find("Transfer-Encoding"))
            MEDLARWALK_EXPECT(h.framing == BodyFraming::kChunked);
+         MEDLARWALK_EXPECT((kind == Http1Parser::Kind::kAnswer) ==
+                           IsStatus(h.status));
          absl::StrAppend(&heads_text, h.method, " ", h.target, " ", h.status,
                          " ", h.reason, " ", h.keep_alive, "\n");
          for (const auto& [k, v] : h.headers) {
--- a/src/net/framing.cc
+++ b/src/net/framing.cc
@@ -8,6 +8,8 @@
 namespace medlarwalk {
 namespace {
 
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -132,9 +134,14 @@
   return framing;
 }
 
+bool IsStatus(int status) {
+  return status >= kMinStatus && status <= kMaxStatus;
+}
+
 absl::StatusOr<MessageFraming> DecideAnswerFraming(bool http11, int status,
                                                    bool answers_head,
                                                    const HeaderList& headers) {
+  if (!IsStatus(status)) return Malformed("bad status");
   if (status == kSwitchingProtocols) return Malformed("switches protocols");
   if (answers_head || status / 100 == 1 || status == kNoContent ||
       status == kNotModified) {
--- a/src/net/framing.h
+++ b/src/net/framing.h
@@ -36,9 +36,14 @@
 absl::StatusOr<MessageFraming> DecideRequestFraming(bool http11,
                                                     const HeaderList& headers);
 
+// Returns whether `status` is the status of an answer: a library may read any
+// number as one (RFC 9110, section 15). Thread safe.
+bool IsStatus(int status);
+
 // Decides how the body of an answer is framed. `answers_head` says that it
 // answers a HEAD request. Errors: InvalidArgument, as for requests, and if the
-// answer changes the protocol of its connection. Thread safe.
+// answer has no valid status or changes the protocol of its connection. Thread
+// safe.
 absl::StatusOr<MessageFraming> DecideAnswerFraming(bool http11, int status,
                                                    bool answers_head,
                                                    const HeaderList& headers);
--- a/src/net/h2_connection.h
+++ b/src/net/h2_connection.h
@@ -21,6 +21,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
+#include "framing.h"
 #include "h2.h"
 #include "log.h"
 #include "loop_order.h"
@@ -318,13 +319,15 @@
     if (unfinished && s.on_close_) s.on_close_();
   }
 
-  // Resets stream `id` alone, because the other calls of the connection are
-  // sound, and fails its call. The peer may have processed the request.
-  void EndTooLongAnswer(const std::string& path, int32_t id) {
-    LogWarn("answer_too_long", {{"path", path}});
-    auto on_close = std::move(client_streams_.at(id).call.on_close);
+  // Client only: logs `event`, resets stream `id` alone, because the other
+  // calls of the connection are sound, and fails its call. The peer may have
+  // processed the request.
+  void FailCall(int32_t id, absl::string_view event, absl::string_view why) {
+    H2Call& call = client_streams_.at(id).call;
+    LogWarn(event, {{"path", call.path}, {"reason", why}});
+    auto on_close = std::move(call.on_close);
     Cancel(id);
-    if (on_close) on_close(absl::UnavailableError("answer too long"), false);
+    if (on_close) on_close(absl::UnavailableError(why), false);
   }
 
   // Ends the connection after the last frame of the session. A server whose
@@ -541,6 +544,10 @@
     it->second.end_stream_received = frame->hd.flags & NGHTTP2_FLAG_END_STREAM;
     bool interim = it->second.status / 100 == 1;
     if (headers && !interim && !it->second.response_reported) {
+      if (!IsStatus(it->second.status)) {
+        c->FailCall(id, "answer_malformed", "bad status");
+        return 0;
+      }
       it->second.response_reported = true;
       if (it->second.call.on_response) {
         it->second.call.on_response(it->second.status, it->second.headers);
@@ -572,7 +579,7 @@
     if (it == c->client_streams_.end()) return 0;
     it->second.answer_bytes += len;
     if (it->second.answer_bytes > it->second.call.max_body_bytes) {
-      c->EndTooLongAnswer(it->second.call.path, id);
+      c->FailCall(id, "answer_too_long", "answer too long");
     } else if (it->second.call.on_data) {
       it->second.call.on_data(chunk);
     }
--- a/test/answer_end_test.cc
+++ b/test/answer_end_test.cc
@@ -256,6 +256,48 @@
   CHECK_TRUE(result.end == CallEnd::kInterrupted);
 }
 
+// Guards against a status that is none, such as 000, on a link to another
+// process: its head is no answer, by itself or behind an interim one.
+TEST(answer_end, AnAnswerOnALinkNeedsAStatus) {
+  const std::string settings = Frame(4, 0, 0, "");
+  // A literal field with the name ":status" of the static table.
+  auto head = [](const std::string& status) {
+    return Frame(1, 4, 1, "\x08\x03" + status);
+  };
+  const std::string body = Frame(0, 1, 1, "data: a\n\n");
+  for (const std::string& interim : {std::string(), head("100")}) {
+    for (const char* status : {"000", "042", "099", "600", "999"}) {
+      CallResult result = CallOverHttp2(
+          loop, settings + interim + head(status) + body, Ending::kStay);
+      CHECK_TRUE_TEXT(result.end == CallEnd::kNoAnswer, status);
+      LONGS_EQUAL(0, result.status);
+      STRCMP_EQUAL("", result.body.c_str());
+    }
+    CallResult result = CallOverHttp2(
+        loop, settings + interim + head("203") + body, Ending::kStay);
+    CHECK_TRUE(result.end == CallEnd::kWhole);
+    LONGS_EQUAL(203, result.status);
+  }
+}
+
+// Guards against an engine's answer whose status is none, such as 000, that an
+// agent passes on.
+TEST(answer_end, AnAnswerThroughAnAgentNeedsAStatus) {
+  const Settings settings =
+      *ParseSettings(DefaultSettingsJson(ClaimPortRange()));
+  for (const char* interim : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+    for (const char* status : {"000", "042", "099", "600", "999"}) {
+      CallResult result = CallThroughAgent(
+          loop, settings,
+          {absl::StrCat(interim, "HTTP/1.1 ", status,
+                        " X\r\nContent-Length: 5\r\n\r\nshort")},
+          Ending::kStay);
+      CHECK_TRUE_TEXT(result.end == CallEnd::kWhole, status);
+      LONGS_EQUAL_TEXT(502, result.status, status);
+    }
+  }
+}
+
 // Guards against relaying an unfinished stream as complete. The engine answers
 // without a length, the first piece that the agent reads ends inside "data:",
 // and the engine closes the connection before "[DONE]". An agent that
--- a/test/net/framing_test.cc
+++ b/test/net/framing_test.cc
@@ -104,11 +104,32 @@
           "5\r\nhello\r\n0\r\nbad line\r\n\r\n"};
 }
 
+// Three digits or fewer that are no status of HTTP.
+constexpr absl::string_view kNoStatus[] = {"000", "001", "042", "099", "600",
+                                           "700", "999", "0",   "20",  "2000",
+                                           "2x0", "-20", "+20", "0x2", ""};
+
 // Ends of a head, each with a body that its reader would take for whole.
 constexpr absl::string_view kWholeBodies[] = {
     "Content-Length: 5\r\n\r\nhello", "\r\nhello",
     "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"};
 
+// Returns answers whose final head has a status that is none, by itself and
+// behind interim answers.
+std::vector<std::string> AnswersWithoutAStatus() {
+  std::vector<std::string> out;
+  for (absl::string_view interim :
+       {"", "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"}) {
+    for (absl::string_view status : kNoStatus) {
+      for (absl::string_view rest : kWholeBodies)
+        out.push_back(
+            absl::StrCat(interim, "HTTP/1.1 ", status, " X\r\n", rest));
+    }
+  }
+  return out;
+}
+
 // Returns answers with a field whose name is no token: each byte that must not
 // stand in a name, a blank before the colon, no name at all.
 std::vector<std::string> AnswersWithABadFieldName() {
@@ -473,6 +494,12 @@
   }
 }
 
+// Guards against an answer whose status is none, such as 000, that is passed
+// on.
+TEST(framing, AnAnswerWithoutAStatusIsNoAnswer) {
+  CheckNoAnswers(AnswersWithoutAStatus());
+}
+
 // Guards against an answer with an odd byte in a field's name that is passed
 // on, with that field or with a body that isn't the server's.
 TEST(framing, AnAnswerWithABadFieldNameIsNoAnswer) {
