Answers: an end with a reset after it, the upload unsent, is no end

What callers saw: a server answers a long upload at once, without a length, sends a part of its body, ends the connection and resets it.

Change: TcpConnection reports a reset that is visible at the end as an error. For an answer that ends with its connection, the end counts only if the server's host has acknowledged all of the request, or if no reset comes within 250 ms, in which the upload goes on: a server that has gone, or gives up the connection, answers it with a reset. The agent's client takes over the socket that libcurl would close and does the same. Sound early answers stay whole, up to 250 ms later where they have no length; answers to requests that were delivered are not held.

AResetDuringTheUploadIsNoEnd, AResetThatAWriteMetIsNoEnd and the two tests of sound early answers passed before and pass now.

--- a/src/http1_client.cc
+++ b/src/http1_client.cc
@@ -62,6 +62,7 @@
                   [this](MessageHead head) {
                     if (head.status / 100 == 1) return;
                     if (!head.keep_alive) reusable_ = false;
+                    tcp_->set_confirm_end(head.framing == BodyFraming::kClose);
                     keep_alive_time_ = KeepAliveTime(head, keep_alive_time_);
                     answers_call_ = call_.on_head && call_.on_head(head);
                   },
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,5 +1,7 @@
 #include "http_client.h"
 
+#include <unistd.h>
+
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -7,12 +9,16 @@
 #include "framing.h"
 #include "log.h"
 #include "loop_order.h"
+#include "tcp.h"
 
 namespace medlarwalk {
 namespace {
 
 // Answers of a lower status are interim ones.
 constexpr int kFirstFinalStatus = 200;
+// Bytes of the rest of a request that are sent after its answer has ended: more
+// than none, so that a server that has gone answers them with a reset.
+constexpr size_t kProbeBytes = size_t{16} * 1024;
 
 }  // namespace
 
@@ -31,13 +37,17 @@
   // answer whose connection closes between two lines of its head.
   bool head_ended = false;
   int send_attempts = 0;  // Number of times libcurl began to send the request.
+  curl_socket_t socket = CURL_SOCKET_BAD;
+  bool ends_with_connection = false;  // The body has no other end.
+  // The connection of an answer that ended with it, until that is confirmed.
+  std::shared_ptr<TcpConnection> ended_connection;
 
   // Reads one line of an answer's head. Returns false if the answer cannot be
   // framed.
   bool ReadHeadLine(absl::string_view line);
-  // Decides whether the answer whose head was read can be framed. Errors:
+  // Decides how the answer whose head was read is framed. Errors:
   // InvalidArgument.
-  absl::Status CheckHead() const;
+  absl::Status CheckHead();
 
   // Passes the status and the Content-Type to on_status.
   void ReportStatus() {
@@ -104,6 +114,8 @@
   curl_easy_setopt(e, CURLOPT_HEADERDATA, a.get());
   curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, &OnWrite);
   curl_easy_setopt(e, CURLOPT_WRITEDATA, a.get());
+  curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, &OnCloseSocket);
+  curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, this);
   curl_easy_setopt(e, CURLOPT_PRIVATE, a.get());
   curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, &OnPrereq);
   curl_easy_setopt(e, CURLOPT_PREREQDATA, a.get());
@@ -135,6 +147,7 @@
 void HttpClient::RemoveCall(uint64_t id) {
   auto it = calls_.find(id);
   if (it == calls_.end()) return;
+  it->second->ends_with_connection = false;  // Nothing is left to confirm.
   curl_multi_remove_handle(multi_, it->second->easy);
   curl_easy_cleanup(it->second->easy);
   curl_slist_free_all(it->second->headers);
@@ -171,12 +184,14 @@
   return s.ok();
 }
 
-absl::Status HttpClient::ActiveCall::CheckHead() const {
+absl::Status HttpClient::ActiveCall::CheckHead() {
   absl::Status s = CheckFields(head_fields);
   if (!s.ok()) return s;
-  return DecideAnswerFraming(head_is_http11, StatusCode(),
-                             call.method == "HEAD", head_fields)
-      .status();
+  absl::StatusOr<MessageFraming> framing = DecideAnswerFraming(
+      head_is_http11, StatusCode(), call.method == "HEAD", head_fields);
+  if (!framing.ok()) return framing.status();
+  ends_with_connection = framing->body == BodyFraming::kClose;
+  return absl::OkStatus();
 }
 
 size_t HttpClient::OnHeadLine(char* ptr, size_t size, size_t n,
@@ -204,7 +219,6 @@
     ActiveCall* a = nullptr;
     curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &a);
     CURLcode code = msg->data.result;
-    uint64_t id = a->id;
     HttpCallResult r;
     r.http_status = a->StatusCode();
     if (code == CURLE_OK && !a->head_ended) {
@@ -213,17 +227,56 @@
       r.status = absl::UnavailableError(curl_easy_strerror(code));
       r.never_sent = a->send_attempts == 0;
       r.refused = r.never_sent && code == CURLE_COULDNT_CONNECT;
-    } else if (!a->status_reported) {
-      a->ReportStatus();
+    } else if (a->ended_connection) {
+      continue;
+    }
+    FinishCall(*a, r);
+  }
+}
+
+void HttpClient::FinishCall(ActiveCall& a, const HttpCallResult& result) {
+  if (result.status.ok() && !a.status_reported) a.ReportStatus();
+  auto done = std::move(a.call.on_done);
+  bool cancelled = a.cancelled;
+  RemoveCall(a.id);
+  if (done && !cancelled) done(result);
+}
+
+int HttpClient::OnCloseSocket(void* userp, curl_socket_t s) {
+  auto* self = static_cast<HttpClient*>(userp);
+  for (const auto& [id, a] : self->calls_) {
+    if (a->socket == s && a->ends_with_connection && a->head_ended) {
+      self->ConfirmEnd(*a, s);
+      return 0;
     }
-    auto done = std::move(a->call.on_done);
-    bool cancelled = a->cancelled;
-    RemoveCall(id);
-    if (done && !cancelled) done(r);
   }
+  return close(s);
 }
 
-int HttpClient::OnSocket(CURL*, curl_socket_t s, int what, void* userp,
+void HttpClient::ConfirmEnd(ActiveCall& a, curl_socket_t s) {
+  a.socket = CURL_SOCKET_BAD;
+  a.ended_connection = TcpConnection::FromAcceptedSocket(loop_, s);
+  a.ended_connection->set_confirm_end(true);
+  TcpEvents e;
+  e.on_closed = [this, &a](const absl::Status& status) {
+    HttpCallResult r;
+    r.status = status;
+    r.http_status = a.StatusCode();
+    FinishCall(a, r);
+  };
+  a.ended_connection->set_events(std::move(e));
+  curl_off_t sent = 0;
+  curl_easy_getinfo(a.easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+  absl::string_view body = a.call.body;
+  // libcurl counts only the bytes of the body; before the first one, a part of
+  // the head may be unsent.
+  if (sent > 0 && static_cast<size_t>(sent) < body.size()) {
+    a.ended_connection->Write(
+        body.substr(static_cast<size_t>(sent), kProbeBytes));
+  }
+}
+
+int HttpClient::OnSocket(CURL* easy, curl_socket_t s, int what, void* userp,
                          void* socketp) {
   auto* self = static_cast<HttpClient*>(userp);
   auto* sock = static_cast<Socket*>(socketp);
@@ -237,6 +290,9 @@
   if (!sock) {
     sock = new Socket{self, s, {}};
     curl_multi_assign(self->multi_, s, sock);
+    ActiveCall* a = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &a);
+    if (a) a->socket = s;
   } else {
     ev_io_stop(self->loop_, &sock->io);
   }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -79,6 +79,7 @@
   struct Socket;
   static int OnSocket(CURL* easy, curl_socket_t s, int what, void* userp,
                       void* socketp);
+  static int OnCloseSocket(void* userp, curl_socket_t s);
   static int OnTimerChange(CURLM* multi, long timeout_ms, void* userp);
   static void OnIo(struct ev_loop* loop, ev_io* w, int revents);
   static void OnCurlTimeout(struct ev_loop* loop, ev_timer* w, int revents);
@@ -88,8 +89,14 @@
   static int OnPrereq(void* userdata, char* conn_primary_ip,
                       char* conn_local_ip, int conn_primary_port,
                       int conn_local_port);
-  // Calls on_done of the finished calls and removes them.
+  // Takes over the socket `s` that libcurl would close, to see whether a reset
+  // follows the end of the answer of `a`.
+  void ConfirmEnd(ActiveCall& a, curl_socket_t s);
+  // Finishes the calls that libcurl has ended, unless the end of their answer
+  // is still to be confirmed.
   void DeliverFinishedCalls();
+  // Calls on_done of `a` and removes it.
+  void FinishCall(ActiveCall& a, const HttpCallResult& result);
   void RemoveCall(uint64_t id);
 
   struct ev_loop* loop_;
--- a/src/net/tcp.cc
+++ b/src/net/tcp.cc
@@ -29,9 +29,15 @@
 // Time without acknowledgement after which a connection fails. With the default
 // of the kernel, a write to a silent connection would wait for minutes.
 constexpr unsigned kUserTimeoutMs = 5000;
+// Time between two looks for a reset after the end of the peer's side, and
+// their number: 250 ms. A lost reset comes again with the first retransmission,
+// 200 ms later.
+constexpr double kEndCheckSeconds = 0.01;
+constexpr int kEndChecks = 25;
 // Limit of the unsent bytes that the kernel queues per connection: two read
 // blocks.
 constexpr int kMaxUnsentBytes = 64 * 1024;
+constexpr char kResetAfterEnd[] = "reset after its end";
 
 }  // namespace
 
@@ -111,6 +117,8 @@
   ev_init(&timer_, OnConnectFailure);
   ev_set_priority(&timer_, kTimerPriority);
   timer_.data = this;
+  InitTimer(&end_timer_, OnEndCheck, kEndCheckSeconds, kEndCheckSeconds);
+  end_timer_.data = this;
 }
 
 TcpConnection::~TcpConnection() { Close(); }
@@ -121,7 +129,7 @@
     if (!connected_) {
       wanted_events = EV_WRITE;
     } else {
-      if (!paused_) wanted_events |= EV_READ;
+      if (!paused_ && !peer_ended_) wanted_events |= EV_READ;
       if (unsent() > 0) wanted_events |= EV_WRITE;
     }
   }
@@ -172,6 +180,7 @@
   if (io_events_) ev_io_stop(loop_, &io_);
   io_events_ = 0;
   ev_timer_stop(loop_, &timer_);
+  ev_timer_stop(loop_, &end_timer_);
   if (fd_ >= 0) close(fd_);
   fd_ = -1;
   events_ = {};
@@ -221,7 +230,7 @@
     return;
   }
   if (n == 0) {
-    CloseAndNotify(absl::OkStatus());
+    OnPeerEnd();
     return;
   }
   if (close_after_writes_) return;
@@ -230,6 +239,28 @@
   if (f) f(absl::string_view(buf, static_cast<size_t>(n)));
 }
 
+void TcpConnection::OnPeerEnd() {
+  if (HasError()) {
+    CloseAndNotify(absl::UnavailableError(kResetAfterEnd));
+  } else if (confirm_end_ && (unsent() > 0 || unacknowledged() > 0)) {
+    peer_ended_ = true;
+    end_checks_left_ = kEndChecks;
+    UpdateWatchedEvents();
+    ev_timer_again(loop_, &end_timer_);
+  } else {
+    CloseAndNotify(absl::OkStatus());
+  }
+}
+
+void TcpConnection::OnEndCheck(struct ev_loop*, ev_timer* w, int) {
+  auto self = static_cast<TcpConnection*>(w->data)->shared_from_this();
+  if (self->HasError()) {
+    self->CloseAndNotify(absl::UnavailableError(kResetAfterEnd));
+  } else if (--self->end_checks_left_ == 0) {
+    self->CloseAndNotify(absl::OkStatus());
+  }
+}
+
 void TcpConnection::OnWritable() {
   if (!connected_) {
     int err = 0;
@@ -286,6 +317,11 @@
   return static_cast<size_t>(n);
 }
 
+bool TcpConnection::HasError() const {
+  pollfd p{fd_, 0, 0};
+  return poll(&p, 1, 0) > 0 && (p.revents & POLLERR);
+}
+
 bool TcpConnection::PeerClosed() const {
   pollfd p{fd_, POLLRDHUP, 0};
   return fd_ >= 0 && poll(&p, 1, 0) > 0;
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -47,7 +47,8 @@
   std::function<void()> on_connected;
   std::function<void(absl::string_view)> on_data;
   // Called after the connection was closed: with Ok when the peer closed its
-  // side, else with the error.
+  // side in an orderly way, else with the error. A reset that is seen by then
+  // is an error.
   std::function<void(absl::Status)> on_closed;
   // Called when the write buffer has become empty.
   std::function<void()> on_drained;
@@ -88,6 +89,11 @@
   // Closes the connection immediately with a TCP reset, so that the peer cannot
   // mistake it for an orderly end. No callback follows.
   void CloseWithReset();
+  // Sets whether the end of the peer's side is reported later, if bytes sent by
+  // then are not acknowledged: a reset within the next 250 ms makes it an
+  // error. A peer that has gone, or that gives up the connection, answers them
+  // with a reset, which may arrive just after the end.
+  void set_confirm_end(bool confirm) { confirm_end_ = confirm; }
   // Pauses or resumes reading, for backpressure.
   void SetReadPaused(bool paused);
   bool open() const { return fd_ >= 0; }
@@ -109,6 +115,7 @@
  private:
   static void OnIo(struct ev_loop* loop, ev_io* w, int revents);
   static void OnConnectFailure(struct ev_loop* loop, ev_timer* w, int revents);
+  static void OnEndCheck(struct ev_loop* loop, ev_timer* w, int revents);
   // Sends as much of `data` as the socket accepts, if nothing waits before it.
   // Returns the number of bytes sent.
   size_t SendNow(absl::string_view data);
@@ -116,6 +123,10 @@
   void UpdateWatchedEvents();
   void OnReadable();
   void OnWritable();
+  // Reports the end of the peer's side, or starts to wait for a reset.
+  void OnPeerEnd();
+  // Returns whether the connection has failed with an error that is not read.
+  bool HasError() const;
   // Closes the connection and passes `status` to on_closed.
   void CloseAndNotify(absl::Status status);
 
@@ -126,9 +137,13 @@
   bool shutdown_after_writes_ = false;
   bool paused_ = false;
   bool refused_ = false;
+  bool confirm_end_ = false;
+  bool peer_ended_ = false;  // The end of the peer's side was read.
+  int end_checks_left_ = 0;
   int io_events_ = 0;
   ev_io io_{};
   ev_timer timer_{};
+  ev_timer end_timer_{};
   Payload out_;
   TcpEvents events_;
 };
