Agent: an early answer is whole when it is, not when its request is sent

What callers saw: an engine that answers a long upload early, with a length or in chunks, and then reads nothing: the agent held the end of the answer until its own time limit, and an engine that resets the connection after its whole answer got it taken for a broken one. Found by the test of sound early answers, played with each client.

Cause: libcurl ends a call when the answer is read and the request is sent; the servers' client (Http1Client) ends it with the answer.

Change: libcurl tells by the events it wants that nothing is left to read: it wants to write only, after the final head. The call then ends as whole and its connection is closed, as by the other client.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -30,8 +30,9 @@
   curl_slist* headers = nullptr;
   bool status_reported = false;
   bool cancelled = false;
-  size_t body_bytes = 0;   // Received so far.
-  HeaderList head_fields;  // Of the answer's head that is being read.
+  bool answered_early = false;  // The answer is whole, the request not sent.
+  size_t body_bytes = 0;        // Received so far.
+  HeaderList head_fields;       // Of the answer's head that is being read.
   bool head_is_http11 = true;
   // The head of the final answer is complete. libcurl reports success for an
   // answer whose connection closes between two lines of its head.
@@ -80,13 +81,13 @@
   curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
   InitTimer(&timer_, OnCurlTimeout, 0., 0.);
   timer_.data = this;
-  InitTimer(&remove_cancelled_timer_, OnRemoveCancelled, 0., 0.);
-  remove_cancelled_timer_.data = this;
+  InitTimer(&removal_timer_, OnRemoval, 0., 0.);
+  removal_timer_.data = this;
 }
 
 HttpClient::~HttpClient() {
   ev_timer_stop(loop_, &timer_);
-  ev_timer_stop(loop_, &remove_cancelled_timer_);
+  ev_timer_stop(loop_, &removal_timer_);
   while (!calls_.empty()) RemoveCall(calls_.begin()->first);
   curl_multi_cleanup(multi_);
 }
@@ -141,7 +142,7 @@
   it->second->call.on_done = nullptr;
   it->second->call.on_data = nullptr;
   it->second->call.on_status = nullptr;
-  ev_timer_start(loop_, &remove_cancelled_timer_);
+  ev_timer_start(loop_, &removal_timer_);
 }
 
 void HttpClient::RemoveCall(uint64_t id) {
@@ -221,7 +222,9 @@
     CURLcode code = msg->data.result;
     HttpCallResult r;
     r.http_status = a->StatusCode();
-    if (code == CURLE_OK && !a->head_ended) {
+    if (a->answered_early) {
+      // What became of the rest of the request does not matter.
+    } else if (code == CURLE_OK && !a->head_ended) {
       r.status = absl::UnavailableError("the answer's head is cut off");
     } else if (code != CURLE_OK) {
       r.status = absl::UnavailableError(curl_easy_strerror(code));
@@ -287,15 +290,21 @@
     }
     return 0;
   }
+  ActiveCall* a = nullptr;
+  curl_easy_getinfo(easy, CURLINFO_PRIVATE, &a);
   if (!sock) {
     sock = new Socket{self, s, {}};
     curl_multi_assign(self->multi_, s, sock);
-    ActiveCall* a = nullptr;
-    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &a);
     if (a) a->socket = s;
   } else {
     ev_io_stop(self->loop_, &sock->io);
   }
+  if (a && a->head_ended && what == CURL_POLL_OUT) {
+    // libcurl has read all of the answer and would go on to send the request,
+    // which the server may never read.
+    a->answered_early = true;
+    ev_timer_start(self->loop_, &self->removal_timer_);
+  }
   int events = (what & CURL_POLL_IN ? EV_READ : 0) |
                (what & CURL_POLL_OUT ? EV_WRITE : 0);
   ev_io_init(&sock->io, OnIo, s, events);
@@ -324,13 +333,19 @@
   self->DeliverFinishedCalls();
 }
 
-void HttpClient::OnRemoveCancelled(struct ev_loop*, ev_timer* w, int) {
+void HttpClient::OnRemoval(struct ev_loop*, ev_timer* w, int) {
   auto* self = static_cast<HttpClient*>(w->data);
-  std::vector<uint64_t> cancelled;
+  std::vector<uint64_t> ended;
   for (const auto& [id, a] : self->calls_) {
-    if (a->cancelled) cancelled.push_back(id);
+    if (a->cancelled || a->answered_early) ended.push_back(id);
+  }
+  for (uint64_t id : ended) {
+    auto it = self->calls_.find(id);
+    if (it == self->calls_.end()) continue;
+    HttpCallResult r;
+    r.http_status = it->second->StatusCode();
+    self->FinishCall(*it->second, r);
   }
-  for (uint64_t id : cancelled) self->RemoveCall(id);
 }
 
 void HttpClient::OnCurlTimeout(struct ev_loop*, ev_timer* w, int) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -83,7 +83,7 @@
   static int OnTimerChange(CURLM* multi, long timeout_ms, void* userp);
   static void OnIo(struct ev_loop* loop, ev_io* w, int revents);
   static void OnCurlTimeout(struct ev_loop* loop, ev_timer* w, int revents);
-  static void OnRemoveCancelled(struct ev_loop* loop, ev_timer* w, int revents);
+  static void OnRemoval(struct ev_loop* loop, ev_timer* w, int revents);
   static size_t OnHeadLine(char* ptr, size_t size, size_t n, void* userdata);
   static size_t OnWrite(char* ptr, size_t size, size_t n, void* userdata);
   static int OnPrereq(void* userdata, char* conn_primary_ip,
@@ -102,7 +102,8 @@
   struct ev_loop* loop_;
   CURLM* multi_;
   ev_timer timer_{};
-  ev_timer remove_cancelled_timer_{};  // Removes cancelled calls.
+  // Removes calls that were cancelled, and ends those that were answered early.
+  ev_timer removal_timer_{};
   uint64_t next_id_ = 1;
   std::map<uint64_t, std::unique_ptr<ActiveCall>> calls_;
 };
--- a/test/net/early_end_test.cc
+++ b/test/net/early_end_test.cc
@@ -22,8 +22,12 @@
 
 // Far more than the buffers of a connection hold whose server reads nothing.
 constexpr size_t kUploadBytes = size_t{8} << 20;
-constexpr char kOpenHead[] = "HTTP/1.1 200 OK\r\n\r\n";
-constexpr char kSizedHead[] = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+constexpr char kHalf[] = "HTTP/1.1 200 OK\r\n\r\nhalf";
+constexpr char kOpen[] = "HTTP/1.1 200 OK\r\n\r\nfull";
+constexpr char kSized[] = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull";
+constexpr char kChunked[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "4\r\nfull\r\n0\r\n\r\n";
 
 using Server = std::shared_ptr<TcpConnection>;
 
@@ -50,6 +54,9 @@
         }) {
     CHECK_TRUE(listener_.Listen({"127.0.0.1", 0}).ok());
   }
+  ~EarlyServer() {
+    for (const Server& s : open_) s->Close();
+  }
   Endpoint endpoint() const { return {"127.0.0.1", listener_.port()}; }
   std::string received;
 
@@ -98,6 +105,8 @@
   s->SetReadPaused(false);
 }
 
+void Stay(struct ev_loop*, Server) {}
+
 void EndAndStay(struct ev_loop*, Server s) { s->ShutdownAfterWrites(); }
 
 }  // namespace
@@ -106,7 +115,10 @@
   struct ev_loop* loop = ev_loop_new(EVFLAG_AUTO);
   BootClock clock;
   const std::string upload = std::string(kUploadBytes, 'u');
-  void teardown() override { ev_loop_destroy(loop); }
+  void teardown() override {
+    ev_run(loop, 0);  // Ends when the last delayed call has been made.
+    ev_loop_destroy(loop);
+  }
 
   void AwaitEnd(const Result& result) {
     TimePoint until = clock.Now() + std::chrono::seconds(5);
@@ -154,18 +166,17 @@
     return out;
   }
 
-  // Checks that no client takes `half` an answer, which ends so, for a whole
-  // one.
+  // Checks that no client takes half an answer, which ends so, for a whole one.
   void CheckCut(const char* name, const EarlyServer::Ending& ending) {
-    EarlyServer first(loop, absl::StrCat(kOpenHead, "half"), ending);
+    EarlyServer first(loop, kHalf, ending);
     CHECK_FALSE_TEXT(CallServer(first, upload).whole, name);
-    EarlyServer second(loop, absl::StrCat(kOpenHead, "half"), ending);
+    EarlyServer second(loop, kHalf, ending);
     CHECK_FALSE_TEXT(CallEngine(second, upload).whole, name);
   }
 
-  // Checks that each client takes the answer of `head` and a body for whole,
-  // and that a server that reads on gets no byte but those of the request.
-  void CheckWhole(const char* name, const char* head,
+  // Checks that each client takes `answer` for whole, and that a server that
+  // reads on gets no byte but those of the request.
+  void CheckWhole(const char* name, const char* answer,
                   const EarlyServer::Ending& ending, const std::string& body) {
     auto check = [&](const EarlyServer& server, const Result& result) {
       CHECK_TRUE_TEXT(result.whole, name);
@@ -174,9 +185,9 @@
       std::string rest = server.received.substr(end);
       CHECK_TRUE_TEXT(absl::StartsWith(body, rest), name);
     };
-    EarlyServer first(loop, absl::StrCat(head, "full"), ending);
+    EarlyServer first(loop, answer, ending);
     check(first, CallServer(first, body));
-    EarlyServer second(loop, absl::StrCat(head, "full"), ending);
+    EarlyServer second(loop, answer, ending);
     check(second, CallEngine(second, body));
   }
 };
@@ -207,11 +218,17 @@
 // Guards against the loss of a whole answer whose server does not want the rest
 // of the upload, and against foreign bytes in the place of that rest.
 TEST(early_end, SoundEarlyAnswersAreWhole) {
-  CheckWhole("reads on", kOpenHead, EndAndReadOn, upload);
-  CheckWhole("stays", kOpenHead, EndAndStay, upload);
-  CheckWhole("length, reads on", kSizedHead, EndAndReadOn, upload);
-  CheckWhole("small request", kOpenHead, EndAndReadOn, "u");
-  CheckWhole("small request, close", kOpenHead, CloseAllRead, "u");
+  CheckWhole("reads on", kOpen, EndAndReadOn, upload);
+  CheckWhole("stays", kOpen, EndAndStay, upload);
+  for (const char* answer : {kSized, kChunked}) {
+    CheckWhole("reads on, length or chunks", answer, EndAndReadOn, upload);
+    CheckWhole("stays, length or chunks", answer, Stay, upload);
+    CheckWhole("reset later, length or chunks", answer, ResetAfter(50), upload);
+    CheckWhole("end, reset later, length or chunks", answer,
+               EndThenResetAfter(50), upload);
+  }
+  CheckWhole("small request", kOpen, EndAndReadOn, "u");
+  CheckWhole("small request, close", kOpen, CloseAllRead, "u");
 }
 
 // Guards against a reset that a write has taken notice of and that the next
