Tests: a link refuses an answer with an odd byte in a field

Evidence: answer_end AnAnswerOnALinkNeedsSoundFields, nine fields, passes on the code as it is, x86_64: nghttp2 resets the stream.

--- a/test/answer_end_test.cc
+++ b/test/answer_end_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "CppUTest/TestHarness.h"
+#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 #include "agent.h"
 #include "agent_link.h"
@@ -280,6 +281,33 @@
   }
 }
 
+// Guards against an answer on a link to another process with an odd byte in a
+// field, which is passed on without that field.
+TEST(answer_end, AnAnswerOnALinkNeedsSoundFields) {
+  // A literal field with a name and a value of its own.
+  auto field = [](const std::string& name, const std::string& value) {
+    return std::string(1, '\0') + static_cast<char>(name.size()) + name +
+           static_cast<char>(value.size()) + value;
+  };
+  auto call = [&](const std::string& fields) {
+    return CallOverHttp2(loop,
+                         Frame(4, 0, 0, "") + Frame(1, 4, 1, "\x88" + fields) +
+                             Frame(0, 1, 1, "data: a\n\n"),
+                         Ending::kStay);
+  };
+  CHECK_TRUE(call(field("x-y", "a b")).end == CallEnd::kWhole);
+  for (const std::string& bad :
+       {field("x y", "z"), field("x-y ", "z"), field("x\x01", "z"),
+        field(std::string("x\0y", 3), "z"), field("x\x7f", "z"), field("", "z"),
+        field("x-y", "a\rb"), field("x-y", "a\nb"),
+        field("x-y", std::string("a\0b", 3))}) {
+    CallResult result = call(bad);
+    CHECK_TRUE_TEXT(result.end == CallEnd::kNoAnswer,
+                    absl::CEscape(bad).c_str());
+    STRCMP_EQUAL("", result.body.c_str());
+  }
+}
+
 // Guards against an engine's answer whose status is none, such as 000, that an
 // agent passes on.
 TEST(answer_end, AnAnswerThroughAnAgentNeedsAStatus) {
