--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -16,8 +16,8 @@
 
 // Answers of a lower status are interim ones.
 constexpr int kFirstFinalStatus = 200;
-// Bytes of the rest of a request that are sent after its answer has ended: more
-// than none, so that a server that has gone answers them with a reset.
+// How much of the rest of a request is sent after its answer has ended. A
+// server that has gone answers it with a reset.
 constexpr size_t kProbeBytes = size_t{16} * 1024;
 
 }  // namespace
@@ -222,11 +222,9 @@
     CURLcode code = msg->data.result;
     HttpCallResult r;
     r.http_status = a->StatusCode();
-    if (a->answered_early) {
-      // What became of the rest of the request does not matter.
-    } else if (code == CURLE_OK && !a->head_ended) {
+    if (code == CURLE_OK && !a->head_ended) {
       r.status = absl::UnavailableError("the answer's head is cut off");
-    } else if (code != CURLE_OK) {
+    } else if (code != CURLE_OK && !a->answered_early) {
       r.status = absl::UnavailableError(curl_easy_strerror(code));
       r.never_sent = a->send_attempts == 0;
       r.refused = r.never_sent && code == CURLE_COULDNT_CONNECT;
